Add HTTP adapter for the platform store

The adapter separates calls that the platform surely did not take (ErrUnavailable) from writes whose reply is missing (ErrReplyLost).

--- /dev/null
+++ b/pkg/transport/platform/http.go
@@ -0,0 +1,324 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+)
+
+const (
+	// DefaultCallTimeout bounds each call of the HTTP adapter.
+	DefaultCallTimeout = 5 * time.Second
+	// DefaultWatchWait is the longest time that a watch waits at the store. It
+	// sets the call rate of an idle watch.
+	DefaultWatchWait = 30 * time.Second
+
+	// maxReplyBytes bounds one reply, which may be a list of many values.
+	maxReplyBytes = 64 << 20
+	// maxIdleConns is the number of idle connections kept to the platform.
+	maxIdleConns = 16
+	// idleConnTimeout closes connections that are not in use.
+	idleConnTimeout = 90 * time.Second
+)
+
+// HTTPConfig configures the HTTP adapter.
+type HTTPConfig struct {
+	// BaseURL is the address of the platform, such as "http://127.0.0.1:7000".
+	BaseURL string
+	// CallTimeout bounds each call except for the wait of a watch. A shorter
+	// time detects outages sooner and loses more replies when the store is
+	// slow. Zero means DefaultCallTimeout.
+	CallTimeout time.Duration
+	// WatchWait is the longest time that a watch waits at the store. A longer
+	// time costs fewer calls. Zero means DefaultWatchWait.
+	WatchWait time.Duration
+	// Transport sends the requests. Nil means a new http.Transport without
+	// proxy and HTTP/2. A transport given here must not send a write again by
+	// itself.
+	Transport http.RoundTripper
+}
+
+// HTTP is the adapter to the platform's HTTP JSON interface. It implements
+// Store and VMList. It is safe for concurrent use.
+type HTTP struct {
+	base        url.URL
+	client      *http.Client
+	callTimeout time.Duration
+	watchWait   time.Duration
+}
+
+var (
+	_ Store  = (*HTTP)(nil)
+	_ VMList = (*HTTP)(nil)
+)
+
+// RequestError reports a call that the platform rejected as invalid. Repeating
+// it without a change does not help.
+type RequestError struct {
+	Op      string
+	Status  int
+	Message string
+}
+
+// Error describes the rejected call.
+func (e *RequestError) Error() string {
+	return fmt.Sprintf("platform rejected %s with status %d: %s; correct the call before repeating it",
+		e.Op, e.Status, e.Message)
+}
+
+// NewHTTP returns an adapter for the platform at cfg.BaseURL.
+func NewHTTP(cfg HTTPConfig) (*HTTP, error) {
+	base, err := url.Parse(cfg.BaseURL)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse platform URL")
+	}
+	if base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
+		return nil, fmt.Errorf("platform URL %q is not usable; give http://HOST:PORT", cfg.BaseURL)
+	}
+	base.Path = strings.TrimSuffix(base.Path, "/")
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = DefaultCallTimeout
+	}
+	if cfg.WatchWait == 0 {
+		cfg.WatchWait = DefaultWatchWait
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = newTransport()
+	}
+	client := &http.Client{
+		Transport: cfg.Transport,
+		// A redirected write would be sent twice.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &HTTP{base: *base, client: client, callTimeout: cfg.CallTimeout, watchWait: cfg.WatchWait}, nil
+}
+
+// newTransport returns a transport that never resends a PUT, POST or DELETE
+// once a byte of it was written: it treats only GET, HEAD, OPTIONS and TRACE
+// as replayable, unless an Idempotency-Key header is set, which this package
+// never does.
+func newTransport() *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		Protocols:           protocols,
+		MaxIdleConns:        maxIdleConns,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// call describes one request to the platform.
+type call struct {
+	op     string
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	write  bool
+	wait   time.Duration // time that the platform may hold the call
+	key    string        // key named by a conflict
+}
+
+// Get implements Store.
+func (h *HTTP) Get(ctx context.Context, key string) (Entry, error) {
+	data, err := h.do(ctx, call{op: "get", method: http.MethodGet, path: "/v1/kv/" + key})
+	if err != nil {
+		return Entry{}, err
+	}
+	entry, err := decodeEntry(data, key)
+	return entry, badReply(err, false)
+}
+
+// List implements Store.
+func (h *HTTP) List(ctx context.Context, prefix string) ([]Entry, error) {
+	query := url.Values{"prefix": {prefix}}
+	data, err := h.do(ctx, call{op: "list", method: http.MethodGet, path: "/v1/kv/", query: query})
+	if err != nil {
+		return nil, err
+	}
+	entries, err := decodeEntries(data)
+	return entries, badReply(err, false)
+}
+
+// CompareAndSwap implements Store.
+func (h *HTTP) CompareAndSwap(ctx context.Context, key string, value []byte, expect int64, lease LeaseID) (int64, error) {
+	if len(value) > MaxValueBytes {
+		return 0, &RequestError{Op: "cas", Status: http.StatusRequestEntityTooLarge,
+			Message: fmt.Sprintf("value has %d bytes and the limit is %d", len(value), MaxValueBytes)}
+	}
+	query := url.Values{"cas": {strconv.FormatInt(expect, 10)}}
+	if lease != 0 {
+		query.Set("lease", strconv.FormatInt(int64(lease), 10))
+	}
+	data, err := h.do(ctx, call{op: "cas", method: http.MethodPut, path: "/v1/kv/" + key, query: query,
+		body: value, write: true, key: key})
+	if err != nil {
+		return 0, err
+	}
+	revision, err := decodeRevision(data)
+	return revision, badReply(err, true)
+}
+
+// Delete implements Store. It returns ErrNotFound if the key does not exist.
+func (h *HTTP) Delete(ctx context.Context, key string, expect int64) error {
+	query := url.Values{"cas": {strconv.FormatInt(expect, 10)}}
+	_, err := h.do(ctx, call{op: "delete", method: http.MethodDelete, path: "/v1/kv/" + key, query: query,
+		write: true, key: key})
+	return err
+}
+
+// Grant implements Store.
+func (h *HTTP) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	body, err := json.Marshal(LeaseDocument{TTLMs: ttl.Milliseconds()})
+	if err != nil {
+		return 0, err
+	}
+	data, err := h.do(ctx, call{op: "grant", method: http.MethodPost, path: "/v1/leases", body: body, write: true})
+	if err != nil {
+		return 0, err
+	}
+	id, err := decodeLease(data)
+	return id, badReply(err, true)
+}
+
+// KeepAlive implements Store.
+func (h *HTTP) KeepAlive(ctx context.Context, id LeaseID) error {
+	_, err := h.do(ctx, call{op: "keepalive", method: http.MethodPost, path: leasePath(id) + "/keepalive", write: true})
+	return err
+}
+
+// Revoke implements Store.
+func (h *HTTP) Revoke(ctx context.Context, id LeaseID) error {
+	_, err := h.do(ctx, call{op: "revoke", method: http.MethodDelete, path: leasePath(id), write: true})
+	return err
+}
+
+// Watch implements Store.
+func (h *HTTP) Watch(ctx context.Context, prefix string, after int64) ([]Entry, error) {
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {strconv.FormatInt(after, 10)},
+		"wait":   {h.watchWait.String()},
+	}
+	data, err := h.do(ctx, call{op: "watch", method: http.MethodGet, path: "/v1/watch", query: query, wait: h.watchWait})
+	if err != nil {
+		return nil, err
+	}
+	entries, err := decodeEntries(data)
+	return entries, badReply(err, false)
+}
+
+// VMs implements VMList.
+func (h *HTTP) VMs(ctx context.Context) ([]VM, error) {
+	data, err := h.do(ctx, call{op: "vms", method: http.MethodGet, path: "/v1/vms"})
+	if err != nil {
+		return nil, err
+	}
+	vms, err := decodeVMs(data)
+	return vms, badReply(err, false)
+}
+
+func leasePath(id LeaseID) string {
+	return "/v1/leases/" + strconv.FormatInt(int64(id), 10)
+}
+
+// do sends one call and returns the body of a successful reply.
+func (h *HTTP) do(ctx context.Context, c call) ([]byte, error) {
+	metrics.GetOrCreateCounter(`hickory_platform_calls_total{op="` + c.op + `"}`).Inc()
+	ctx, cancel := context.WithTimeout(ctx, h.callTimeout+c.wait)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := h.request(httptrace.WithClientTrace(ctx, trace), c)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, callFailed(err, c.write && connected.Load())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err != nil {
+		return nil, callFailed(err, c.write)
+	}
+	if len(data) > maxReplyBytes {
+		return nil, badReply(fmt.Errorf("reply is longer than %d bytes", maxReplyBytes), c.write)
+	}
+	return data, statusError(c, resp.StatusCode, data)
+}
+
+func (h *HTTP) request(ctx context.Context, c call) (*http.Request, error) {
+	target := h.base
+	target.Path += c.path
+	target.RawQuery = c.query.Encode()
+	req, err := http.NewRequestWithContext(ctx, c.method, target.String(), bytes.NewReader(c.body))
+	return req, errors.Wrap(err, "build platform request")
+}
+
+// callFailed returns ErrReplyLost when the platform may have taken a write,
+// and ErrUnavailable otherwise.
+func callFailed(cause error, maybeTaken bool) error {
+	if maybeTaken {
+		return fmt.Errorf("%w: %w", ErrReplyLost, cause)
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, cause)
+}
+
+// badReply classifies a reply that could not be understood. A nil error stays
+// nil.
+func badReply(err error, write bool) error {
+	if err == nil {
+		return nil
+	}
+	return callFailed(errors.Wrap(err, "invalid platform reply"), write)
+}
+
+// statusError converts a reply status to an error of Store.
+func statusError(c call, status int, data []byte) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		conflict, err := decodeConflict(data, c.key)
+		if err != nil {
+			return badReply(err, c.write)
+		}
+		return conflict
+	case http.StatusGone:
+		return ErrLeaseExpired
+	case http.StatusTooManyRequests:
+		return ErrRateLimited
+	case http.StatusServiceUnavailable:
+		return ErrUnavailable
+	}
+	if status >= http.StatusBadRequest && status < http.StatusInternalServerError {
+		return &RequestError{Op: c.op, Status: status, Message: errorMessage(data)}
+	}
+	return callFailed(fmt.Errorf("status %d: %s", status, errorMessage(data)), c.write)
+}
+
+// errorMessage extracts the message of an error reply.
+func errorMessage(data []byte) string {
+	var d ErrorDocument
+	if json.Unmarshal(data, &d) == nil && d.Error != "" {
+		return d.Error
+	}
+	return "no message"
+}
--- a/pkg/transport/platform/store.go
+++ b/pkg/transport/platform/store.go
@@ -1,6 +1,36 @@
 // Package platform reaches the platform's key-value service and its list of
 // VMs. Store and VMList are the whole interface; another service is supported
 // by one more file that implements them.
+//
+// # HTTP interface
+//
+// HTTP is the adapter for a platform that speaks the following protocol. All
+// bodies are JSON except for values, which a PUT carries as they are.
+//
+//	GET    /v1/kv/KEY                     EntryDocument
+//	GET    /v1/kv/?prefix=P               EntriesDocument in key order
+//	PUT    /v1/kv/KEY?cas=REV[&lease=ID]  body: value; RevisionDocument
+//	DELETE /v1/kv/KEY?cas=REV             empty object
+//	POST   /v1/leases                     body: LeaseDocument with ttl_ms; LeaseDocument with id
+//	POST   /v1/leases/ID/keepalive        empty object
+//	DELETE /v1/leases/ID                  empty object; revokes the lease
+//	GET    /v1/watch?prefix=P&after=REV&wait=DURATION
+//	                                      EntriesDocument, empty when the wait ended
+//	GET    /v1/vms                        VMsDocument
+//
+// REV 0 means that the key must not exist. DURATION has the form of
+// time.ParseDuration. Replies with an error carry an ErrorDocument:
+//
+//	404  the key does not exist                       ErrNotFound
+//	409  the revision differs; current holds the entry  *ConflictError
+//	410  the lease has expired                        ErrLeaseExpired
+//	429  rate limit; the call was not taken           ErrRateLimited
+//	503  outage; the call was not taken               ErrUnavailable
+//	other 4xx  the call is invalid                    *RequestError
+//
+// Any other status, a broken reply or a missing reply leaves the effect of a
+// write open and gives ErrReplyLost. A write that found no connection gives
+// ErrUnavailable, and so does a read that failed for any reason.
 package platform
 
 import (
