Add stand-in for the platform's store and VM list

In-memory compare-and-swap, leases, watches and rate limits, with switches for outages, slowness, lost replies, stale reads and a VM list that lags.

--- /dev/null
+++ b/pkg/standin/platform/server.go
@@ -0,0 +1,254 @@
+// Package platform is a stand-in for the platform's key-value service and its
+// VM list. It keeps everything in memory, can be used in the process as a
+// platform.Store or over HTTP, and has switches for the failures that the real
+// service shows: outages, slowness, lost replies, stale reads and a VM list
+// that lags.
+package platform
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"hickoryroute/pkg/transport/platform"
+)
+
+const (
+	// DefaultReadsPerSecond is the rate of reads that the stand-in admits.
+	DefaultReadsPerSecond = 2000
+	// DefaultWritesPerSecond is the rate of writes that the stand-in admits.
+	DefaultWritesPerSecond = 400
+	// DefaultWatchWait is the longest wait of a watch made in the process.
+	DefaultWatchWait = 30 * time.Second
+)
+
+// Clock is the source of time. Zero fields mean the clock of package time.
+type Clock struct {
+	Now   func() time.Time
+	After func(time.Duration) <-chan time.Time
+}
+
+// Config configures a Server.
+type Config struct {
+	// ReadsPerSecond limits reads and waiting watches, with a burst of one
+	// second. Zero means DefaultReadsPerSecond.
+	ReadsPerSecond float64
+	// WritesPerSecond limits writes and lease calls, with a burst of one
+	// second. Zero means DefaultWritesPerSecond.
+	WritesPerSecond float64
+	// WatchWait is the longest wait of a watch. Zero means DefaultWatchWait.
+	WatchWait time.Duration
+	// VMListLag is the age of the VM list that callers see.
+	VMListLag time.Duration
+	// Clock is the source of time.
+	Clock Clock
+}
+
+// Faults are the failure switches. The zero value means none.
+type Faults struct {
+	// Outage refuses every call and ends waiting watches.
+	Outage bool
+	// Slow delays every call by this time before it takes effect.
+	Slow time.Duration
+	// LoseReplies lets writes take effect and drops their reply.
+	LoseReplies bool
+	// StaleReads answers reads from the state at the time of the switch.
+	StaleReads bool
+}
+
+// Server is the stand-in. It is safe for concurrent use.
+type Server struct {
+	cfg Config
+
+	mu        sync.Mutex
+	entries   map[string]platform.Entry
+	revision  int64
+	leases    map[platform.LeaseID]lease
+	nextLease platform.LeaseID
+	stale     map[string]platform.Entry // non-nil while reads are stale
+	faults    Faults
+	changed   chan struct{} // closed and replaced upon each change
+	reads     bucket
+	writes    bucket
+	calls     map[string]int64
+	vms       vmHistory
+}
+
+var (
+	_ platform.Store  = (*Server)(nil)
+	_ platform.VMList = (*Server)(nil)
+)
+
+// lease is one lease of the store.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// New returns an empty server.
+func New(cfg Config) *Server {
+	if cfg.ReadsPerSecond == 0 {
+		cfg.ReadsPerSecond = DefaultReadsPerSecond
+	}
+	if cfg.WritesPerSecond == 0 {
+		cfg.WritesPerSecond = DefaultWritesPerSecond
+	}
+	if cfg.WatchWait == 0 {
+		cfg.WatchWait = DefaultWatchWait
+	}
+	if cfg.Clock.Now == nil {
+		cfg.Clock.Now = time.Now
+	}
+	if cfg.Clock.After == nil {
+		cfg.Clock.After = time.After
+	}
+	now := cfg.Clock.Now()
+	return &Server{
+		cfg:     cfg,
+		entries: map[string]platform.Entry{},
+		leases:  map[platform.LeaseID]lease{},
+		changed: make(chan struct{}),
+		reads:   newBucket(cfg.ReadsPerSecond, now),
+		writes:  newBucket(cfg.WritesPerSecond, now),
+		calls:   map[string]int64{},
+		vms:     vmHistory{lag: cfg.VMListLag},
+	}
+}
+
+// SetFaults replaces the failure switches.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setFaults(f)
+}
+
+// UpdateFaults changes some of the failure switches.
+func (s *Server) UpdateFaults(change func(*Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	change(&f)
+	s.setFaults(f)
+}
+
+func (s *Server) setFaults(f Faults) {
+	if f.StaleReads && s.stale == nil {
+		s.expire()
+		s.stale = make(map[string]platform.Entry, len(s.entries))
+		for key, entry := range s.entries {
+			s.stale[key] = entry
+		}
+	}
+	if !f.StaleReads {
+		s.stale = nil
+	}
+	s.faults = f
+	s.wake()
+}
+
+// Faults returns the failure switches.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetLimits replaces the rate limits, in calls a second.
+func (s *Server) SetLimits(reads, writes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Clock.Now()
+	s.reads = newBucket(reads, now)
+	s.writes = newBucket(writes, now)
+}
+
+// Calls returns the number of calls by operation, including refused ones.
+func (s *Server) Calls() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[string]int64, len(s.calls))
+	for op, n := range s.calls {
+		calls[op] = n
+	}
+	return calls
+}
+
+// wake ends all waits for a change. The lock is held.
+func (s *Server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// admit counts a call, waits while the store is slow and applies the outage
+// and the rate limit.
+func (s *Server) admit(ctx context.Context, op string, b *bucket) error {
+	s.mu.Lock()
+	s.calls[op]++
+	slow := s.faults.Slow
+	s.mu.Unlock()
+	if slow > 0 {
+		select {
+		case <-s.cfg.Clock.After(slow):
+		case <-ctx.Done():
+			return errNotTaken(ctx)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Outage {
+		return platform.ErrUnavailable
+	}
+	if !b.take(s.cfg.Clock.Now()) {
+		return platform.ErrRateLimited
+	}
+	return nil
+}
+
+// view returns the entries that reads see. The lock is held.
+func (s *Server) view() map[string]platform.Entry {
+	if s.stale != nil {
+		return s.stale
+	}
+	s.expire()
+	return s.entries
+}
+
+// expire removes lapsed leases and their keys. The lock is held.
+func (s *Server) expire() {
+	now := s.cfg.Clock.Now()
+	for id, l := range s.leases {
+		if !now.Before(l.expires) {
+			s.drop(id)
+		}
+	}
+}
+
+// drop removes a lease and its keys. The lock is held.
+func (s *Server) drop(id platform.LeaseID) {
+	delete(s.leases, id)
+	for key, entry := range s.entries {
+		if entry.Lease == id {
+			delete(s.entries, key)
+		}
+	}
+}
+
+// matching returns the entries below prefix with a revision above after, in
+// key order.
+func matching(entries map[string]platform.Entry, prefix string, after int64) []platform.Entry {
+	var found []platform.Entry
+	for key, entry := range entries {
+		if strings.HasPrefix(key, prefix) && entry.Revision > after {
+			found = append(found, copyEntry(entry))
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found
+}
+
+func copyEntry(e platform.Entry) platform.Entry {
+	e.Value = append([]byte(nil), e.Value...)
+	return e
+}
