Add steering router and client block look-up

The router carries a request through reservation, sending, one hedge, retries under a budget and quarantine of crashing requests. The look-up table maps client blocks to ordered entry VMs.

--- /dev/null
+++ b/pkg/steering/attempt.go
@@ -0,0 +1,233 @@
+package steering
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"hickoryroute/pkg/eventlog"
+	"hickoryroute/pkg/protocol"
+)
+
+// tellTimeout bounds how long a caller's answer waits for members to be told
+// of a crash.
+const tellTimeout = time.Second
+
+// attempt is one request to one target.
+type attempt struct {
+	race     *race
+	grant    *grant
+	hedge    bool
+	skipped  bool // a hedge without a free slot
+	cancel   context.CancelFunc
+	stop     context.CancelFunc // ends the context that expires with the reservation
+	sentAt   time.Time
+	response *SendResponse
+	failure  *SendFailure
+}
+
+// start sends the call to the target of g.
+func (ra *race) start(ctx context.Context, g *grant) *attempt {
+	a := &attempt{race: ra, grant: g, sentAt: ra.router.cfg.Now()}
+	ctx, a.cancel = context.WithCancel(ctx)
+	go a.run(ctx)
+	return a
+}
+
+// startHedge reserves a free slot on another target and sends the call to it.
+func (ra *race) startHedge(ctx context.Context, region string) *attempt {
+	a := &attempt{race: ra, hedge: true, skipped: true}
+	ctx, a.cancel = context.WithCancel(ctx)
+	exclude := slices.Clone(ra.call.tried)
+	go a.runHedge(ctx, region, exclude)
+	return a
+}
+
+func (a *attempt) runHedge(ctx context.Context, region string, exclude []string) {
+	r := a.race.router
+	g := r.reserveHedge(ctx, a.race.call, region, exclude)
+	a.sentAt = r.cfg.Now()
+	if g == nil {
+		a.race.call.state.hedges.refund(a.sentAt)
+		a.cancel()
+		a.race.ended <- a
+		return
+	}
+	a.grant, a.skipped = g, false
+	r.metrics.hedges.Inc()
+	a.run(ctx)
+}
+
+// run sends the attempt and ends it: as winner, failure or loser.
+func (a *attempt) run(ctx context.Context) {
+	left := a.grant.endBefore(a.race.call.deadline).Sub(a.race.router.cfg.Now())
+	ctx, a.stop = context.WithTimeout(ctx, left)
+	resp, err := a.send(ctx)
+	if err != nil {
+		a.fail(ctx, asFailure(ctx, err))
+		return
+	}
+	if !a.race.claim() {
+		_ = resp.Body.Close()
+		a.fail(ctx, &SendFailure{Kind: FailCancelled, Written: true, Draining: resp.Draining})
+		return
+	}
+	a.response = resp
+	a.race.router.countAttempt(a, "answered")
+	a.race.router.noteDraining(a, resp.Draining)
+	a.race.ended <- a
+}
+
+// send calls the sender. A panic there becomes a failure, so that the
+// reservation is still released.
+func (a *attempt) send(ctx context.Context) (resp *SendResponse, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			a.race.router.cfg.Logger.Log(eventSenderPanic, eventlog.Fields{
+				"target": a.grant.reply.Target.Name, "panic": fmt.Sprint(p),
+			})
+			resp, err = nil, &SendFailure{Kind: FailInternal, Written: true, Err: fmt.Errorf("sender panic: %v", p)}
+		}
+	}()
+	req := a.request()
+	if !a.race.router.cfg.Now().Before(req.Deadline) {
+		return nil, &SendFailure{Kind: FailTimeout}
+	}
+	resp, err = a.race.router.cfg.Sender.Send(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Body == nil {
+		resp.Body = http.NoBody
+	}
+	if refusedBeforeRun(resp) {
+		_ = resp.Body.Close()
+		return nil, &SendFailure{Kind: FailRefused, Written: true, NotRun: true, Draining: resp.Draining}
+	}
+	return resp, nil
+}
+
+func (a *attempt) request() *SendRequest {
+	req := a.race.call.req
+	return &SendRequest{
+		Target:    a.grant.reply.Target,
+		Method:    req.Method,
+		Path:      req.Path,
+		Header:    req.Header.Clone(),
+		Body:      req.Body,
+		RequestID: req.RequestID,
+		Ticket:    req.Ticket,
+		Deadline:  a.grant.endBefore(a.race.call.deadline),
+	}
+}
+
+// refusedBeforeRun recognises a target that says it did not run the request.
+func refusedBeforeRun(resp *SendResponse) bool {
+	if resp.Status != http.StatusTooManyRequests && resp.Status != http.StatusServiceUnavailable {
+		return false
+	}
+	return resp.Header.Get(protocol.HeaderNotRun) == "true"
+}
+
+// asFailure types err and tells cancellation and timeout from other failures.
+func asFailure(ctx context.Context, err error) *SendFailure {
+	var f *SendFailure
+	if !errors.As(err, &f) {
+		f = &SendFailure{Kind: FailBroken, Written: true, Err: err}
+	}
+	kind := f.Kind
+	switch {
+	case kind == FailRefused, kind == FailInternal:
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		kind = FailTimeout
+	case ctx.Err() != nil:
+		kind = FailCancelled
+	}
+	typed := *f
+	typed.Kind = kind
+	return &typed
+}
+
+// fail ends an attempt without an answer: it tells of a crash, releases the
+// reservation and reports to the race.
+func (a *attempt) fail(ctx context.Context, f *SendFailure) {
+	a.failure = f
+	r := a.race.router
+	if f.crashed() {
+		r.tellCrash(ctx, a)
+	}
+	r.countAttempt(a, f.Kind.String())
+	r.noteDraining(a, f.Draining)
+	a.grant.release(r, releaseResult(f), r.cfg.Now().Sub(a.sentAt), f.Draining)
+	a.stop()
+	a.cancel()
+	a.race.ended <- a
+}
+
+func releaseResult(f *SendFailure) protocol.ReleaseResult {
+	switch f.Kind {
+	case FailRefused:
+		return protocol.ReleaseShed
+	case FailTimeout:
+		return protocol.ReleaseTimeout
+	case FailCancelled:
+		return protocol.ReleaseCancelled
+	case FailLinkFull:
+		return protocol.ReleaseUnused
+	default:
+		return protocol.ReleaseFailed
+	}
+}
+
+// tellCrash counts a crash here and tells all members before the caller can
+// learn of it, so that a resend through any VM meets the count.
+func (r *Router) tellCrash(ctx context.Context, a *attempt) {
+	req := a.race.call.req
+	n := protocol.Notice{
+		Kind:    protocol.NoticeCrash,
+		ID:      r.noticeID(a),
+		Subject: Fingerprint(req.Service, req.Method, req.Path, req.Body),
+		Origin:  r.cfg.Self,
+		TTLMs:   quarantineTime.Milliseconds(),
+	}
+	crashes := r.poison.add(n.Subject, n.ID, quarantineTime, r.cfg.Now())
+	r.cfg.Logger.Log(eventTargetCrash, eventlog.Fields{
+		"target": a.grant.reply.Target.Name, "fingerprint": n.Subject, "crashes": crashes, "request_id": req.RequestID,
+	})
+	if r.cfg.CrashTeller == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tellTimeout)
+	defer cancel()
+	r.cfg.CrashTeller.TellCrash(ctx, n)
+}
+
+// noticeID is unique because an owner never reuses a reservation id within
+// one process and the time tells processes apart.
+func (r *Router) noticeID(a *attempt) string {
+	return fmt.Sprintf("crash/%s/%s/%d/%d", r.cfg.Self, a.grant.owner, a.grant.reply.ReservationID, a.sentAt.UnixNano())
+}
+
+func (r *Router) noteDraining(a *attempt, draining bool) {
+	if draining && r.cfg.TargetLeaving != nil {
+		r.cfg.TargetLeaving(a.grant.reply.Target.Name)
+	}
+}
+
+// answer turns the winner into the caller's answer. The reservation is held
+// until the body ends, and after is called then.
+func (a *attempt) answer(after func()) *Answer {
+	body := &answerBody{attempt: a, inner: a.response.Body, after: after}
+	if a.response.Body == http.NoBody {
+		body.end(protocol.ReleaseOK)
+	}
+	return &Answer{
+		Status: a.response.Status,
+		Header: a.response.Header,
+		Body:   body,
+		Target: a.grant.reply.Target.Name,
+	}
+}
--- /dev/null
+++ b/pkg/steering/lookup/table.go
@@ -0,0 +1,88 @@
+// Package lookup finds the preferred regions of a client and the entry VMs
+// that its callers should use.
+package lookup
+
+import (
+	"net/netip"
+	"strings"
+
+	"github.com/gaissmai/bart"
+	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/state/settings"
+)
+
+// Table maps blocks of client addresses to the regions that serve them, in
+// order of preference. It is immutable; Load builds a new one. It is safe for
+// concurrent use.
+type Table struct {
+	prefixes bart.Fast[uint32] // index into orders
+	orders   [][]string        // distinct region orders
+}
+
+// BlockError reports a client block that cannot be loaded.
+type BlockError struct {
+	Prefix string
+	Err    error
+}
+
+// Error names the block and the remedy.
+func (e *BlockError) Error() string {
+	return "client block " + e.Prefix + ": " + e.Err.Error() + "; write it as address/bits with at least one region"
+}
+
+// Unwrap returns the cause.
+func (e *BlockError) Unwrap() error { return e.Err }
+
+// Load builds a table. Blocks with the same region order share its storage.
+func Load(blocks []settings.ClientBlock) (*Table, error) {
+	t := &Table{}
+	known := map[string]uint32{}
+	for _, b := range blocks {
+		prefix, err := netip.ParsePrefix(b.Prefix)
+		if err != nil {
+			return nil, &BlockError{Prefix: b.Prefix, Err: err}
+		}
+		if len(b.Regions) == 0 {
+			return nil, &BlockError{Prefix: b.Prefix, Err: errors.New("no region is given")}
+		}
+		t.prefixes.Insert(prefix.Masked(), t.order(known, b.Regions))
+	}
+	return t, nil
+}
+
+// order returns the index of a region order and stores it once.
+func (t *Table) order(known map[string]uint32, regions []string) uint32 {
+	key := strings.Join(regions, "\x00")
+	if i, ok := known[key]; ok {
+		return i
+	}
+	i := uint32(len(t.orders))
+	t.orders = append(t.orders, append([]string(nil), regions...))
+	known[key] = i
+	return i
+}
+
+// Len returns the number of blocks.
+func (t *Table) Len() int { return t.prefixes.Size() }
+
+// Lookup returns the regions of the longest block that contains addr, or nil.
+// The result is shared and must not be changed.
+func (t *Table) Lookup(addr netip.Addr) []string {
+	i, ok := t.prefixes.Lookup(addr.Unmap())
+	if !ok {
+		return nil
+	}
+	return t.orders[i]
+}
+
+// block returns the longest block that contains addr, or the address itself.
+func (t *Table) block(addr netip.Addr) (netip.Prefix, []string) {
+	addr = addr.Unmap()
+	host := netip.PrefixFrom(addr, addr.BitLen())
+	prefix, i, ok := t.prefixes.LookupPrefixLPM(host)
+	if !ok {
+		return host, nil
+	}
+	return prefix, t.orders[i]
+}
--- /dev/null
+++ b/pkg/steering/problems.go
@@ -0,0 +1,123 @@
+package steering
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"hickoryroute/pkg/protocol"
+)
+
+// retryAfter is the advised pause after an early refusal. It is a fraction of
+// the time in which warming and backing off change the number of slots.
+const retryAfter = 250 * time.Millisecond
+
+func withRetryAfter(p *protocol.Problem, after time.Duration) *protocol.Problem {
+	p.RetryAfterMs = int(after.Milliseconds())
+	return p
+}
+
+func unknownServiceProblem(service string) *protocol.Problem {
+	return protocol.NewProblem(http.StatusNotFound, protocol.CodeUnknownService, protocol.OutcomeNotRun,
+		fmt.Sprintf("service %q has no region in the settings", service),
+		"check the service name, or add the service to the settings tree")
+}
+
+func deadlineProblem(c *call) *protocol.Problem {
+	return protocol.NewProblem(http.StatusGatewayTimeout, protocol.CodeDeadlinePassed, protocol.OutcomeNotRun,
+		fmt.Sprintf("the deadline of the request to %q passed before it was sent", c.req.Service),
+		"send the request again with a longer "+protocol.HeaderDeadlineMs)
+}
+
+func quarantinedProblem(c *call, left time.Duration) *protocol.Problem {
+	outcome := protocol.OutcomeNotRun
+	if c.mayHaveRun {
+		outcome = protocol.OutcomeUnknown
+	}
+	p := protocol.NewProblem(http.StatusServiceUnavailable, protocol.CodeQuarantined, outcome,
+		fmt.Sprintf("this request to %q has broken the connections of %d targets", c.req.Service, quarantineCrashes),
+		"do not resend it; report the request to the owner of the service")
+	return withRetryAfter(p, left)
+}
+
+func noRoomProblem(c *call) *protocol.Problem {
+	p := protocol.NewProblem(http.StatusServiceUnavailable, protocol.CodeNoRoom, protocol.OutcomeNotRun,
+		fmt.Sprintf("all slots and queues of service %q are taken", c.req.Service),
+		"send the request again after retry_after_ms")
+	return withRetryAfter(p, retryAfter)
+}
+
+func noTargetProblem(c *call) *protocol.Problem {
+	p := protocol.NewProblem(http.StatusServiceUnavailable, protocol.CodeNoTarget, protocol.OutcomeNotRun,
+		fmt.Sprintf("no entry VM in reach owns a target of service %q", c.req.Service),
+		"send the request again after retry_after_ms; operators check drains and the health of targets")
+	return withRetryAfter(p, retryAfter)
+}
+
+func linkFullProblem(c *call) *protocol.Problem {
+	p := protocol.NewProblem(http.StatusServiceUnavailable, protocol.CodeLinkFull, protocol.OutcomeNotRun,
+		fmt.Sprintf("the links to the regions with room for service %q are at their caps", c.req.Service),
+		"send the request again after retry_after_ms; operators may raise the cap of the link")
+	return withRetryAfter(p, retryAfter)
+}
+
+// settleProblem applies the outcome of earlier attempts to a refusal. A
+// request that may have run is never reported as not run.
+func settleProblem(c *call, p *protocol.Problem) *protocol.Problem {
+	if !c.mayHaveRun {
+		return p
+	}
+	return lostProblem(c)
+}
+
+// failureProblem reports a request whose attempts all failed.
+func failureProblem(c *call, poison *poisonTable, now time.Time) *protocol.Problem {
+	if left, blocked := poison.blocked(c.req, now); blocked {
+		return quarantinedProblem(c, left)
+	}
+	if c.mayHaveRun {
+		return lostProblem(c)
+	}
+	switch c.last.Kind {
+	case FailLinkFull:
+		return linkFullProblem(c)
+	case FailTimeout, FailCancelled:
+		return deadlineProblem(c)
+	}
+	p := protocol.NewProblem(http.StatusServiceUnavailable, protocol.CodeTargetRefused, protocol.OutcomeNotRun,
+		fmt.Sprintf("targets of service %q refused the request or the connection", c.req.Service),
+		"send the request again after retry_after_ms")
+	return withRetryAfter(p, retryAfter)
+}
+
+// lostProblem reports a request that a target may have run.
+func lostProblem(c *call) *protocol.Problem {
+	status, code := http.StatusBadGateway, protocol.CodeTargetLost
+	detail := "the connection to the target was lost before the answer"
+	switch c.last.Kind {
+	case FailTimeout, FailCancelled:
+		status, code = http.StatusGatewayTimeout, protocol.CodeTargetTimeout
+		detail = "the target did not answer before the deadline"
+	case FailBadAnswer:
+		code, detail = protocol.CodeBadAnswer, "the target's answer is not valid HTTP"
+	case FailInternal:
+		status, code, detail = http.StatusInternalServerError, protocol.CodeInternal, "sending to the target failed"
+	}
+	return protocol.NewProblem(status, code, protocol.OutcomeUnknown, detail, unknownRemedy(c))
+}
+
+func unknownRemedy(c *call) string {
+	if c.req.Idempotent {
+		return "send the request again"
+	}
+	return "ask again with the same ticket; take a new ticket only if a second run is acceptable"
+}
+
+// truncatedProblem reports an answer that ended early.
+func truncatedProblem(a *attempt, err error) *protocol.Problem {
+	p := protocol.NewProblem(http.StatusBadGateway, protocol.CodeTargetLost, protocol.OutcomeUnknown,
+		fmt.Sprintf("the answer of target %s is incomplete: %v", a.grant.reply.Target.Name, err),
+		unknownRemedy(a.race.call))
+	p.RequestID = a.race.call.req.RequestID
+	return p
+}
