--- /dev/null
+++ b/pkg/coordination/config/boot.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hickoryroute/pkg/eventlog"
+)
+
+// Limits of the first fetch of the settings.
+const (
+	bootCallTimeout = 2 * time.Second
+	bootWorkers     = 16
+)
+
+// Boot asks the platform and all peers once and applies the highest revision.
+// It returns *NoTreeError if none of them has a valid tree; the caller then
+// tries again.
+func (m *Manager) Boot(ctx context.Context) error {
+	err := m.Refresh(ctx)
+	m.askPeers(ctx, m.config.Peers.All())
+	s := m.Current()
+	if s.Tree != nil {
+		m.config.Logger.Log(eventBooted, eventlog.Fields{"revision": s.Revision})
+		return nil
+	}
+	if err == nil && s.Fault != nil {
+		err = s.Fault.Err
+	}
+	return &NoTreeError{Err: err}
+}
+
+// Refresh reads the head from the platform and applies it.
+func (m *Manager) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, bootCallTimeout)
+	defer cancel()
+	head, err := m.config.Store.Get(ctx, HeadKey)
+	if err != nil {
+		return err
+	}
+	return m.Apply(head.Revision, head.Value)
+}
+
+// askPeers fetches from all peers that have a higher revision than this VM at
+// the time they are asked.
+func (m *Manager) askPeers(ctx context.Context, peers []string) {
+	work := make(chan string)
+	var wg sync.WaitGroup
+	for range min(bootWorkers, len(peers)) {
+		wg.Go(func() {
+			for peer := range work {
+				m.Fetch(ctx, peer)
+			}
+		})
+	}
+	for _, peer := range peers {
+		work <- peer
+	}
+	close(work)
+	wg.Wait()
+}
+
+// Fetch asks one peer for its settings and applies them if they are newer.
+func (m *Manager) Fetch(ctx context.Context, peer string) {
+	ctx, cancel := context.WithTimeout(ctx, bootCallTimeout)
+	defer cancel()
+	reply, err := m.config.Peers.Settings(ctx, peer, m.Current().Revision)
+	if err != nil {
+		m.config.Logger.Log(eventPeerFailed, eventlog.Fields{"peer": peer, "error": err.Error()})
+		return
+	}
+	if len(reply.Document) > 0 {
+		_ = m.Apply(reply.Revision, reply.Document) // a fault is kept in Current
+	}
+}
+
+// Learn tells Run that a peer has a higher revision. It does not block; a
+// hint that is lost is made up for by the comparison with random peers.
+func (m *Manager) Learn(peer string, revision int64) {
+	if revision <= m.Current().Revision {
+		return
+	}
+	select {
+	case m.learned <- hint{peer, revision}:
+	default:
+	}
+}
--- /dev/null
+++ b/pkg/coordination/config/history.go
@@ -0,0 +1,40 @@
+package config
+
+import (
+	"context"
+
+	"hickoryroute/pkg/state/settings"
+)
+
+// History returns the changes that led to s, newest last, each with its
+// revision. A write around the operator tool has no author.
+func (s *Snapshot) History() []settings.Summary {
+	if s.Document == nil {
+		return nil
+	}
+	history := append([]settings.Summary(nil), s.Document.History...)
+	if n := len(history); n > 0 && history[n-1].Revision == 0 {
+		history[n-1].Revision = s.Revision
+	}
+	return history
+}
+
+// History returns the last changes, newest last. It reads the head and falls
+// back to the settings in force when the platform does not answer.
+func (m *Manager) History(ctx context.Context) []settings.Summary {
+	_ = m.Refresh(ctx) // the settings in force are the fallback
+	return m.Current().History()
+}
+
+// RevisionText returns the document of the change with the given request id,
+// accepted or not.
+func (m *Manager) RevisionText(ctx context.Context, requestID string) (*settings.Document, error) {
+	if !requestIDPattern.MatchString(requestID) {
+		return nil, &EditError{"request id is not valid", "take one from the history"}
+	}
+	entry, err := m.config.Store.Get(ctx, RevisionPrefix+requestID)
+	if err != nil {
+		return nil, &PlatformError{"reading the text of the change", err}
+	}
+	return settings.DecodeDocument(entry.Value)
+}
--- /dev/null
+++ b/pkg/state/settings/diff.go
@@ -0,0 +1,124 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Change is one setting that differs between two trees. Old or New is empty
+// when the setting was added or removed.
+type Change struct {
+	Path string `json:"path"`
+	Key  string `json:"key"`
+	Old  string `json:"old,omitempty"`
+	New  string `json:"new,omitempty"`
+}
+
+// String returns the change in one line.
+func (c Change) String() string {
+	return fmt.Sprintf("%s %s: %q -> %q", c.Path, c.Key, c.Old, c.New)
+}
+
+type settingKey struct{ path, key string }
+
+// flatMap holds every setting of a tree as text.
+type flatMap map[settingKey]string
+
+// Diff returns the settings that differ, ordered by path and key. A nil tree
+// is empty.
+func Diff(old, new *Tree) []Change {
+	before, after := flatten(old), flatten(new)
+	var changes []Change
+	for k, v := range before {
+		if after[k] != v {
+			changes = append(changes, Change{Path: k.path, Key: k.key, Old: v, New: after[k]})
+		}
+	}
+	for k, v := range after {
+		if _, ok := before[k]; !ok {
+			changes = append(changes, Change{Path: k.path, Key: k.key, New: v})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Key, b.Key))
+	})
+	return changes
+}
+
+// ChangedPaths returns the paths of changes without repetition.
+func ChangedPaths(changes []Change) []string {
+	paths := make([]string, 0, len(changes))
+	for _, c := range changes {
+		paths = append(paths, c.Path)
+	}
+	slices.Sort(paths)
+	return slices.Compact(paths)
+}
+
+func flatten(t *Tree) flatMap {
+	flat := flatMap{}
+	if t == nil {
+		return flat
+	}
+	for _, p := range t.paths() {
+		rules, _ := t.rulesAt(p)
+		flat.addRules(p.String(), "", rules)
+		flat.addNode(t, p)
+	}
+	for _, link := range t.Links {
+		flat[settingKey{linkPath(link), "capacity"}] = link.Capacity.String()
+		flat[settingKey{linkPath(link), "cap"}] = link.Cap.String()
+	}
+	for _, block := range t.Blocks {
+		flat[settingKey{blockPath(block), "regions"}] = strings.Join(block.Regions, ",")
+	}
+	for _, o := range t.Overrides {
+		flat.addOverride(o)
+	}
+	return flat
+}
+
+func (flat flatMap) addRules(path, prefix string, rules Rules) {
+	for _, f := range ruleFields {
+		if v, ok := f.value(rules); ok {
+			flat[settingKey{path, prefix + f.key}] = ruleText(v)
+		}
+	}
+}
+
+func (flat flatMap) addNode(t *Tree, p Path) {
+	path := p.String()
+	switch {
+	case p.Target != "":
+		target := t.Regions[p.Region].Services[p.Service].Targets[p.Target]
+		flat[settingKey{path, "address"}] = target.Address
+		flat[settingKey{path, "zone"}] = target.Zone
+		flat[settingKey{path, "slots"}] = fmt.Sprint(target.Slots)
+	case p.Service != "":
+		flat[settingKey{path, "service"}] = "listed"
+	case p.Region != "":
+		flat[settingKey{path, "zones"}] = strings.Join(t.Regions[p.Region].Zones, ",")
+	}
+}
+
+func (flat flatMap) addOverride(o Override) {
+	details := fmt.Sprintf("%s (%s)", o.Author, o.Reason)
+	for _, f := range ruleFields {
+		v, ok := f.value(o.Rules)
+		if !ok {
+			continue
+		}
+		key := settingKey{o.Path, "override." + f.key}
+		flat[key] = ruleText(v) + " by " + details + expiryText(o)
+	}
+}
+
+func expiryText(o Override) string {
+	if o.Expires.IsZero() {
+		return ""
+	}
+	return " until " + o.Expires.UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/pkg/state/settings/document.go
@@ -0,0 +1,169 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"hickoryroute/pkg/transport/platform"
+)
+
+// Bounds of the change history in a document.
+const (
+	maxHistory      = 50
+	maxHistoryPaths = 20
+)
+
+// Document is the value of the store key settings/head: a tree with the
+// change that made it.
+type Document struct {
+	Author       string         `json:"author"`
+	Reason       string         `json:"reason"`
+	At           time.Time      `json:"at"`
+	RequestID    string         `json:"request_id"`
+	Base         int64          `json:"base_revision"` // revision that the change was made on
+	TreeSHA256   string         `json:"tree_sha256"`
+	Tree         string         `json:"tree"`
+	History      []Summary      `json:"history,omitempty"`      // newest last; the last is this change
+	Unattributed []Unattributed `json:"unattributed,omitempty"` // still in force from earlier writes
+
+	// Plain is set by DecodeDocument for a tree without an envelope.
+	Plain bool `json:"-"`
+}
+
+// Summary describes one accepted change. Revision is 0 for the change of the
+// document itself, since the store assigns it on writing.
+type Summary struct {
+	Revision  int64     `json:"revision,omitempty"`
+	Author    string    `json:"author"`
+	Reason    string    `json:"reason"`
+	At        time.Time `json:"at"`
+	RequestID string    `json:"request_id"`
+	Paths     []string  `json:"paths,omitempty"`
+	MorePaths int       `json:"more_paths,omitempty"` // paths left out of Paths
+}
+
+// NewDocument returns a document for the text of a tree. The history is that
+// of the previous document, which has the revision base.
+func NewDocument(text []byte, author, reason, requestID string, at time.Time, base int64, changed []string) *Document {
+	d := &Document{
+		Author: author, Reason: reason, At: at.UTC(), RequestID: requestID,
+		Base: base, Tree: string(text), TreeSHA256: Digest(text),
+	}
+	d.History = []Summary{d.summary(changed)}
+	return d
+}
+
+func (d *Document) summary(changed []string) Summary {
+	s := Summary{Author: d.Author, Reason: d.Reason, At: d.At, RequestID: d.RequestID, Paths: changed}
+	if len(changed) > maxHistoryPaths {
+		s.Paths, s.MorePaths = changed[:maxHistoryPaths], len(changed)-maxHistoryPaths
+	}
+	return s
+}
+
+// Digest returns the SHA-256 of the text of a tree in hexadecimal.
+func Digest(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
+
+// Follow puts the history of previous, stored at revision d.Base, before the
+// change of d.
+func (d *Document) Follow(previous []Summary) {
+	history := append([]Summary(nil), previous...)
+	if n := len(history); n > 0 && history[n-1].Revision == 0 {
+		history[n-1].Revision = d.Base
+	}
+	history = append(history, d.History...)
+	d.History = history[max(0, len(history)-maxHistory):]
+}
+
+// AddBypass adds a summary without an author for a write around the operator
+// tool.
+func (d *Document) AddBypass(revision int64, cause string, changed []string) {
+	s := (&Document{Reason: "written around the operator tool: " + cause}).summary(changed)
+	s.Revision = revision
+	d.History = append(d.History, s)
+}
+
+// Find returns the revision at which the change requestID was accepted, given
+// the revision at which d is stored.
+func (d *Document) Find(requestID string, revision int64) (int64, bool) {
+	if requestID == "" {
+		return 0, false
+	}
+	if d.RequestID == requestID {
+		return revision, true
+	}
+	for _, s := range d.History {
+		if s.RequestID == requestID {
+			return s.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// EncodeDocument returns d as JSON. The oldest summaries are left out where
+// the document would not fit into one value of the store.
+func EncodeDocument(d *Document) ([]byte, error) {
+	c := *d
+	for {
+		text, err := json.Marshal(&c)
+		if err != nil {
+			return nil, &Error{Message: err.Error(), Remedy: "report this fault with the tree that caused it"}
+		}
+		if len(text) <= platform.MaxValueBytes {
+			return text, nil
+		}
+		if len(c.History) <= 1 {
+			return nil, ErrorList{{
+				Message: fmt.Sprintf("document has %d bytes, more than %d", len(text), platform.MaxValueBytes),
+				Remedy:  "remove unused targets, client blocks or expired overrides",
+			}}
+		}
+		c.History = c.History[(len(c.History)+1)/2:]
+	}
+}
+
+// DecodeDocument reads a document. A text that is no envelope is taken as the
+// plain YAML text of a tree. The tree itself is not parsed.
+func DecodeDocument(raw []byte) (*Document, error) {
+	if len(raw) > platform.MaxValueBytes {
+		return nil, &Error{
+			Message: fmt.Sprintf("document has %d bytes, more than %d", len(raw), platform.MaxValueBytes),
+			Remedy:  "write a smaller document",
+		}
+	}
+	d := &Document{}
+	if err := json.Unmarshal(raw, d); err != nil || d.TreeSHA256 == "" && d.Tree == "" {
+		return &Document{Tree: string(raw), Plain: true}, nil
+	}
+	return d, nil
+}
+
+// Since returns the summaries of the changes after revision base.
+func (d *Document) Since(base int64) []Summary {
+	for i, s := range d.History {
+		if s.Revision == 0 || s.Revision > base {
+			return d.History[i:]
+		}
+	}
+	return nil
+}
+
+// Reaches tells whether the history of d contains every change made on
+// revision base or later.
+func (d *Document) Reaches(base int64) bool {
+	if d.Base == base || base == 0 && len(d.History) < maxHistory {
+		return true
+	}
+	for _, s := range d.History {
+		if s.Revision == base {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/state/settings/tree.go
+++ b/pkg/state/settings/tree.go
@@ -15,6 +15,8 @@
 	Blocks    []ClientBlock      `yaml:"client_blocks,omitempty"`
 	Regions   map[string]Region  `yaml:"regions"`
 	Overrides []Override         `yaml:"overrides,omitempty"`
+
+	index *index // nil unless the tree was parsed
 }
 
 // Service holds the rules of a service in all regions.
