--- /dev/null
+++ b/pkg/transport/target/body.go
@@ -0,0 +1,118 @@
+package target
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"sync"
+)
+
+var (
+	errNoAnswer = errors.New("the connection ended before the head of the answer")
+	errCrossed  = errors.New("the answer carries the id of another request")
+)
+
+// isProtocolError reports whether err comes from the parsing of an answer and
+// not from its connection.
+func isProtocolError(err error) bool {
+	var protocolError textproto.ProtocolError
+	if errors.As(err, &protocolError) {
+		return true
+	}
+	var netError net.Error
+	plain := !errors.As(err, &netError) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
+	return plain && (strings.HasPrefix(err.Error(), "malformed") || strings.HasPrefix(err.Error(), "http: "))
+}
+
+// bodyGuard passes the request body to the writer until the exchange ends.
+type bodyGuard struct {
+	mu      sync.Mutex
+	source  io.Reader
+	length  int64
+	read    int64
+	stopped bool
+}
+
+func newBodyGuard(r *Request) *bodyGuard {
+	return &bodyGuard{source: r.Body, length: r.ContentLength}
+}
+
+func (b *bodyGuard) empty() bool {
+	return b.source == nil || b.source == http.NoBody || b.length == 0
+}
+
+// Read implements io.Reader.
+func (b *bodyGuard) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	stopped := b.stopped
+	b.mu.Unlock()
+	if stopped {
+		return 0, errBodyStopped
+	}
+	n, err := b.source.Read(p)
+	b.read += int64(n)
+	if err != nil && err != io.EOF {
+		err = &bodyError{err}
+	}
+	return n, err
+}
+
+// Close implements io.Closer for http.Request.
+func (b *bodyGuard) Close() error { return nil }
+
+func (b *bodyGuard) stop() {
+	b.mu.Lock()
+	b.stopped = true
+	b.mu.Unlock()
+}
+
+// rewind prepares the body for another connection. It is called only after
+// the writer has ended.
+func (b *bodyGuard) rewind() bool {
+	if b.empty() || b.read == 0 {
+		return true
+	}
+	seeker, ok := b.source.(io.Seeker)
+	if !ok {
+		return false
+	}
+	_, err := seeker.Seek(-b.read, io.SeekCurrent)
+	return err == nil
+}
+
+// responseBody streams an answer and never ends cleanly before its end.
+type responseBody struct {
+	x   *exchange
+	mu  sync.Mutex
+	err error
+}
+
+// Read implements io.Reader.
+func (b *responseBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.x.resp.Body.Read(p)
+	switch {
+	case err == io.EOF:
+		b.err = io.EOF
+		b.x.finish(b.x.reusable())
+	case err != nil:
+		f := b.x.fail(KindTruncated, err)
+		f.NotRun = false
+		b.err = f
+	}
+	return n, b.err
+}
+
+// Close ends the exchange. Without a whole answer the connection is closed,
+// so that the rest of the answer cannot reach another request.
+func (b *responseBody) Close() error {
+	b.x.finish(b.x.resp.Body == http.NoBody && b.x.reusable())
+	return nil
+}
--- /dev/null
+++ b/pkg/transport/target/header.go
@@ -0,0 +1,99 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"hickoryroute/pkg/protocol"
+)
+
+// hopByHop lists the fields that belong to one connection (RFC 9110, section
+// 7.6.1). Proxy-* fields are removed by prefix.
+var hopByHop = []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// StripHopByHop removes the hop-by-hop fields from h, including those that a
+// Connection field names.
+func StripHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	for name := range h {
+		if strings.HasPrefix(name, "Proxy-") {
+			delete(h, name)
+		}
+	}
+}
+
+var (
+	errMethod = errors.New("the method is not a valid token or is CONNECT")
+	errPath   = errors.New("the path does not start with \"/\" or is not valid")
+)
+
+// build makes the HTTP request without its body.
+func build(ctx context.Context, r *Request, now time.Time) (*http.Request, error) {
+	if !validToken(r.Method) || r.Method == http.MethodConnect {
+		return nil, errMethod
+	}
+	if !strings.HasPrefix(r.Path, "/") {
+		return nil, errPath
+	}
+	u, err := url.ParseRequestURI(r.Path)
+	if err != nil {
+		return nil, errors.Join(errPath, err)
+	}
+	u.Scheme, u.Host = "http", r.Target.Address
+	header := r.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	setRequestFields(ctx, header, r, now)
+	out := &http.Request{
+		Method: r.Method, URL: u, Host: r.Target.Address, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
+	}
+	return out, nil
+}
+
+func setRequestFields(ctx context.Context, h http.Header, r *Request, now time.Time) {
+	StripHopByHop(h)
+	for _, name := range []string{
+		"Content-Length", "Expect", "Host", protocol.HeaderIdempotencyKey, protocol.HeaderTicket,
+		protocol.HeaderDeadlineMs, protocol.HeaderRequestID,
+	} {
+		h.Del(name)
+	}
+	if h.Get("User-Agent") == "" {
+		h["User-Agent"] = []string{""} // keeps Request.Write from adding its own
+	}
+	if r.RequestID != "" {
+		h.Set(protocol.HeaderRequestID, r.RequestID)
+	}
+	if r.Ticket != "" {
+		h.Set(protocol.HeaderTicket, r.Ticket)
+	}
+	if end, ok := ctx.Deadline(); ok {
+		h.Set(protocol.HeaderDeadlineMs, strconv.FormatInt(max(1, end.Sub(now).Milliseconds()), 10))
+	}
+}
+
+func validToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		alnum := c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !alnum && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+			return false
+		}
+	}
+	return s != ""
+}
--- /dev/null
+++ b/pkg/transport/target/pool.go
@@ -0,0 +1,198 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const poolShards = 16
+
+// pool keeps the connections of all targets, sharded by address.
+type pool struct {
+	cfg    Config
+	shards [poolShards]poolShard
+}
+
+type poolShard struct {
+	mu      sync.Mutex
+	closed  bool
+	targets map[string]*targetPool
+}
+
+// targetPool holds the connections of one target. A connection is dialed only
+// while no idle one exists, so active limits the open connections as well.
+type targetPool struct {
+	active chan struct{} // one element for each request that holds a connection
+	refs   int           // requests that hold or wait for a connection
+	idle   []*conn       // the last one was used most recently
+}
+
+// idleWatch detects bytes, the end of the connection or the idle time-out
+// while a connection is not in use.
+type idleWatch struct {
+	done  chan struct{}
+	clean bool // valid after done: the watch was stopped and saw nothing
+}
+
+func newPool(cfg Config) *pool {
+	p := &pool{cfg: cfg}
+	for i := range p.shards {
+		p.shards[i].targets = map[string]*targetPool{}
+	}
+	return p
+}
+
+func (p *pool) shard(address string) *poolShard {
+	return &p.shards[xxhash.Sum64String(address)%poolShards]
+}
+
+// enter waits for the right to hold one connection to address.
+func (p *pool) enter(ctx context.Context, address string) error {
+	s := p.shard(address)
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return errClosed
+	}
+	t := s.targets[address]
+	if t == nil {
+		t = &targetPool{active: make(chan struct{}, p.cfg.MaxConnsPerTarget)}
+		s.targets[address] = t
+	}
+	t.refs++
+	s.mu.Unlock()
+	select {
+	case t.active <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		s.leave(address, t, false)
+		return ctx.Err()
+	}
+}
+
+func (s *poolShard) leave(address string, t *targetPool, held bool) {
+	if held {
+		<-t.active
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.refs--
+	s.dropEmpty(address, t)
+}
+
+func (s *poolShard) dropEmpty(address string, t *targetPool) {
+	if t.refs == 0 && len(t.idle) == 0 && s.targets[address] == t {
+		delete(s.targets, address)
+	}
+}
+
+// takeIdle returns an idle connection that is still clean, or nil.
+func (p *pool) takeIdle(address string) *conn {
+	s := p.shard(address)
+	for {
+		c := s.popIdle(address)
+		if c == nil {
+			return nil
+		}
+		_ = c.SetReadDeadline(aLongTimeAgo)
+		<-c.idle.done
+		if c.idle.clean && c.SetDeadline(time.Time{}) == nil {
+			c.idle = nil
+			c.reused = true
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+func (s *poolShard) popIdle(address string) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[address]
+	if t == nil || len(t.idle) == 0 {
+		return nil
+	}
+	last := len(t.idle) - 1
+	c := t.idle[last]
+	t.idle[last] = nil
+	t.idle = t.idle[:last]
+	return c
+}
+
+// exit ends the use of c, which may be nil. The connection is kept only if
+// reusable is true and there is room.
+func (p *pool) exit(address string, c *conn, reusable bool) {
+	s := p.shard(address)
+	s.mu.Lock()
+	t := s.targets[address]
+	if c != nil && reusable && !s.closed && len(t.idle) < p.cfg.MaxIdlePerTarget {
+		c.charge = nil
+		c.idle = &idleWatch{done: make(chan struct{})}
+		if c.SetDeadline(time.Now().Add(p.cfg.IdleTimeout)) == nil {
+			t.idle = append(t.idle, c)
+			go p.watch(s, t, c, c.idle)
+			c = nil
+		}
+	}
+	s.mu.Unlock()
+	if c != nil {
+		_ = c.Close()
+	}
+	s.leave(address, t, true)
+}
+
+// watch reads from an idle connection. Anything but a stop by takeIdle means
+// that the connection cannot be reused: a late answer, its end or its idle
+// time-out.
+func (p *pool) watch(s *poolShard, t *targetPool, c *conn, w *idleWatch) {
+	var one [1]byte
+	n, err := c.Conn.Read(one[:])
+	s.mu.Lock()
+	taken := true
+	for i, other := range t.idle {
+		if other == c {
+			t.idle = append(t.idle[:i], t.idle[i+1:]...)
+			taken = false
+			break
+		}
+	}
+	s.dropEmpty(c.address, t)
+	s.mu.Unlock()
+	w.clean = taken && n == 0 && isTimeout(err)
+	close(w.done)
+	if !taken {
+		_ = c.Close()
+	}
+}
+
+func isTimeout(err error) bool {
+	t, ok := err.(interface{ Timeout() bool })
+	return ok && t.Timeout()
+}
+
+func (p *pool) closeIdle(address string) {
+	s := p.shard(address)
+	for c := s.popIdle(address); c != nil; c = s.popIdle(address) {
+		_ = c.Close()
+	}
+}
+
+func (p *pool) close() {
+	for i := range p.shards {
+		s := &p.shards[i]
+		s.mu.Lock()
+		s.closed = true
+		var idle []*conn
+		for _, t := range s.targets {
+			idle = append(idle, t.idle...)
+			t.idle = nil
+		}
+		s.mu.Unlock()
+		for _, c := range idle {
+			_ = c.Close()
+		}
+	}
+}
