--- /dev/null
+++ b/pkg/transport/peer/peer_test.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/protocol"
+)
+
+// handler answers calls; block, if set, holds Execute until it is closed.
+type handler struct {
+	block   chan struct{}
+	entered chan struct{}
+	ended   atomic.Int32
+}
+
+func (h *handler) Exchange(_ context.Context, req *protocol.ExchangeRequest, reply *protocol.ExchangeReply) error {
+	reply.From = req.From
+	return nil
+}
+func (h *handler) Notify(context.Context, *protocol.NotifyRequest, *protocol.NotifyReply) error {
+	return errors.New("handler failed")
+}
+func (h *handler) Reserve(context.Context, *protocol.ReserveRequest, *protocol.ReserveReply) error {
+	return nil
+}
+func (h *handler) Release(context.Context, *protocol.ReleaseRequest, *protocol.ReleaseReply) error {
+	return nil
+}
+func (h *handler) Execute(ctx context.Context, req *protocol.ExecuteRequest, reply *protocol.ExecuteReply) error {
+	if h.block == nil {
+		reply.Body = req.Body
+		return nil
+	}
+	h.entered <- struct{}{}
+	select {
+	case <-h.block:
+		reply.Outcome = protocol.OutcomeAnswered
+	case <-ctx.Done():
+	}
+	h.ended.Add(1)
+	return ctx.Err()
+}
+func (h *handler) Borrow(context.Context, *protocol.BorrowRequest, *protocol.BorrowReply) error {
+	return nil
+}
+func (h *handler) Settings(context.Context, *protocol.SettingsRequest, *protocol.SettingsReply) error {
+	return nil
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
+func start(t *testing.T, cfg ServerConfig, h Handler) (*Server, string) {
+	t.Helper()
+	listener := listen(t)
+	server := NewServer(cfg)
+	done := make(chan struct{})
+	go func() { _ = server.Serve(listener, h); close(done) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.Close(ctx)
+		<-done
+	})
+	return server, listener.Addr().String()
+}
+
+func client(t *testing.T, cfg ClientConfig) *Client {
+	t.Helper()
+	c := NewClient(cfg)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func exchange(ctx context.Context, c *Client, address string) error {
+	req := &protocol.ExchangeRequest{From: protocol.Member{PeerAddress: "x", FreeSlots: map[string]int{"s": 3}}}
+	var reply protocol.ExchangeReply
+	err := c.Call(ctx, address, protocol.MethodExchange, req, &reply)
+	if err == nil && reply.From.FreeSlots["s"] != 3 {
+		return errors.New("reply was changed on its way")
+	}
+	return err
+}
+
+// Guards against a VM without the key, or with another one, taking part, and
+// against a client with a key talking to a server that does not hold it.
+func TestHandshake(t *testing.T) {
+	cases := []struct{ server, client string }{{"", ""}, {"a", "a"}, {"a", "b"}, {"a", ""}, {"", "a"}}
+	for _, c := range cases {
+		t.Run(c.server+"-"+c.client, func(t *testing.T) {
+			_, address := start(t, ServerConfig{Key: []byte(c.server)}, &handler{})
+			err := exchange(context.Background(), client(t, ClientConfig{Key: []byte(c.client)}), address)
+			if c.server == c.client {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorIs(t, err, ErrKey)
+			var unreachable *UnreachableError
+			assert.Assert(t, errors.As(err, &unreachable) && !unreachable.Sent)
+		})
+	}
+}
+
+// Guards against an error of the handler that looks like a lost peer.
+func TestHandlerErrorIsNotUnreachable(t *testing.T) {
+	_, address := start(t, ServerConfig{}, &handler{})
+	err := client(t, ClientConfig{}).Call(context.Background(), address, protocol.MethodNotify,
+		&protocol.NotifyRequest{}, &protocol.NotifyReply{})
+	var remote rpc.ServerError
+	assert.Assert(t, errors.As(err, &remote), "got %v", err)
+	assert.Equal(t, err.Error(), "handler failed")
+}
+
+// Guards against a stuck peer that delays calls to others, and against a call
+// that ignores its context when the peer neither reads nor answers.
+func TestStuckPeerDoesNotBlockOthers(t *testing.T) {
+	stuck := listen(t)
+	defer func() { _ = stuck.Close() }()
+	_, address := start(t, ServerConfig{}, &handler{})
+	c := client(t, ClientConfig{DialTimeout: 30 * time.Second})
+	ctx, cancel := context.WithCancel(context.Background())
+	failed := make(chan error, 100)
+	for range cap(failed) {
+		go func() {
+			failed <- c.Call(ctx, stuck.Addr().String(), protocol.MethodExecute,
+				&protocol.ExecuteRequest{Body: make([]byte, 1<<16)}, &protocol.ExecuteReply{})
+		}()
+	}
+	for range 10 {
+		assert.NilError(t, exchange(context.Background(), c, address))
+	}
+	cancel()
+	for range cap(failed) {
+		var unreachable *UnreachableError
+		assert.Assert(t, errors.As(<-failed, &unreachable))
+	}
+}
+
+// Guards against a call in progress that holds up other calls on the same
+// connection, and against a cancelled caller that waits for its reply.
+func TestCallsShareAConnection(t *testing.T) {
+	h := &handler{block: make(chan struct{}), entered: make(chan struct{}, 1)}
+	_, address := start(t, ServerConfig{MaxConnections: 1}, h)
+	c := client(t, ClientConfig{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- c.Call(ctx, address, protocol.MethodExecute, &protocol.ExecuteRequest{}, &protocol.ExecuteReply{})
+	}()
+	<-h.entered
+	assert.NilError(t, exchange(context.Background(), c, address))
+	cancel()
+	var unreachable *UnreachableError
+	assert.Assert(t, errors.As(<-done, &unreachable) && unreachable.Sent)
+	assert.NilError(t, exchange(context.Background(), c, address))
+}
+
+// Guards against a planned stop that interrupts a running call or loses its
+// reply, and against new calls that keep the server from stopping.
+func TestCloseWaitsForRunningCalls(t *testing.T) {
+	h := &handler{block: make(chan struct{}), entered: make(chan struct{}, 1)}
+	server, address := start(t, ServerConfig{}, h)
+	c := client(t, ClientConfig{})
+	done := make(chan error, 1)
+	go func() {
+		var reply protocol.ExecuteReply
+		err := c.Call(context.Background(), address, protocol.MethodExecute, &protocol.ExecuteRequest{}, &reply)
+		if err == nil && reply.Outcome != protocol.OutcomeAnswered {
+			err = errors.New("call was interrupted")
+		}
+		done <- err
+	}()
+	<-h.entered
+	closed := make(chan error, 1)
+	go func() { closed <- server.Close(context.Background()) }()
+	for !server.stopping() {
+		time.Sleep(time.Millisecond)
+	}
+	var unreachable *UnreachableError
+	assert.Assert(t, errors.As(exchange(context.Background(), c, address), &unreachable) && !unreachable.Sent)
+	close(h.block)
+	assert.NilError(t, <-done)
+	assert.NilError(t, <-closed)
+}
+
+// Guards against a restarted peer that stays unreachable, and against dialling
+// a dead peer for each call.
+func TestReconnectAfterBackoff(t *testing.T) {
+	var dials atomic.Int32
+	var up atomic.Bool
+	_, address := start(t, ServerConfig{}, &handler{})
+	c := client(t, ClientConfig{MinBackoff: 20 * time.Millisecond, Dial: func(_ context.Context, a string) (net.Conn, error) {
+		dials.Add(1)
+		if !up.Load() {
+			return nil, errors.New("connection refused")
+		}
+		return net.Dial("tcp", a)
+	}})
+	assert.ErrorContains(t, exchange(context.Background(), c, address), "connection refused")
+	for range 10 {
+		assert.Assert(t, exchange(context.Background(), c, address) != nil)
+	}
+	assert.Assert(t, dials.Load() < 10, "%d dials", dials.Load())
+	up.Store(true)
+	deadline := time.Now().Add(5 * time.Second)
+	for exchange(context.Background(), c, address) != nil {
+		assert.Assert(t, time.Now().Before(deadline), "peer stayed unreachable")
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against handlers that go on for a caller that is gone.
+func TestLostConnectionEndsHandlers(t *testing.T) {
+	h := &handler{block: make(chan struct{}), entered: make(chan struct{}, 1)}
+	_, address := start(t, ServerConfig{}, h)
+	c := NewClient(ClientConfig{})
+	go func() {
+		_ = c.Call(context.Background(), address, protocol.MethodExecute, &protocol.ExecuteRequest{}, &protocol.ExecuteReply{})
+	}()
+	<-h.entered
+	assert.NilError(t, c.Close())
+	deadline := time.Now().Add(5 * time.Second)
+	for h.ended.Load() == 0 {
+		assert.Assert(t, time.Now().Before(deadline), "handler was not ended")
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/pkg/transport/platform/http.go
+++ b/pkg/transport/platform/http.go
@@ -267,7 +267,10 @@
 	target.Path += c.path
 	target.RawQuery = c.query.Encode()
 	req, err := http.NewRequestWithContext(ctx, c.method, target.String(), bytes.NewReader(c.body))
-	return req, errors.Wrap(err, "build platform request")
+	if err != nil {
+		return nil, errors.Wrap(err, "build platform request")
+	}
+	return req, nil
 }
 
 // callFailed returns ErrReplyLost when the platform may have taken a write,
