--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -48,7 +48,7 @@
 
 func (a *attempt) runHedge(ctx context.Context, region string, exclude []string) {
 	r := a.race.router
-	g := r.reserveHedge(ctx, a.race.call, region, exclude)
+	g := a.reserve(ctx, region, exclude)
 	a.sentAt = r.cfg.Now()
 	if g == nil {
 		a.race.call.state.hedges.refund(a.sentAt)
@@ -61,6 +61,25 @@
 	a.run(ctx)
 }
 
+// reserve obtains the slot of a hedge. A panic there costs only the hedge,
+// since nothing was granted yet and no caller's goroutine could recover it.
+func (a *attempt) reserve(ctx context.Context, region string, exclude []string) *grant {
+	defer a.logPanic("reserving for a hedge", func(any) {})
+	return a.race.router.reserveHedge(ctx, a.race.call, region, exclude)
+}
+
+// logPanic recovers a panic, logs it and calls then.
+func (a *attempt) logPanic(step string, then func(p any)) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	a.race.router.cfg.Logger.Log(eventAttemptPanic, eventlog.Fields{
+		"step": step, "request_id": a.race.call.req.RequestID, "panic": fmt.Sprint(p),
+	})
+	then(p)
+}
+
 // run sends the attempt and ends it: as winner, failure or loser.
 func (a *attempt) run(ctx context.Context) {
 	left := a.grant.endBefore(a.race.call.deadline).Sub(a.race.router.cfg.Now())
@@ -84,14 +103,9 @@
 // send calls the sender. A panic there becomes a failure, so that the
 // reservation is still released.
 func (a *attempt) send(ctx context.Context) (resp *SendResponse, err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			a.race.router.cfg.Logger.Log(eventSenderPanic, eventlog.Fields{
-				"target": a.grant.reply.Target.Name, "panic": fmt.Sprint(p),
-			})
-			resp, err = nil, &SendFailure{Kind: FailInternal, Written: true, Err: fmt.Errorf("sender panic: %v", p)}
-		}
-	}()
+	defer a.logPanic("sending", func(p any) {
+		resp, err = nil, &SendFailure{Kind: FailInternal, Written: true, Err: fmt.Errorf("sender panic: %v", p)}
+	})
 	req := a.request()
 	if !a.race.router.cfg.Now().Before(req.Deadline) {
 		return nil, &SendFailure{Kind: FailTimeout}
