--- /dev/null
+++ b/pkg/transport/callerhttp/api.go
@@ -0,0 +1,96 @@
+// Package callerhttp is the HTTP edge of an entry VM towards callers:
+//
+//	GET  /v1/lookup?service=S&client=IP&zone=Z
+//	POST /v1/tickets?service=S&count=N
+//	ANY  /v1/services/{service}/{path}
+//
+// Every response of a handler carries Hickory-Outcome and Hickory-Request-Id,
+// and every refusal is a problem document. Requests that are not valid
+// HTTP/1.1 are refused by net/http with a plain status 400 before a handler
+// sees them.
+//
+// An answer of up to 64 KiB is read as a whole before its head is sent, so
+// that a broken one becomes a problem document. If a longer answer breaks off,
+// the connection to the caller is aborted, and the caller sees an incomplete
+// response.
+package callerhttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"hickoryroute/pkg/protocol"
+)
+
+// LookupRequest asks for the entry VMs that a client should use.
+type LookupRequest struct {
+	Service string
+	Client  netip.Addr // address of the client, or of the connection
+	Zone    string     // availability zone of the caller; may be empty
+}
+
+// LookupEntry is one entry VM of a look-up.
+type LookupEntry struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Region  string `json:"region"`
+}
+
+// LookupAnswer is the JSON document of GET /v1/lookup.
+type LookupAnswer struct {
+	Service     string        `json:"service"`
+	ClientBlock string        `json:"client_block"`
+	TTLMs       int64         `json:"ttl_ms"`
+	Revision    int64         `json:"revision"`
+	Entries     []LookupEntry `json:"entries"` // in order of preference
+}
+
+// TicketsAnswer is the JSON document of POST /v1/tickets.
+type TicketsAnswer struct {
+	Tickets     []string `json:"tickets"`
+	ExpiresInMs int64    `json:"expires_in_ms"`
+	Entry       string   `json:"entry"` // caller address of the issuing VM
+}
+
+// Request is a checked request to a service.
+type Request struct {
+	Service   string
+	Method    string
+	Path      string      // escaped path with query below the service, starting with "/"
+	Header    http.Header // without hop-by-hop fields
+	Body      []byte
+	Client    netip.Addr
+	RequestID string
+	Ticket    string // empty if the caller sent none
+	Deadline  time.Time
+}
+
+// Answer is the answer of a target. Body must return an error and not io.EOF
+// if the answer is incomplete.
+type Answer struct {
+	Status        int
+	Header        http.Header
+	ContentLength int64 // -1 if unknown
+	Body          io.ReadCloser
+	Target        string // name of the target
+	Revision      int64  // of the settings in force
+}
+
+// Directory answers look-ups.
+type Directory interface {
+	Lookup(ctx context.Context, r LookupRequest) (*LookupAnswer, *protocol.Problem)
+}
+
+// TicketIssuer issues tickets.
+type TicketIssuer interface {
+	IssueTickets(service string, n int) (*TicketsAnswer, *protocol.Problem)
+}
+
+// Steering runs requests. The context ends at the deadline of the request or
+// when the caller disconnects.
+type Steering interface {
+	Serve(ctx context.Context, r *Request) (*Answer, *protocol.Problem)
+}
--- /dev/null
+++ b/pkg/transport/callerhttp/server_test.go
@@ -0,0 +1,299 @@
+package callerhttp
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/protocol"
+)
+
+type stub struct {
+	serve func(ctx context.Context, r *Request) (*Answer, *protocol.Problem)
+}
+
+func (stub) Lookup(_ context.Context, r LookupRequest) (*LookupAnswer, *protocol.Problem) {
+	return &LookupAnswer{Service: r.Service, ClientBlock: r.Client.String(), TTLMs: 5000}, nil
+}
+
+func (stub) IssueTickets(_ string, n int) (*TicketsAnswer, *protocol.Problem) {
+	return &TicketsAnswer{Tickets: make([]string, n), Entry: "127.0.0.1:1"}, nil
+}
+
+func (s stub) Serve(ctx context.Context, r *Request) (*Answer, *protocol.Problem) {
+	return s.serve(ctx, r)
+}
+
+func answer(status int, body io.Reader, length int64) (*Answer, *protocol.Problem) {
+	return &Answer{Status: status, Header: http.Header{}, ContentLength: length, Body: io.NopCloser(body), Target: "t1"}, nil
+}
+
+// echo answers with the path and the body of the request.
+func echo(_ context.Context, r *Request) (*Answer, *protocol.Problem) {
+	return answer(200, strings.NewReader(r.Method+" "+r.Path+" "+string(r.Body)), -1)
+}
+
+func newServer(serve func(context.Context, *Request) (*Answer, *protocol.Problem), cfg Config) *Server {
+	s := stub{serve: serve}
+	cfg.Directory, cfg.Tickets, cfg.Steering = s, s, s
+	return New(cfg)
+}
+
+const validTicket = "127.0.0.1:9~1f~1700000000000~1~00112233445566778899aabbccddeeff"
+
+// Guards against requests that pass unchecked, and against refusals without
+// outcome, code, remedy or request id.
+func TestChecks(t *testing.T) {
+	srv := newServer(echo, Config{MaxBodyBytes: 10, MaxHeaderBytes: 2000})
+	for _, c := range []struct {
+		name, method, path, body, header, value string
+		status                                  int
+		code                                    protocol.Code
+	}{
+		{name: "plain", method: "GET", path: "/v1/services/cluebook/a%2Fb?x=1", status: 200},
+		{name: "root", method: "DELETE", path: "/v1/services/cluebook/", status: 200},
+		{name: "lookup", method: "GET", path: "/v1/lookup?service=cluebook&client=10.1.2.3&zone=sask-a", status: 200},
+		{name: "tickets", method: "POST", path: "/v1/tickets?service=cluebook&count=3", status: 200},
+		{name: "no path", method: "GET", path: "/v1/services/cluebook", status: 404, code: protocol.CodeUnknownPath},
+		{name: "service name", method: "GET", path: "/v1/services/Clue_book/x", status: 400, code: protocol.CodeBadRequest},
+		{name: "escaped name", method: "GET", path: "/v1/services/%63luebook/x", status: 400, code: protocol.CodeBadRequest},
+		{name: "unknown method", method: "BREW", path: "/v1/services/cluebook/x", status: 405, code: protocol.CodeMethodNotAllowed},
+		{name: "trace", method: "TRACE", path: "/v1/services/cluebook/x", status: 405, code: protocol.CodeMethodNotAllowed},
+		{name: "large body", method: "PUT", path: "/v1/services/cluebook/x", body: "01234567890", status: 413, code: protocol.CodeBodyTooLarge},
+		{name: "large head", method: "GET", path: "/v1/services/cluebook/x", header: "X", value: strings.Repeat("a", 2000), status: 431, code: protocol.CodeBadRequest},
+		{name: "deadline", method: "GET", path: "/v1/services/cluebook/x", header: protocol.HeaderDeadlineMs, value: "30000", status: 200},
+		{name: "long deadline", method: "GET", path: "/v1/services/cluebook/x", header: protocol.HeaderDeadlineMs, value: "30001", status: 400, code: protocol.CodeBadRequest},
+		{name: "zero deadline", method: "GET", path: "/v1/services/cluebook/x", header: protocol.HeaderDeadlineMs, value: "0", status: 400, code: protocol.CodeBadRequest},
+		{name: "signed deadline", method: "GET", path: "/v1/services/cluebook/x", header: protocol.HeaderDeadlineMs, value: "+5", status: 400, code: protocol.CodeBadRequest},
+		{name: "ticket", method: "POST", path: "/v1/services/cluebook/x", header: protocol.HeaderIdempotencyKey, value: validTicket, status: 200},
+		{name: "malformed ticket", method: "POST", path: "/v1/services/cluebook/x", header: protocol.HeaderIdempotencyKey, value: "abc", status: 400, code: protocol.CodeBadTicket},
+		{name: "request id", method: "GET", path: "/v1/services/cluebook/x", header: protocol.HeaderRequestID, value: "a b", status: 400, code: protocol.CodeBadRequest},
+		{name: "client", method: "GET", path: "/v1/lookup?service=cluebook&client=nowhere", status: 400, code: protocol.CodeBadRequest},
+		{name: "repeated", method: "GET", path: "/v1/lookup?service=a&service=b", status: 400, code: protocol.CodeBadRequest},
+		{name: "count", method: "POST", path: "/v1/tickets?service=cluebook&count=101", status: 400, code: protocol.CodeBadRequest},
+		{name: "post lookup", method: "POST", path: "/v1/lookup?service=cluebook", status: 405, code: protocol.CodeMethodNotAllowed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			req := httptest.NewRequest(c.method, c.path, strings.NewReader(c.body))
+			if c.header != "" {
+				req.Header.Set(c.header, c.value)
+			}
+			rec := httptest.NewRecorder()
+			srv.Handler().ServeHTTP(rec, req)
+			assert.Equal(t, rec.Code, c.status, rec.Body.String())
+			checkResponse(t, rec)
+			if c.code != "" {
+				var p protocol.Problem
+				assert.NilError(t, json.Unmarshal(rec.Body.Bytes(), &p))
+				assert.Equal(t, p.Code, c.code)
+			}
+		})
+	}
+}
+
+// checkResponse checks what every response must have.
+func checkResponse(t *testing.T, rec *httptest.ResponseRecorder) {
+	t.Helper()
+	assert.Assert(t, rec.Header().Get(protocol.HeaderRequestID) != "")
+	outcome := protocol.Outcome(rec.Header().Get(protocol.HeaderOutcome))
+	if rec.Code < 400 {
+		assert.Equal(t, outcome, protocol.OutcomeAnswered)
+		return
+	}
+	var p protocol.Problem
+	assert.NilError(t, json.Unmarshal(rec.Body.Bytes(), &p))
+	assert.Equal(t, p.Outcome, outcome)
+	assert.Assert(t, p.Remedy != "" && p.Code != "" && p.RequestID != "")
+}
+
+// start runs srv on a loopback listener.
+func start(t *testing.T, srv *Server) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(l) }()
+	t.Cleanup(func() {
+		srv.Close()
+		assert.NilError(t, <-done)
+	})
+	return l.Addr().String()
+}
+
+func client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// Guards against a broken answer that reaches the caller as a whole one: a
+// short one becomes a problem, a long one aborts the connection.
+func TestTruncatedAnswerNeverEndsCleanly(t *testing.T) {
+	broken := errors.New("connection lost")
+	size := 0
+	length := int64(-1)
+	srv := newServer(func(context.Context, *Request) (*Answer, *protocol.Problem) {
+		part := strings.NewReader(strings.Repeat("x", size))
+		return answer(200, io.MultiReader(part, iotest.ErrReader(broken)), length)
+	}, Config{})
+	addr := start(t, srv)
+	for _, declared := range []int64{-1, 300_000} {
+		for _, size = range []int{0, 10, 65536, 65537, 200_000} {
+			length = declared
+			resp, err := client().Get("http://" + addr + "/v1/services/cluebook/x")
+			assert.NilError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if size < wholeAnswerBytes {
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, 502)
+				assert.Equal(t, resp.Header.Get(protocol.HeaderOutcome), "unknown")
+				continue
+			}
+			assert.ErrorContains(t, err, "EOF", "size %d", size)
+		}
+	}
+}
+
+// Guards against answers that change on their way to the caller.
+func TestWholeAnswers(t *testing.T) {
+	var size int
+	srv := newServer(func(context.Context, *Request) (*Answer, *protocol.Problem) {
+		a, _ := answer(200, strings.NewReader(strings.Repeat("y", size)), -1)
+		a.Header = http.Header{"X-A": {"1", "2"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, protocol.HeaderNotRun: {"true"}}
+		return a, nil
+	}, Config{})
+	addr := start(t, srv)
+	for _, size = range []int{0, 1, 65535, 65536, 65537, 1 << 20} {
+		resp, err := client().Get("http://" + addr + "/v1/services/cluebook/x")
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), size)
+		assert.DeepEqual(t, resp.Header["X-A"], []string{"1", "2"})
+		assert.Equal(t, resp.Header.Get("X-Hop")+resp.Header.Get(protocol.HeaderNotRun)+resp.Header.Get("Content-Type"), "")
+	}
+}
+
+// Guards against callers that hold a request open by sending its body slowly.
+func TestSlowBodyIsRefusedAsNotRun(t *testing.T) {
+	srv := newServer(echo, Config{BodyTimeout: 30 * time.Millisecond})
+	conn, err := net.Dial("tcp", start(t, srv))
+	assert.NilError(t, err)
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/services/cluebook/x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 408)
+	assert.Equal(t, resp.Header.Get(protocol.HeaderOutcome), "not_run")
+}
+
+// Guards against a read deadline of the body that ends the request itself.
+func TestBodyTimeoutDoesNotEndTheRequest(t *testing.T) {
+	srv := newServer(func(ctx context.Context, r *Request) (*Answer, *protocol.Problem) {
+		select {
+		case <-ctx.Done():
+			return nil, bad("context ended", "none")
+		case <-time.After(100 * time.Millisecond):
+			return echo(ctx, r)
+		}
+	}, Config{BodyTimeout: 30 * time.Millisecond})
+	resp, err := client().Post("http://"+start(t, srv)+"/v1/services/cluebook/x", "text/plain", strings.NewReader("abc"))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+}
+
+// Guards against a planned stop that interrupts a request or refuses one that
+// arrives while another is in flight.
+func TestShutdownFinishesRequests(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	srv := newServer(func(ctx context.Context, r *Request) (*Answer, *protocol.Problem) {
+		if r.Path == "/slow" {
+			close(entered)
+			<-release
+		}
+		return echo(ctx, r)
+	}, Config{})
+	addr := start(t, srv)
+	get := func(path string) (*http.Response, error) {
+		return client().Get("http://" + addr + "/v1/services/cluebook" + path)
+	}
+	slow := make(chan *http.Response, 1)
+	go func() {
+		resp, _ := get("/slow")
+		slow <- resp
+	}()
+	<-entered
+	assert.Equal(t, len(srv.InFlight()), 1)
+	stopped := make(chan error, 1)
+	go func() { stopped <- srv.Shutdown(context.Background()) }()
+	for !srv.Leaving() {
+		time.Sleep(time.Millisecond)
+	}
+	resp, err := get("/quick")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Header.Get(protocol.HeaderEntryLeaving), "true")
+	close(release)
+	resp = <-slow
+	assert.Assert(t, resp != nil)
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, resp.Header.Get(protocol.HeaderEntryLeaving), "true")
+	assert.NilError(t, <-stopped)
+	_, err = get("/late")
+	assert.Assert(t, err != nil)
+}
+
+// Guards against a failing handler that takes the VM down or hides that the
+// outcome is unknown, and against requests beyond the limit.
+func TestPanicAndLimit(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	srv := newServer(func(ctx context.Context, r *Request) (*Answer, *protocol.Problem) {
+		if r.Path == "/panic" {
+			panic("fault")
+		}
+		close(entered)
+		<-release
+		return echo(ctx, r)
+	}, Config{MaxInFlight: 1})
+	send := func(path string) *httptest.ResponseRecorder {
+		rec := httptest.NewRecorder()
+		srv.Handler().ServeHTTP(rec, httptest.NewRequest("GET", "/v1/services/cluebook"+path, nil))
+		checkResponse(t, rec)
+		return rec
+	}
+	rec := send("/panic")
+	assert.Equal(t, rec.Code, 500)
+	assert.Equal(t, rec.Header().Get(protocol.HeaderOutcome), "unknown")
+	done := make(chan struct{})
+	go func() { send("/slow"); close(done) }()
+	<-entered
+	rec = send("/second")
+	assert.Equal(t, rec.Code, 503)
+	assert.Equal(t, rec.Header().Get(protocol.HeaderOutcome), "not_run")
+	close(release)
+	<-done
+}
+
+// Guards against metrics that miss requests or take series from callers.
+func TestMetrics(t *testing.T) {
+	srv := newServer(func(_ context.Context, r *Request) (*Answer, *protocol.Problem) {
+		return nil, refuse(404, protocol.CodeUnknownService, "no such service", "check the name")
+	}, Config{})
+	srv.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/v1/services/made-up/x", nil))
+	srv.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/v1/lookup?service=cluebook", nil))
+	var out strings.Builder
+	srv.cfg.Metrics.WritePrometheus(&out)
+	assert.Assert(t, strings.Contains(out.String(), `hickory_requests_total{service="",outcome="not_run",code="unknown_service"} 1`), out.String())
+	assert.Assert(t, strings.Contains(out.String(), `hickory_requests_total{service="cluebook",outcome="answered",code="200"} 1`), out.String())
+	assert.Assert(t, strings.Contains(out.String(), `hickory_request_duration_seconds_count{service="cluebook"} 1`), out.String())
+}
