--- /dev/null
+++ b/pkg/state/outcome/table_test.go
@@ -0,0 +1,348 @@
+package outcome
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hickoryroute/pkg/protocol"
+)
+
+const service = "hold-svc"
+
+var secret = []byte("0123456789abcdef")
+
+func newTable(cfg Config) (*Issuer, *Table) {
+	issuer := NewIssuer(IssuerConfig{Address: "127.0.0.1:7000", Incarnation: 0x1f, Secret: secret})
+	return issuer, NewTable(issuer, cfg)
+}
+
+func answered(body string) protocol.ExecuteReply {
+	return protocol.ExecuteReply{Outcome: protocol.OutcomeAnswered, Status: 200, Body: []byte(body)}
+}
+
+func returns(reply protocol.ExecuteReply, runs *int) RunFunc {
+	return func(context.Context) protocol.ExecuteReply {
+		*runs++
+		return reply
+	}
+}
+
+var printA = NewFingerprint(service, "POST", "/holds", []byte("a"))
+
+// Guards against two requests that share a fingerprint because their parts
+// join to the same text.
+func TestFingerprintSeparatesParts(t *testing.T) {
+	assert.Assert(t, NewFingerprint("a", "b", "c", nil) != NewFingerprint("ab", "", "c", nil))
+	assert.Assert(t, NewFingerprint("a", "b", "c", []byte("1")) != NewFingerprint("a", "b", "c", nil))
+}
+
+// Guards against forged tickets, and against tickets of another incarnation or
+// service that run here.
+func TestForeignTicketsAreRefused(t *testing.T) {
+	issuer, table := newTable(Config{})
+	good := issuer.Issue(service)
+	other := NewIssuer(IssuerConfig{Address: "127.0.0.1:7000", Incarnation: 0x20, Secret: secret})
+	runs := 0
+	for _, ticket := range []string{
+		"", "x", good + "0", strings.Replace(good, "~1~", "~2~", 1), strings.Replace(good, "~1f~", "~01f~", 1),
+		other.Issue(service), issuer.Issue("catalog-svc"), strings.ToUpper(good),
+	} {
+		r := table.Execute(context.Background(), ticket, service, printA, returns(answered("x"), &runs))
+		assert.Equal(t, r.Outcome, protocol.OutcomeNotRun, ticket)
+		assert.Equal(t, r.Problem.Code, protocol.CodeBadTicket)
+	}
+	assert.Equal(t, runs, 0)
+}
+
+// Guards against a second run, a lost answer after the first caller left, and
+// a run for another request under the same ticket.
+func TestResendGetsTheAnswerOfTheFirstRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issuer, table := newTable(Config{})
+		ticket := issuer.Issue(service)
+		runs := 0
+		run := func(ctx context.Context) protocol.ExecuteReply {
+			runs++
+			deadline, ok := ctx.Deadline()
+			assert.Assert(t, ok && time.Until(deadline) <= 5*time.Second)
+			time.Sleep(2 * time.Second)
+			assert.NilError(t, ctx.Err())
+			return answered("held")
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		time.AfterFunc(time.Second, cancel)
+		first := table.Execute(ctx, ticket, service, printA, run)
+		assert.Equal(t, first.Outcome, protocol.OutcomeUnknown)
+		printB := NewFingerprint(service, "POST", "/holds", []byte("b"))
+		wrong := table.Execute(context.Background(), ticket, service, printB, run)
+		assert.Equal(t, wrong.Problem.Code, protocol.CodeTicketReused)
+		assert.Equal(t, wrong.Outcome, protocol.OutcomeNotRun)
+		assert.Equal(t, table.Query(ticket, service).Outcome, protocol.OutcomeUnknown)
+		for range 2 {
+			again := table.Execute(context.Background(), ticket, service, printA, run)
+			assert.Equal(t, string(again.Body), "held")
+		}
+		assert.Equal(t, string(table.Query(ticket, service).Body), "held")
+		assert.Equal(t, runs, 1)
+	})
+}
+
+// Guards against runs after expiry, also when the entry was removed, and
+// against entries that are never removed.
+func TestExpiryAndSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issuer, table := newTable(Config{})
+		used, unused := issuer.Issue(service), issuer.Issue(service)
+		runs := 0
+		table.Execute(context.Background(), used, service, printA, returns(answered("x"), &runs))
+		time.Sleep(DefaultLifetime)
+		table.Sweep()
+		kept := table.Execute(context.Background(), used, service, printA, returns(answered("y"), &runs))
+		assert.Equal(t, string(kept.Body), "x")
+		late := table.Execute(context.Background(), unused, service, printA, returns(answered("y"), &runs))
+		assert.Equal(t, late.Problem.Code, protocol.CodeTicketExpired)
+		assert.Equal(t, late.Outcome, protocol.OutcomeUnknown)
+		time.Sleep(DefaultRetain + time.Millisecond)
+		table.Sweep()
+		assert.Equal(t, table.Len(), 0)
+		assert.Equal(t, table.Bytes(), int64(0))
+		gone := table.Execute(context.Background(), used, service, printA, returns(answered("y"), &runs))
+		assert.Equal(t, gone.Problem.Code, protocol.CodeTicketExpired)
+		assert.Equal(t, runs, 1)
+	})
+}
+
+// Guards against a copy that is told not_run while its ticket can no longer be
+// used, and against a query whose not_run is made false by a late copy.
+func TestNotRunAndQuery(t *testing.T) {
+	issuer, table := newTable(Config{})
+	ticket := issuer.Issue(service)
+	runs := 0
+	shed := refuse(503, protocol.CodeTargetRefused, "shed", "retry")
+	r := table.Execute(context.Background(), ticket, service, printA, returns(shed, &runs))
+	assert.Equal(t, r.Outcome, protocol.OutcomeNotRun)
+	r = table.Execute(context.Background(), ticket, service, printA, returns(answered("x"), &runs))
+	assert.Equal(t, r.Outcome, protocol.OutcomeAnswered)
+
+	sealed := issuer.Issue(service)
+	assert.Equal(t, table.Query(sealed, service).Outcome, protocol.OutcomeNotRun)
+	r = table.Execute(context.Background(), sealed, service, printA, returns(answered("x"), &runs))
+	assert.Equal(t, r.Outcome, protocol.OutcomeNotRun)
+	assert.Equal(t, runs, 2)
+}
+
+// Guards against growth without bound: new tickets are refused, and answers
+// that do not fit are reported as unknown instead of being run again.
+func TestMemoryBound(t *testing.T) {
+	runs := 0
+	execute := func(issuer *Issuer, table *Table, ticket string, size int) protocol.ExecuteReply {
+		return table.Execute(context.Background(), ticket, service, printA, returns(answered(strings.Repeat("x", size)), &runs))
+	}
+	issuer, table := newTable(Config{MaxEntries: 2})
+	for i, want := range []protocol.Outcome{protocol.OutcomeAnswered, protocol.OutcomeAnswered, protocol.OutcomeNotRun} {
+		assert.Equal(t, execute(issuer, table, issuer.Issue(service), 1).Outcome, want, "request %d", i)
+	}
+	issuer, table = newTable(Config{MaxBytes: 300 << 10})
+	large := issuer.Issue(service)
+	assert.Equal(t, len(execute(issuer, table, large, 256<<10+1).Body), 256<<10+1)
+	assert.Equal(t, execute(issuer, table, large, 1).Problem.Code, protocol.CodeAnswerNotKept)
+	assert.Equal(t, execute(issuer, table, issuer.Issue(service), 230<<10).Outcome, protocol.OutcomeAnswered)
+	assert.Equal(t, execute(issuer, table, issuer.Issue(service), 1).Problem.Code, protocol.CodeNoRoom)
+}
+
+// Guards against a run whose deadline passed while the VM was frozen, and
+// against a failing run that leaves its copies waiting.
+func TestDeadlineAndPanic(t *testing.T) {
+	issuer, table := newTable(Config{})
+	runs := 0
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r := table.Execute(ctx, issuer.Issue(service), service, printA, returns(answered("x"), &runs))
+	assert.Equal(t, r.Outcome, protocol.OutcomeNotRun)
+	assert.Equal(t, runs, 0)
+	ticket := issuer.Issue(service)
+	for range 2 {
+		r = table.Execute(context.Background(), ticket, service, printA, func(context.Context) protocol.ExecuteReply { runs++; panic("fault") })
+		assert.Equal(t, r.Outcome, protocol.OutcomeUnknown)
+	}
+	assert.Equal(t, runs, 1)
+}
+
+// Guards against not_run for a ticket that ran, or that may be missing from
+// the list, and against values larger than the platform stores.
+func TestBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issuer, table := newTable(Config{})
+		runs := 0
+		old := issuer.Issue(service)
+		table.Execute(context.Background(), old, service, printA, returns(answered("old"), &runs))
+		time.Sleep(DefaultLifetime + DefaultRetain + time.Millisecond)
+		table.Sweep()
+		var tickets []string
+		for range 20 {
+			tk := issuer.Issue(service)
+			tickets = append(tickets, tk)
+			table.Execute(context.Background(), tk, service, printA, returns(answered(strings.Repeat("x", 250<<10)), &runs))
+		}
+		running, unused := issuer.Issue(service), issuer.Issue(service)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		go table.Execute(ctx, running, service, printA, func(ctx context.Context) protocol.ExecuteReply {
+			<-ctx.Done()
+			return answered("late")
+		})
+		synctest.Wait()
+		batches, err := table.Export()
+		assert.NilError(t, err)
+		for _, b := range batches {
+			assert.Assert(t, len(b) < MaxBatchBytes)
+		}
+		refused := table.Execute(context.Background(), unused, service, printA, returns(answered("x"), &runs))
+		assert.Equal(t, refused.Problem.Code, protocol.CodeStopping)
+		reader, err := NewReader(batches)
+		assert.NilError(t, err)
+		assert.Assert(t, reader.Complete())
+		for _, tk := range tickets {
+			assert.Equal(t, len(reader.Lookup(tk, printA).Body), 250<<10)
+		}
+		printB := NewFingerprint(service, "POST", "/other", nil)
+		assert.Equal(t, reader.Lookup(tickets[0], printB).Problem.Code, protocol.CodeTicketReused)
+		assert.Equal(t, reader.Lookup(running, printA).Outcome, protocol.OutcomeUnknown)
+		assert.Equal(t, reader.Lookup(unused, printA).Outcome, protocol.OutcomeNotRun)
+		assert.Equal(t, reader.Lookup(old, printA).Outcome, protocol.OutcomeUnknown)
+
+		partial, err := NewReader(batches[1:])
+		assert.NilError(t, err)
+		assert.Equal(t, partial.Lookup(unused, printA).Outcome, protocol.OutcomeUnknown)
+		_, err = NewReader([][]byte{bytes.Repeat([]byte{7}, 30)})
+		assert.ErrorIs(t, err, ErrBatch)
+		time.Sleep(2 * time.Second) // lets the run end at its deadline
+	})
+}
+
+// model counts the runs of one ticket.
+type model struct {
+	inRun, runs int
+	final       bool // a run ended as answered or unknown
+	sealed      bool
+	answer      string
+}
+
+// Guards, under any interleaving of copies, cancellations, expiry, sweeps,
+// queries and sealing, against two runs at a time, a run after a final one, a
+// run after the table was sealed, and copies with different answers.
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) { runInterleaving(rt) })
+	})
+}
+
+func runInterleaving(rt *rapid.T) {
+	issuer, table := newTable(Config{})
+	ticket := issuer.Issue(service)
+	expiry := time.Now().Add(DefaultLifetime)
+	m := &model{}
+	results := make(chan protocol.ExecuteReply, 100)
+	copies := rapid.IntRange(1, 12).Draw(rt, "copies")
+	for range copies {
+		delay := time.Duration(rapid.IntRange(0, 20).Draw(rt, "gap")) * 100 * time.Millisecond
+		if rapid.IntRange(0, 19).Draw(rt, "long gap") == 0 {
+			delay += 6 * time.Minute
+		}
+		time.Sleep(delay)
+		limit := time.Duration(rapid.IntRange(1, 40).Draw(rt, "limit")) * 100 * time.Millisecond
+		took := time.Duration(rapid.IntRange(0, 30).Draw(rt, "took")) * 100 * time.Millisecond
+		outcome := rapid.SampledFrom([]protocol.Outcome{protocol.OutcomeAnswered, protocol.OutcomeNotRun, protocol.OutcomeUnknown}).Draw(rt, "outcome")
+		switch rapid.IntRange(0, 15).Draw(rt, "event") {
+		case 0:
+			table.Seal()
+			m.sealed = true
+		case 1:
+			table.Sweep()
+		case 2:
+			if r := table.Query(ticket, service); r.Outcome == protocol.OutcomeNotRun {
+				m.sealed = true
+			}
+		}
+		sealed := m.sealed
+		run := func(context.Context) protocol.ExecuteReply {
+			if m.inRun > 0 || m.final || sealed || !time.Now().Before(expiry) {
+				rt.Fatalf("run %d: in run %d, final %v, sealed %v", m.runs, m.inRun, m.final, sealed)
+			}
+			m.inRun++
+			m.runs++
+			time.Sleep(took)
+			m.inRun--
+			reply := protocol.ExecuteReply{Outcome: outcome, Body: []byte{byte(m.runs)}}
+			m.final = m.final || outcome != protocol.OutcomeNotRun
+			if outcome == protocol.OutcomeAnswered {
+				m.answer = string(reply.Body)
+			}
+			return reply
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		go func() {
+			defer cancel()
+			results <- table.Execute(ctx, ticket, service, printA, run)
+		}()
+		synctest.Wait()
+	}
+	for range copies {
+		if r := <-results; r.Outcome == protocol.OutcomeAnswered && string(r.Body) != m.answer {
+			rt.Fatalf("answer %q, the run answered %q", r.Body, m.answer)
+		}
+	}
+	time.Sleep(time.Minute)
+	checkExport(rt, table, ticket, m)
+}
+
+// checkExport compares the stored list with what the model saw.
+func checkExport(rt *rapid.T, table *Table, ticket string, m *model) {
+	batches, err := table.Export()
+	if err != nil {
+		rt.Fatal(err)
+	}
+	reader, err := NewReader(batches)
+	if err != nil {
+		rt.Fatal(err)
+	}
+	if r := reader.Lookup(ticket, printA); m.final && r.Outcome == protocol.OutcomeNotRun {
+		rt.Fatalf("the list reports not_run after %d runs", m.runs)
+	}
+}
+
+// FuzzParse guards against tickets that are accepted in a form that the issuer
+// does not write.
+func FuzzParse(f *testing.F) {
+	issuer, _ := newTable(Config{})
+	f.Add(issuer.Issue(service))
+	f.Add("a~1~-5~7~00112233445566778899aabbccddeeff")
+	f.Fuzz(func(t *testing.T, text string) {
+		if tk, err := Parse(text); err == nil {
+			assert.Equal(t, tk.String(), text)
+		}
+	})
+}
+
+// FuzzReader guards against batches that crash the reader.
+func FuzzReader(f *testing.F) {
+	issuer, table := newTable(Config{})
+	ticket := issuer.Issue(service)
+	runs := 0
+	table.Execute(context.Background(), ticket, service, printA, returns(answered("x"), &runs))
+	batches, err := table.Export()
+	assert.NilError(f, err)
+	f.Add(batches[0])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if r, err := NewReader([][]byte{data}); err == nil {
+			r.Lookup(ticket, printA)
+		}
+	})
+}
