Prove that not_run is true on broken target connections

Tests cut connections at each stage, over TCP and over pipes, and show that http.Transport runs a POST with an Idempotency-Key twice when a reused connection closes. Request.Write hides the error of the connection and ReadResponse removes a Connection field that contains close; both are recovered from the connection.

--- a/pkg/transport/target/body.go
+++ b/pkg/transport/target/body.go
@@ -3,10 +3,7 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/textproto"
-	"strings"
 	"sync"
 )
 
@@ -15,18 +12,6 @@
 	errCrossed  = errors.New("the answer carries the id of another request")
 )
 
-// isProtocolError reports whether err comes from the parsing of an answer and
-// not from its connection.
-func isProtocolError(err error) bool {
-	var protocolError textproto.ProtocolError
-	if errors.As(err, &protocolError) {
-		return true
-	}
-	var netError net.Error
-	plain := !errors.As(err, &netError) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
-	return plain && (strings.HasPrefix(err.Error(), "malformed") || strings.HasPrefix(err.Error(), "http: "))
-}
-
 // bodyGuard passes the request body to the writer until the exchange ends.
 type bodyGuard struct {
 	mu      sync.Mutex
@@ -34,6 +19,7 @@
 	length  int64
 	read    int64
 	stopped bool
+	err     error
 }
 
 func newBodyGuard(r *Request) *bodyGuard {
@@ -50,12 +36,13 @@
 	stopped := b.stopped
 	b.mu.Unlock()
 	if stopped {
+		b.fail(errBodyStopped)
 		return 0, errBodyStopped
 	}
 	n, err := b.source.Read(p)
 	b.read += int64(n)
 	if err != nil && err != io.EOF {
-		err = &bodyError{err}
+		b.fail(err)
 	}
 	return n, err
 }
@@ -63,6 +50,19 @@
 // Close implements io.Closer for http.Request.
 func (b *bodyGuard) Close() error { return nil }
 
+func (b *bodyGuard) fail(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.err = err
+}
+
+// failure returns the error that ended the body, or nil.
+func (b *bodyGuard) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err
+}
+
 func (b *bodyGuard) stop() {
 	b.mu.Lock()
 	b.stopped = true
--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -65,11 +65,13 @@
 	reused   bool
 	charge   *charge // nil for targets in the region of this VM
 	headLeft int64   // bytes left for the head of the answer; negative for no limit
+	head     []byte  // bytes read while the head of the answer is limited
+	readErr  error   // last error of the socket or the limiter while reading
 	idle     *idleWatch
 
 	writeMu  sync.Mutex // held during each write
 	written  int64      // bytes of the current request accepted by the socket
-	writeErr error      // first error of the socket while writing
+	writeErr error      // first error of the socket or the limiter while writing
 }
 
 func newConn(nc net.Conn, address string) *conn {
@@ -81,8 +83,9 @@
 // begin prepares c for a request.
 func (c *conn) begin(ch *charge, maxHead int) {
 	c.charge = ch
-	c.written, c.writeErr = 0, nil
+	c.written, c.writeErr, c.readErr = 0, nil, nil
 	c.headLeft = int64(maxHead)
+	c.head = c.head[:0]
 	if ch == nil {
 		return
 	}
@@ -103,6 +106,14 @@
 	return n, err
 }
 
+func (c *conn) noteWriteError(err error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+}
+
 // sent returns the number of bytes accepted so far and the first error. The
 // number is final once the connection is closed, because later writes fail.
 func (c *conn) sent() (int64, error) {
@@ -122,6 +133,7 @@
 	for len(p) > 0 {
 		part := p[:min(len(p), linkChunkBytes)]
 		if err := w.c.charge.outgoing(int64(len(part))); err != nil {
+			w.c.noteWriteError(err)
 			return total, err
 		}
 		n, err := w.c.send(part)
@@ -148,12 +160,17 @@
 	if c.charge != nil {
 		p = p[:min(len(p), linkChunkBytes)]
 		if err := c.charge.incoming(int64(len(p))); err != nil {
+			c.readErr = err
 			return 0, err
 		}
 	}
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.readErr = err
+	}
 	if c.headLeft > 0 {
 		c.headLeft -= int64(n)
+		c.head = append(c.head, p[:n]...)
 	}
 	if c.charge != nil {
 		c.charge.credit -= int64(n)
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -144,19 +144,21 @@
 	if err == nil {
 		return
 	}
-	written, socketErr := x.conn.sent()
+	// Request.Write hides the cause, so the connection and the body keep it.
+	written, cause := x.conn.sent()
 	var limited *limiterError
-	if socketErr == nil && !errors.As(err, &limited) {
-		err = &bodyError{err}
+	socketFailed := cause != nil && !errors.As(cause, &limited)
+	if cause == nil {
+		cause = &bodyError{errors.Join(x.body.failure(), err)}
 	}
 	x.writeMu.Lock()
-	x.writeErr = err
+	x.writeErr = cause
 	x.writeMu.Unlock()
 	// A target that refuses a request early closes its side, so that the write
 	// breaks while the answer is already there. No answer can follow when
 	// nothing was sent or when the request stays incomplete on a sound
 	// connection.
-	if written == 0 || socketErr == nil {
+	if written == 0 || !socketFailed {
 		_ = x.conn.Close()
 	}
 }
@@ -178,7 +180,7 @@
 }
 
 func (x *exchange) readHead(hr *http.Request) (*http.Response, error) {
-	for range maxInterimAnswers {
+	for interim := range maxInterimAnswers {
 		resp, err := http.ReadResponse(x.conn.reader, hr)
 		if err != nil {
 			return nil, err
@@ -188,6 +190,9 @@
 		}
 		if resp.StatusCode >= 200 {
 			x.conn.headLeft = -1
+			if resp.Close {
+				restoreConnection(resp.Header, x.conn.head, interim)
+			}
 			return resp, nil
 		}
 	}
@@ -199,7 +204,7 @@
 func (x *exchange) failRead(err error) *Failure {
 	x.halt()
 	kind := KindReset
-	if errors.Is(err, errTooMany1xx) || errors.Is(err, errBadStatus) || isProtocolError(err) {
+	if x.conn.readErr == nil { // the connection was sound, so its bytes were not
 		kind = KindMalformed
 	}
 	if writeErr := x.writeError(); writeErr != nil && !errors.Is(writeErr, errBodyStopped) {
--- a/pkg/transport/target/header.go
+++ b/pkg/transport/target/header.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -35,6 +37,23 @@
 	}
 }
 
+// restoreConnection puts the Connection field back, which http.ReadResponse
+// removes if it contains "close" although it may name other fields as well.
+// raw holds the heads of the interim answers and of the answer.
+func restoreConnection(h http.Header, raw []byte, interim int) {
+	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(raw)))
+	for i := 0; i <= interim; i++ {
+		_, lineErr := r.ReadLine()
+		fields, err := r.ReadMIMEHeader()
+		if lineErr != nil || err != nil {
+			return
+		}
+		if i == interim && len(fields["Connection"]) > 0 {
+			h["Connection"] = fields["Connection"]
+		}
+	}
+}
+
 var (
 	errMethod = errors.New("the method is not a valid token or is CONNECT")
 	errPath   = errors.New("the path does not start with \"/\" or is not valid")
--- /dev/null
+++ b/pkg/transport/target/notrun_test.go
@@ -0,0 +1,217 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hickoryroute/pkg/protocol"
+)
+
+// Guards against a failure that claims NotRun although the target ran the
+// request, and against a second run, on connections that break at each stage.
+func TestNotRunIsTrueOnBrokenConnections(t *testing.T) {
+	var k *counter
+	readSome := func(c net.Conn) { _, _ = io.ReadFull(c, make([]byte, 20)) }
+	for _, c := range []struct {
+		name   string
+		play   script
+		notRun bool
+		runs   int64
+	}{
+		{"reset in the middle", func(_ int, c net.Conn) { readSome(c); reset(c) }, false, 0},
+		{"closed in the middle", func(_ int, c net.Conn) { readSome(c) }, false, 0},
+		{"reset after the request", func(_ int, c net.Conn) { _, _ = k.read(bufio.NewReader(c)); reset(c) }, false, 1},
+		{"closed after the request", func(_ int, c net.Conn) { _, _ = k.read(bufio.NewReader(c)) }, false, 1},
+		{"reset within the head", func(_ int, c net.Conn) {
+			_, _ = k.read(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-")
+			reset(c)
+		}, false, 1},
+		{"refused by the target", func(_ int, c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 503 X\r\nHickory-Not-Run: true\r\nHickory-Draining: true\r\nContent-Length: 0\r\n\r\n")
+		}, true, 0},
+		{"not run in another status", func(_ int, c net.Conn) {
+			_, _ = k.read(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 500 X\r\nHickory-Not-Run: true\r\nContent-Length: 4\r\n\r\n")
+		}, false, 1},
+	} {
+		for _, size := range []int{0, 10, 100_000} {
+			k = &counter{}
+			client := New(Config{})
+			_, f := fetch(context.Background(), client, post(listen(t, c.play), "a", strings.Repeat("b", size)))
+			assert.Assert(t, f != nil, c.name)
+			assert.Equal(t, f.NotRun, c.notRun, "%s, size %d: %v", c.name, size, f)
+			assert.Equal(t, f.Draining, f.Kind == KindRefused)
+			assert.Assert(t, k.runs.Load() <= c.runs, c.name)
+			client.Close()
+		}
+	}
+}
+
+// Guards against NotRun for bytes in a socket buffer, when the target resets
+// the connection before it reads. Whether the write fails depends on timing,
+// so only the meaning of NotRun is checked.
+func TestResetBeforeTheRequest(t *testing.T) {
+	address := listen(t, func(_ int, c net.Conn) { reset(c) })
+	client := New(Config{})
+	defer client.Close()
+	for range 50 {
+		_, f := fetch(context.Background(), client, post(address, "a", "body"))
+		assert.Assert(t, f != nil)
+		assert.Equal(t, f.NotRun, f.Written == 0, "%v", f)
+	}
+}
+
+// Guards against requests that are reported as possibly run although no
+// connection was opened.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, f := fetch(context.Background(), New(Config{}), post(address, "a", "body"))
+	assert.Equal(t, f.Kind, KindDial)
+	assert.Assert(t, f.NotRun)
+}
+
+// Guards against a lost request when the target closes an idle connection: a
+// connection that accepted no byte is replaced.
+func TestIdleClosedConnectionIsReplaced(t *testing.T) {
+	k := &counter{}
+	closed := make(chan struct{}, 100)
+	address := listen(t, func(_ int, c net.Conn) {
+		req, err := k.read(bufio.NewReader(c))
+		if err == nil {
+			_, _ = io.WriteString(c, reply(req, "ok"))
+		}
+		reset(c)
+		closed <- struct{}{}
+	})
+	client := New(Config{})
+	defer client.Close()
+	for n := int64(1); n <= 20; n++ {
+		body, f := fetch(context.Background(), client, post(address, "a", "body"))
+		if f != nil { // the reset may overtake the answer
+			assert.Assert(t, !f.NotRun)
+		} else {
+			assert.Equal(t, body, "ok")
+		}
+		<-closed
+		time.Sleep(5 * time.Millisecond) // lets the idle watch see the reset
+		assert.Equal(t, k.runs.Load(), n)
+	}
+}
+
+// closesOnSecond answers the first request of a connection and closes the
+// connection without an answer when it has run the second one. To a client
+// this looks like an idle connection that was closed under its request.
+func closesOnSecond(k *counter) script {
+	return func(_ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		req, err := k.read(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, reply(req, "ok"))
+		_, _ = k.read(r)
+	}
+}
+
+// Shows the fault that this package guards against: http.Transport sends a
+// POST with an Idempotency-Key twice when a reused connection closes, and the
+// target runs it twice. Client runs it once and does not claim NotRun.
+func TestStandardTransportRunsTwiceAndClientOnce(t *testing.T) {
+	standard := &counter{}
+	address := listen(t, closesOnSecond(standard))
+	hc := &http.Client{Transport: &http.Transport{}}
+	for range 2 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/x", strings.NewReader("body"))
+		assert.NilError(t, err)
+		req.Header.Set(protocol.HeaderIdempotencyKey, "ticket")
+		resp, err := hc.Do(req)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	assert.Equal(t, standard.runs.Load(), int64(3), "two requests, one of them run twice")
+
+	own := &counter{}
+	address = listen(t, closesOnSecond(own))
+	client := New(Config{})
+	defer client.Close()
+	_, f := fetch(context.Background(), client, post(address, "a", "body"))
+	assert.Assert(t, f == nil)
+	_, f = fetch(context.Background(), client, post(address, "b", "body"))
+	assert.Equal(t, f.Kind, KindReset)
+	assert.Assert(t, !f.NotRun)
+	assert.Equal(t, own.runs.Load(), int64(2))
+}
+
+// Guards, for connections that break after any number of request and answer
+// bytes, against a false NotRun, more than one run, and a clean end of an
+// answer that is not whole.
+func TestPropertyOfBrokenConnections(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) { breakAnywhere(rt) })
+	})
+}
+
+func breakAnywhere(rt *rapid.T) {
+	body := strings.Repeat("b", rapid.SampledFrom([]int{0, 1, 5000}).Draw(rt, "body"))
+	want := strings.Repeat("w", rapid.SampledFrom([]int{0, 1, 10, 9000}).Draw(rt, "answer"))
+	chunked := rapid.Bool().Draw(rt, "chunked")
+	cutRequest := rapid.SampledFrom([]int{-1, 0, 1, 50, 150, 1000, 5000}).Draw(rt, "cut request")
+	cutAnswer := rapid.IntRange(-1, 200).Draw(rt, "cut answer")
+	k := &counter{}
+	client := pipeClient(Config{}, func(_ int, c net.Conn) {
+		var from io.Reader = c
+		if cutRequest >= 0 {
+			from = io.LimitReader(c, int64(cutRequest))
+		}
+		req, err := k.read(bufio.NewReader(from))
+		if err != nil {
+			return
+		}
+		text := reply(req, want)
+		if chunked {
+			head, _, _ := strings.Cut(text, "Content-Length")
+			var b strings.Builder
+			w := httptest.NewRecorder()
+			_, _ = w.WriteString(want)
+			resp := w.Result()
+			resp.ContentLength, resp.TransferEncoding = -1, []string{"chunked"}
+			_ = resp.Write(&b)
+			_, coded, _ := strings.Cut(b.String(), "\r\n\r\n")
+			text = head + "Transfer-Encoding: chunked\r\n\r\n" + coded
+		}
+		if cutAnswer >= 0 && cutAnswer < len(text) {
+			text = text[:len(text)-cutAnswer]
+		}
+		_, _ = io.WriteString(c, text)
+	})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	got, f := fetch(ctx, client, post("target", "a", body))
+	if f == nil && got != want {
+		rt.Fatalf("a clean end after %d of %d bytes", len(got), len(want))
+	}
+	if f != nil && f.NotRun != (f.Written == 0) {
+		rt.Fatalf("not run %v with %d bytes written", f.NotRun, f.Written)
+	}
+	if f != nil && f.NotRun && k.runs.Load() > 0 || k.runs.Load() > 1 {
+		rt.Fatalf("%d runs, failure %v", k.runs.Load(), f)
+	}
+}
--- /dev/null
+++ b/pkg/transport/target/pool_test.go
@@ -0,0 +1,210 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/protocol"
+)
+
+// Guards against more connections than the limit, requests that wait beyond
+// their deadline, and idle connections that stay open.
+func TestConnectionLimitAndIdleTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		open, most := 0, 0
+		k := &counter{}
+		client := pipeClient(Config{MaxConnsPerTarget: 2, MaxIdlePerTarget: 1, IdleTimeout: 10 * time.Second}, func(_ int, c net.Conn) {
+			mu.Lock()
+			open++
+			most = max(most, open)
+			mu.Unlock()
+			time.Sleep(time.Second)
+			k.serve(c)
+			mu.Lock()
+			open--
+			mu.Unlock()
+		})
+		count := func() int {
+			mu.Lock()
+			defer mu.Unlock()
+			return open
+		}
+		var done sync.WaitGroup
+		for range 6 {
+			done.Go(func() {
+				_, f := fetch(context.Background(), client, post("target", "a", "body"))
+				assert.Check(t, f == nil)
+			})
+		}
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		_, f := fetch(ctx, client, post("target", "b", "body"))
+		assert.Equal(t, f.Kind, KindTimeout)
+		assert.Assert(t, f.NotRun)
+		done.Wait()
+		assert.Equal(t, most, 2)
+		assert.Equal(t, k.runs.Load(), int64(6))
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, count(), 1)
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, count(), 0)
+		for i := range client.pool.shards {
+			assert.Equal(t, len(client.pool.shards[i].targets), 0)
+		}
+	})
+}
+
+// link records charges and refuses them beyond its capacity.
+type link struct {
+	mu       sync.Mutex
+	out, in  int64
+	capacity int64
+}
+
+func (l *link) TryAcquire(from, to string, n int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out+l.in+n > l.capacity {
+		return false
+	}
+	if from == "local" {
+		l.out += n
+	} else {
+		l.in += n
+	}
+	return true
+}
+
+func (l *link) Acquire(context.Context, string, string, int64) error {
+	return errors.New("link is full")
+}
+
+// Guards against bytes between regions that are sent or read before they are
+// charged, and against charges within a region.
+func TestLinkChargesComeFirst(t *testing.T) {
+	l := &link{capacity: 1 << 30}
+	var sent, received int64
+	k := &counter{}
+	client := pipeClient(Config{Limiter: l}, func(_ int, c net.Conn) {
+		k.serve(&meteredConn{Conn: c, onRead: func(n int) {
+			received += int64(n)
+			l.mu.Lock()
+			assert.Check(t, l.out == 0 || received <= l.out)
+			l.mu.Unlock()
+		}, onWrite: func(n int) { sent += int64(n) }})
+	})
+	defer client.Close()
+	r := post("target", "a", strings.Repeat("b", 100_000))
+	_, f := fetch(context.Background(), client, r) // within the region
+	assert.Assert(t, f == nil)
+	assert.Equal(t, l.out+l.in, int64(0))
+	r = post("target", "a", strings.Repeat("b", 100_000))
+	r.LocalRegion = "local"
+	received, sent = 0, 0
+	_, f = fetch(context.Background(), client, r)
+	assert.Assert(t, f == nil)
+	assert.Equal(t, l.out, received)
+	assert.Equal(t, l.in, int64(linkWindowBytes+readBufferBytes))
+	assert.Assert(t, sent < readBufferBytes)
+}
+
+type meteredConn struct {
+	net.Conn
+	onRead, onWrite func(n int)
+}
+
+func (m *meteredConn) Read(p []byte) (int, error) {
+	n, err := m.Conn.Read(p)
+	m.onRead(n)
+	return n, err
+}
+
+func (m *meteredConn) Write(p []byte) (int, error) {
+	m.onWrite(len(p))
+	return m.Conn.Write(p)
+}
+
+// Guards against requests on a full link that are reported as possibly run
+// although nothing was sent, or as not run after a part was sent.
+func TestFullLink(t *testing.T) {
+	for _, c := range []struct {
+		capacity int64
+		notRun   bool
+	}{{0, true}, {linkWindowBytes + 10, true}, {linkWindowBytes + 30_000, false}} {
+		k := &counter{}
+		client := pipeClient(Config{Limiter: &link{capacity: c.capacity}}, func(_ int, conn net.Conn) { k.serve(conn) })
+		r := post("target", "a", strings.Repeat("b", 100_000))
+		r.LocalRegion = "local"
+		_, f := fetch(context.Background(), client, r)
+		assert.Equal(t, f.Kind, KindLinkFull, "%v", f)
+		assert.Equal(t, f.NotRun, c.notRun)
+		assert.Equal(t, k.runs.Load(), int64(0))
+	}
+}
+
+// Guards against probes that take an unhealthy or leaving target for a
+// healthy one.
+func TestProber(t *testing.T) {
+	for _, c := range []struct {
+		answer           string
+		healthy, leaving bool
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true, false},
+		{"HTTP/1.1 200 OK\r\nHickory-Draining: true\r\nContent-Length: 0\r\n\r\n", true, true},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\n{\"status\":\"starting\"}", false, false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\n{\"status\":\"draining\"}", true, true},
+		{"HTTP/1.1 503 X\r\nHickory-Not-Run: true\r\nContent-Length: 0\r\n\r\n", false, false},
+		{"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", false, false},
+	} {
+		p := &Prober{Client: pipeClient(Config{}, answers(c.answer))}
+		h, err := p.Health(context.Background(), protocol.TargetRef{Address: "target"})
+		assert.NilError(t, err)
+		assert.Equal(t, h.Healthy, c.healthy, c.answer)
+		assert.Equal(t, h.Draining, c.leaving, c.answer)
+	}
+	p := &Prober{Client: pipeClient(Config{}, answers("HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n{\"in_flight\":2,\"slots\":3,\"x\""))}
+	_, err := p.Load(context.Background(), protocol.TargetRef{Address: "target"})
+	assert.ErrorIs(t, err, ErrLoadReport)
+	report, err := ParseLoadReport([]byte(`{"in_flight":2,"slots":3,"queue_length":1,"draining":true,"more":[]}`))
+	assert.NilError(t, err)
+	assert.Equal(t, report, LoadReport{InFlight: 2, Slots: 3, QueueLength: 1, Draining: true})
+}
+
+// FuzzLoadReport guards against reports that crash the parser or pass with
+// counts out of range.
+func FuzzLoadReport(f *testing.F) {
+	f.Add([]byte(`{"in_flight":2,"slots":3,"queue_length":1}`))
+	f.Add([]byte(`{"in_flight":-2}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, err := ParseLoadReport(body)
+		if err == nil && (min(r.InFlight, r.Slots, r.QueueLength) < 0 || max(r.InFlight, r.Slots, r.QueueLength) > maxReportedCount) {
+			t.Fatalf("report %+v", r)
+		}
+	})
+}
+
+// FuzzAnswer guards against answers that crash the client or make it claim
+// that a request did not run without the target's word for it.
+func FuzzAnswer(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+	f.Add("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 503 OK\r\nHickory-Not-Run: true\r\nContent-Length: 0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		client := pipeClient(Config{}, answers(text))
+		defer client.Close()
+		_, failure := fetch(context.Background(), client, post("target", "a", "body"))
+		if failure != nil && failure.NotRun && failure.Kind != KindRefused {
+			t.Fatalf("%v", failure)
+		}
+	})
+}
