--- /dev/null
+++ b/pkg/caller/caller.go
@@ -0,0 +1,189 @@
+// Package caller is the Go client for callers of hickoryroute. It finds entry
+// VMs by look-ups, takes tickets, and resends only what is safe to resend.
+//
+// # Resends
+//
+// A request with an idempotent method may be sent again after any failure. All
+// other requests carry a ticket, and all attempts of one Do carry the same
+// ticket, so that the VM that issued it runs the request at most once. A new
+// ticket replaces the first one only after every attempt so far was reported
+// as not run.
+//
+// The outcome of Do speaks for all attempts: if any attempt ended without a
+// known outcome, a later not_run becomes unknown.
+//
+// The package does not use http.Transport, which resends requests with an
+// Idempotency-Key by itself. It uses the connections of package target.
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/transport/target"
+)
+
+// Defaults of Config.
+const (
+	DefaultTimeout        = protocol.DefaultDeadlineMs * time.Millisecond
+	DefaultMaxAttempts    = 4
+	DefaultTicketBatch    = 8
+	DefaultMaxAnswerBytes = 16 << 20
+
+	maxIdlePerEntry  = 4
+	maxConnsPerEntry = 256
+)
+
+// Config holds the settings of a Client.
+type Config struct {
+	// Entries are the caller addresses of entry VMs for the first contact. Two
+	// or more in different availability zones survive the loss of one.
+	Entries []string
+	// Client is the IP address for look-ups; empty uses the address of the
+	// connection.
+	Client string
+	// Zone is the availability zone of the caller; empty if it has none.
+	Zone string
+	// Timeout bounds one Do with all its attempts, up to 30 s.
+	Timeout time.Duration
+	// AttemptTimeout bounds one attempt; default half of Timeout. A short one
+	// leaves a frozen VM sooner, and a ticketed request then waits at another
+	// VM for the same run.
+	AttemptTimeout time.Duration
+	// MaxAttempts limits the attempts of one Do.
+	MaxAttempts int
+	// TicketBatch is the number of tickets taken at once. More save round
+	// trips and leave more tickets unused.
+	TicketBatch int
+	// MaxAnswerBytes limits answers, which are kept in memory.
+	MaxAnswerBytes int64
+	// IdempotentMethods lists the methods that need no ticket; default GET,
+	// HEAD and OPTIONS. It must agree with the rule idempotent_methods.
+	IdempotentMethods []string
+	// Now is the clock for the times to live of look-ups and tickets.
+	Now func() time.Time
+	// Rand returns numbers from 0 to below 1 for jitter. It must be safe for
+	// concurrent use.
+	Rand func() float64
+	// Dial opens connections to entry VMs.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+func (c Config) withDefaults() Config {
+	if c.Timeout <= 0 {
+		c.Timeout = DefaultTimeout
+	}
+	c.Timeout = min(c.Timeout, protocol.MaxDeadlineMs*time.Millisecond)
+	if c.AttemptTimeout <= 0 {
+		c.AttemptTimeout = c.Timeout / 2
+	}
+	if c.MaxAttempts <= 0 {
+		c.MaxAttempts = DefaultMaxAttempts
+	}
+	if c.TicketBatch <= 0 {
+		c.TicketBatch = DefaultTicketBatch
+	}
+	if c.MaxAnswerBytes <= 0 {
+		c.MaxAnswerBytes = DefaultMaxAnswerBytes
+	}
+	if c.IdempotentMethods == nil {
+		c.IdempotentMethods = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Rand == nil {
+		c.Rand = rand.Float64
+	}
+	return c
+}
+
+// Client sends requests to services. It is safe for concurrent use.
+type Client struct {
+	cfg     Config
+	conns   *target.Client
+	budget  *budget
+	entries *directory
+	tickets *wallet
+}
+
+// New returns a Client.
+func New(cfg Config) (*Client, error) {
+	if len(cfg.Entries) == 0 {
+		return nil, fmt.Errorf("no entry VM is given; list at least one address in Config.Entries")
+	}
+	cfg = cfg.withDefaults()
+	c := &Client{cfg: cfg, budget: newBudget()}
+	c.conns = target.New(target.Config{
+		Dial: cfg.Dial, TicketHeader: protocol.HeaderIdempotencyKey,
+		MaxIdlePerTarget: maxIdlePerEntry, MaxConnsPerTarget: maxConnsPerEntry,
+	})
+	c.entries = newDirectory(c)
+	c.tickets = newWallet(c)
+	return c, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.conns.Close() }
+
+// Answer is the whole answer to a request.
+type Answer struct {
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Entry    string // address of the entry VM
+	Attempts int
+}
+
+// Error tells why a request has no answer.
+type Error struct {
+	// Outcome is OutcomeNotRun only if no attempt can have run.
+	Outcome  protocol.Outcome
+	Problem  *protocol.Problem // of the last attempt; nil without an answer
+	Ticket   string            // the ticket of an unknown outcome, to ask again
+	Attempts int
+	Err      error // cause of the last attempt
+}
+
+// Error returns the outcome, the cause and the remedy.
+func (e *Error) Error() string {
+	remedy := "send the request again later"
+	if e.Outcome != protocol.OutcomeNotRun {
+		remedy = "ask again with the same ticket, or check the effect of the request at the service"
+	}
+	return fmt.Sprintf("request has outcome %s after %d attempts: %v; %s", e.Outcome, e.Attempts, e.Err, remedy)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Request is one request to a service.
+type Request struct {
+	Service string
+	Method  string
+	Path    string // escaped path below the service with query, starting with "/"
+	Header  http.Header
+	Body    []byte
+	Ticket  string // of an earlier Do with unknown outcome; empty takes a new one
+}
+
+// Do sends a request and returns its whole answer or an *Error.
+func (c *Client) Do(ctx context.Context, service, method, path string, body []byte) (*Answer, error) {
+	return c.Send(ctx, &Request{Service: service, Method: method, Path: path, Body: body})
+}
+
+// Send is Do with headers and with the ticket of an earlier attempt.
+func (c *Client) Send(ctx context.Context, r *Request) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	c.budget.deposit()
+	s := &sending{client: c, request: r, ticket: r.Ticket, unresolved: r.Ticket != ""}
+	s.ticketed = r.Ticket != "" || !slices.Contains(c.cfg.IdempotentMethods, r.Method)
+	return s.run(ctx)
+}
--- a/pkg/transport/target/body.go
+++ b/pkg/transport/target/body.go
@@ -19,6 +19,7 @@
 	length  int64
 	read    int64
 	stopped bool
+	ended   bool // all of the body was read
 	err     error
 }
 
@@ -34,15 +35,21 @@
 func (b *bodyGuard) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	stopped := b.stopped
+	if stopped {
+		b.err = errBodyStopped
+	}
 	b.mu.Unlock()
 	if stopped {
-		b.fail(errBodyStopped)
 		return 0, errBodyStopped
 	}
 	n, err := b.source.Read(p)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.read += int64(n)
-	if err != nil && err != io.EOF {
-		b.fail(err)
+	if err == io.EOF || b.read == b.length {
+		b.ended = true
+	} else if err != nil {
+		b.err = err
 	}
 	return n, err
 }
@@ -50,10 +57,10 @@
 // Close implements io.Closer for http.Request.
 func (b *bodyGuard) Close() error { return nil }
 
-func (b *bodyGuard) fail(err error) {
+func (b *bodyGuard) exhausted() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.err = err
+	return b.ended
 }
 
 // failure returns the error that ended the body, or nil.
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -14,6 +14,7 @@
 const (
 	maxInterimAnswers  = 5
 	maxRefusalBodySize = 4 << 10 // a longer refusal costs its connection
+	writerGrace        = 10 * time.Millisecond
 )
 
 // Do sends r once and returns the head of the answer. It never resends; only
@@ -39,7 +40,7 @@
 		if err := ctx.Err(); err != nil {
 			return nil, unsent(ctx, err, KindCancelled)
 		}
-		hr, err := build(ctx, r, time.Now())
+		hr, err := build(ctx, r, c.cfg.TicketHeader, time.Now())
 		if err != nil {
 			return nil, unsent(ctx, err, KindInvalid)
 		}
@@ -289,15 +290,30 @@
 // reusable reports whether the connection is in a known state after the whole
 // answer was read.
 func (x *exchange) reusable() bool {
+	return x.writerEnded() && x.writeError() == nil && !x.resp.Close && x.resp.ProtoAtLeast(1, 1) &&
+		x.conn.reader.Buffered() == 0 && x.ctx.Err() == nil &&
+		!isTrue(x.resp.Header, protocol.HeaderDraining) &&
+		(x.echoed || x.client.cfg.ReuseUnechoed)
+}
+
+// writerEnded reports whether the request was written. An answer may arrive
+// while the writer returns from its last write, so a writer that has sent the
+// whole body gets a short time to end.
+func (x *exchange) writerEnded() bool {
 	select {
 	case <-x.wrote:
+		return true
 	default:
+	}
+	if !x.body.exhausted() {
+		return false
+	}
+	select {
+	case <-x.wrote:
+		return true
+	case <-time.After(writerGrace):
 		return false
 	}
-	return x.writeError() == nil && !x.resp.Close && x.resp.ProtoAtLeast(1, 1) &&
-		x.conn.reader.Buffered() == 0 && x.ctx.Err() == nil &&
-		!isTrue(x.resp.Header, protocol.HeaderDraining) &&
-		(x.echoed || x.client.cfg.ReuseUnechoed)
 }
 
 // finish returns the connection to the pool or closes it, once.
--- a/pkg/transport/target/header.go
+++ b/pkg/transport/target/header.go
@@ -60,7 +60,7 @@
 )
 
 // build makes the HTTP request without its body.
-func build(ctx context.Context, r *Request, now time.Time) (*http.Request, error) {
+func build(ctx context.Context, r *Request, ticketHeader string, now time.Time) (*http.Request, error) {
 	if !validToken(r.Method) || r.Method == http.MethodConnect {
 		return nil, errMethod
 	}
@@ -77,6 +77,9 @@
 		header = http.Header{}
 	}
 	setRequestFields(ctx, header, r, now)
+	if r.Ticket != "" {
+		header.Set(ticketHeader, r.Ticket)
+	}
 	out := &http.Request{
 		Method: r.Method, URL: u, Host: r.Target.Address, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
@@ -98,9 +101,6 @@
 	if r.RequestID != "" {
 		h.Set(protocol.HeaderRequestID, r.RequestID)
 	}
-	if r.Ticket != "" {
-		h.Set(protocol.HeaderTicket, r.Ticket)
-	}
 	if end, ok := ctx.Deadline(); ok {
 		h.Set(protocol.HeaderDeadlineMs, strconv.FormatInt(max(1, end.Sub(now).Milliseconds()), 10))
 	}
--- a/pkg/transport/target/pool_test.go
+++ b/pkg/transport/target/pool_test.go
@@ -92,30 +92,34 @@
 // Guards against bytes between regions that are sent or read before they are
 // charged, and against charges within a region.
 func TestLinkChargesComeFirst(t *testing.T) {
-	l := &link{capacity: 1 << 30}
-	var sent, received int64
-	k := &counter{}
-	client := pipeClient(Config{Limiter: l}, func(_ int, c net.Conn) {
-		k.serve(&meteredConn{Conn: c, onRead: func(n int) {
-			received += int64(n)
-			l.mu.Lock()
-			assert.Check(t, l.out == 0 || received <= l.out)
-			l.mu.Unlock()
-		}, onWrite: func(n int) { sent += int64(n) }})
+	synctest.Test(t, func(t *testing.T) {
+		for _, region := range []string{"sask", "local"} {
+			l := &link{capacity: 1 << 30}
+			var sent, received int64
+			k := &counter{}
+			client := pipeClient(Config{Limiter: l}, func(_ int, c net.Conn) {
+				k.serve(&meteredConn{Conn: c, onRead: func(n int) {
+					l.mu.Lock()
+					defer l.mu.Unlock()
+					received += int64(n)
+					assert.Check(t, region == "sask" || received <= l.out)
+				}, onWrite: func(n int) { sent += int64(n) }})
+			})
+			r := post("target", "a", strings.Repeat("b", 100_000))
+			r.LocalRegion = region
+			_, f := fetch(context.Background(), client, r)
+			assert.Assert(t, f == nil)
+			client.Close()
+			synctest.Wait()
+			if region == "sask" { // the region of the target
+				assert.Equal(t, l.out+l.in, int64(0))
+				continue
+			}
+			assert.Equal(t, l.out, received)
+			assert.Equal(t, l.in, int64(linkWindowBytes+readBufferBytes))
+			assert.Assert(t, sent < readBufferBytes)
+		}
 	})
-	defer client.Close()
-	r := post("target", "a", strings.Repeat("b", 100_000))
-	_, f := fetch(context.Background(), client, r) // within the region
-	assert.Assert(t, f == nil)
-	assert.Equal(t, l.out+l.in, int64(0))
-	r = post("target", "a", strings.Repeat("b", 100_000))
-	r.LocalRegion = "local"
-	received, sent = 0, 0
-	_, f = fetch(context.Background(), client, r)
-	assert.Assert(t, f == nil)
-	assert.Equal(t, l.out, received)
-	assert.Equal(t, l.in, int64(linkWindowBytes+readBufferBytes))
-	assert.Assert(t, sent < readBufferBytes)
 }
 
 type meteredConn struct {
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -81,6 +81,9 @@
 	// the request id. It saves a dial for each request, but a duplicated answer
 	// of such a target can then be taken for the answer to a later request.
 	ReuseUnechoed bool
+	// TicketHeader carries Request.Ticket; empty means Hickory-Ticket. Callers
+	// of entry VMs use Idempotency-Key.
+	TicketHeader string
 	// Limiter is charged for traffic to targets in other regions; nil charges
 	// nothing.
 	Limiter Limiter
@@ -102,6 +105,9 @@
 	if c.IdleTimeout <= 0 {
 		c.IdleTimeout = DefaultIdleTimeout
 	}
+	if c.TicketHeader == "" {
+		c.TicketHeader = protocol.HeaderTicket
+	}
 	if c.MaxHeaderBytes <= 0 {
 		c.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
@@ -123,9 +129,11 @@
 	// Idempotent is information for the target side only: the Client itself
 	// never resends a request, idempotent or not.
 	Idempotent bool
-	RequestID  string
-	Ticket     string
-	Deadline   time.Time // zero for the deadline of the context alone
+	// RequestID must differ between all requests to a target, including the
+	// attempts of one request, because it tells crossed answers.
+	RequestID string
+	Ticket    string
+	Deadline  time.Time // zero for the deadline of the context alone
 }
 
 // Response is the answer of a target.
