Count crashes of copies in flight together once

Two targets that end at the same time, as in the loss of a zone, broke the connections of all copies of a popular request at once and quarantined it everywhere. A crash now raises the level of a fingerprint by one over the level known when its attempt was sent, and an answer to a copy sent after the crash was known clears the level. Sequential resends still crash at most two targets.

--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -25,6 +25,7 @@
 	cancel   context.CancelFunc
 	stop     context.CancelFunc // ends the context that expires with the reservation
 	sentAt   time.Time
+	level    int // crash level of the request when it was sent
 	response *SendResponse
 	failure  *SendFailure
 }
@@ -84,6 +85,7 @@
 func (a *attempt) run(ctx context.Context) {
 	left := a.grant.endBefore(a.race.call.deadline).Sub(a.race.router.cfg.Now())
 	ctx, a.stop = context.WithTimeout(ctx, left)
+	a.level, _ = a.race.router.poison.levelOf(a.race.call.req, a.sentAt)
 	resp, err := a.send(ctx)
 	if err != nil {
 		a.fail(ctx, asFailure(ctx, err))
@@ -95,6 +97,9 @@
 		return
 	}
 	a.response = resp
+	if a.level > 0 {
+		a.race.router.poison.clear(a.race.call.fingerprint())
+	}
 	a.race.router.countAttempt(a, "answered")
 	a.race.router.noteDraining(a, resp.Draining)
 	a.race.ended <- a
@@ -199,17 +204,22 @@
 // tellCrash counts a crash here and tells all members before the caller can
 // learn of it, so that a resend through any VM meets the count.
 func (r *Router) tellCrash(ctx context.Context, a *attempt) {
-	req := a.race.call.req
+	defer a.logPanic("telling of a crash", func(any) {})
+	c := a.race.call
+	// A second crash within one call counts even if hedges were in flight
+	// together, since the call alone has then crashed two targets.
+	level := max(a.level, int(c.crashes.Add(1))-1) + 1
 	n := protocol.Notice{
-		Kind:    protocol.NoticeCrash,
-		ID:      r.noticeID(a),
-		Subject: Fingerprint(req.Service, req.Method, req.Path, req.Body),
-		Origin:  r.cfg.Self,
-		TTLMs:   quarantineTime.Milliseconds(),
+		Kind:     protocol.NoticeCrash,
+		ID:       r.noticeID(a),
+		Subject:  c.fingerprint(),
+		Origin:   r.cfg.Self,
+		TTLMs:    quarantineTime.Milliseconds(),
+		Revision: int64(level),
 	}
-	crashes := r.poison.add(n.Subject, n.ID, quarantineTime, r.cfg.Now())
+	level = r.poison.raise(n.Subject, level, quarantineTime, r.cfg.Now())
 	r.cfg.Logger.Log(eventTargetCrash, eventlog.Fields{
-		"target": a.grant.reply.Target.Name, "fingerprint": n.Subject, "crashes": crashes, "request_id": req.RequestID,
+		"target": a.grant.reply.Target.Name, "fingerprint": n.Subject, "level": level, "request_id": c.req.RequestID,
 	})
 	if r.cfg.CrashTeller == nil {
 		return
--- a/pkg/steering/fakes_test.go
+++ b/pkg/steering/fakes_test.go
@@ -115,6 +115,7 @@
 	delay   time.Duration
 	failure *SendFailure // nil answers
 	panicky bool
+	late    bool          // answers although it was cancelled
 	stream  time.Duration // time until the body ends
 	cut     bool          // the body ends with an error
 	status  int
@@ -153,9 +154,13 @@
 	f.mu.Lock()
 	f.log = append(f.log, sent{requestID: req.RequestID, ran: ran})
 	f.mu.Unlock()
+	cancelled := ctx.Done()
+	if step.late {
+		cancelled = nil
+	}
 	select {
 	case <-time.After(step.delay):
-	case <-ctx.Done():
+	case <-cancelled:
 		return nil, &SendFailure{Kind: FailCancelled, Written: ran, Err: ctx.Err()}
 	}
 	if step.panicky {
--- a/pkg/steering/hedge.go
+++ b/pkg/steering/hedge.go
@@ -85,7 +85,7 @@
 // target is not hedged, because the hedge could crash a second target at the
 // same time as a later resend.
 func (r *Router) mayHedge(c *call) bool {
-	if crashes, _ := r.poison.crashesOf(c.req, r.cfg.Now()); crashes > 0 {
+	if level, _ := r.poison.levelOf(c.req, r.cfg.Now()); level > 0 {
 		return false
 	}
 	return c.state.hedges.take(c.rules.HedgePercent, r.cfg.Now())
--- a/pkg/steering/lookup/table.go
+++ b/pkg/steering/lookup/table.go
@@ -86,3 +86,12 @@
 	}
 	return prefix, t.orders[i]
 }
+
+// Block returns the longest block that contains addr, or "" if there is none.
+func (t *Table) Block(addr netip.Addr) string {
+	prefix, _ := t.block(addr)
+	if !prefix.IsValid() {
+		return ""
+	}
+	return prefix.String()
+}
--- a/pkg/steering/poison.go
+++ b/pkg/steering/poison.go
@@ -12,7 +12,7 @@
 const (
 	// quarantineTime is how long crashes of a fingerprint are remembered.
 	quarantineTime = 10 * time.Minute
-	// quarantineCrashes is the number of crashes that quarantines a fingerprint.
+	// quarantineCrashes is the level that quarantines a fingerprint.
 	quarantineCrashes = 2
 	// maxFingerprints bounds the table to about 1 MB.
 	maxFingerprints = 4096
@@ -30,7 +30,11 @@
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
-// poisonTable counts crashes by fingerprint.
+// poisonTable keeps the crash level of fingerprints. A crash of an attempt that
+// was sent while the level was n raises it to n+1. Copies that were in flight
+// together thus raise it once, so that the end of several targets at the same
+// time does not quarantine the requests that all of them were running. Levels
+// are merged by their maximum, which makes repeated notices harmless.
 type poisonTable struct {
 	mu      sync.Mutex
 	limit   int
@@ -38,18 +42,17 @@
 }
 
 type poisonEntry struct {
-	notices [quarantineCrashes]string // IDs of the notices counted so far
-	crashes int
-	until   time.Time
+	level int
+	until time.Time
 }
 
 func newPoisonTable(limit int) *poisonTable {
 	return &poisonTable{limit: limit, entries: map[string]*poisonEntry{}}
 }
 
-// add counts the crash reported by a notice once and returns the crashes of
-// the fingerprint.
-func (t *poisonTable) add(fingerprint, notice string, ttl time.Duration, now time.Time) int {
+// raise lifts a fingerprint to at least level for the time ttl and returns its
+// level. A level that is known already does not extend the time.
+func (t *poisonTable) raise(fingerprint string, level int, ttl time.Duration, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.live(fingerprint, now)
@@ -58,24 +61,21 @@
 		e = &poisonEntry{}
 		t.entries[fingerprint] = e
 	}
-	if e.crashes == quarantineCrashes || e.knows(notice) {
-		return e.crashes
+	if level > e.level {
+		e.level = level
+		e.until = now.Add(min(ttl, quarantineTime))
 	}
-	e.notices[e.crashes] = notice
-	e.crashes++
-	if until := now.Add(min(ttl, quarantineTime)); until.After(e.until) {
-		e.until = until
-	}
-	return e.crashes
+	return e.level
 }
 
-func (e *poisonEntry) knows(notice string) bool {
-	for _, id := range e.notices[:e.crashes] {
-		if id == notice {
-			return true
-		}
+// clear forgets a fingerprint that is not quarantined, after a target has
+// answered a copy that was sent after the crash was known.
+func (t *poisonTable) clear(fingerprint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[fingerprint]; e != nil && e.level < quarantineCrashes {
+		delete(t.entries, fingerprint)
 	}
-	return false
 }
 
 // live returns the entry of a fingerprint unless it has expired.
@@ -89,7 +89,7 @@
 }
 
 // makeRoom removes expired entries when the table is full, and otherwise the
-// entry with the fewest crashes and the nearest expiry.
+// entry with the lowest level and the nearest expiry.
 func (t *poisonTable) makeRoom(now time.Time) {
 	if len(t.entries) < t.limit {
 		return
@@ -101,7 +101,7 @@
 			continue
 		}
 		v := t.entries[victim]
-		if v == nil || e.crashes < v.crashes || e.crashes == v.crashes && e.until.Before(v.until) {
+		if v == nil || e.level < v.level || e.level == v.level && e.until.Before(v.until) {
 			victim = f
 		}
 	}
@@ -110,9 +110,9 @@
 	}
 }
 
-// crashesOf returns the crashes of a request and the time left until they are
+// levelOf returns the level of a request and the time left until it is
 // forgotten. The digest is not computed while no crash is known.
-func (t *poisonTable) crashesOf(req *Request, now time.Time) (int, time.Duration) {
+func (t *poisonTable) levelOf(req *Request, now time.Time) (int, time.Duration) {
 	t.mu.Lock()
 	empty := len(t.entries) == 0
 	t.mu.Unlock()
@@ -126,20 +126,21 @@
 	if e == nil {
 		return 0, 0
 	}
-	return e.crashes, e.until.Sub(now)
+	return e.level, e.until.Sub(now)
 }
 
 // blocked tells whether a request is quarantined and for how long.
 func (t *poisonTable) blocked(req *Request, now time.Time) (time.Duration, bool) {
-	crashes, left := t.crashesOf(req, now)
-	return left, crashes >= quarantineCrashes
+	level, left := t.levelOf(req, now)
+	return left, level >= quarantineCrashes
 }
 
-// LearnCrash merges a crash that another member has told. Notices of other
-// kinds and notices already known are ignored.
+// LearnCrash merges a crash that another member has told. Notice.Revision
+// carries the level. Notices of other kinds and known levels are ignored.
 func (r *Router) LearnCrash(n protocol.Notice) {
 	if n.Kind != protocol.NoticeCrash {
 		return
 	}
-	r.poison.add(n.Subject, n.ID, time.Duration(n.TTLMs)*time.Millisecond, r.cfg.Now())
+	level := max(1, int(n.Revision))
+	r.poison.raise(n.Subject, level, time.Duration(n.TTLMs)*time.Millisecond, r.cfg.Now())
 }
--- a/pkg/steering/race.go
+++ b/pkg/steering/race.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync/atomic"
 	"time"
-
-	"hickoryroute/pkg/protocol"
 )
 
 // race runs one attempt and at most one hedge. The first answer wins.
@@ -23,12 +21,6 @@
 	c.last = nil
 	c.tried = append(c.tried, g.reply.Target.Name)
 	attempts := []*attempt{ra.start(ctx, g)}
-	finished := false
-	defer func() {
-		if !finished {
-			ra.abandon(attempts)
-		}
-	}()
 	timer, stop := ra.hedgeTimer()
 	defer stop()
 	for running := 1; running > 0; {
@@ -36,7 +28,6 @@
 		case a := <-ra.ended:
 			running--
 			if a.response != nil {
-				finished = true
 				ra.cancelOthers(attempts, a)
 				return a
 			}
@@ -49,27 +40,9 @@
 			}
 		}
 	}
-	finished = true
 	return nil
 }
 
-// abandon ends all attempts after a panic in the race, so that no reservation
-// is kept.
-func (ra *race) abandon(attempts []*attempt) {
-	lost := !ra.claim()
-	for _, a := range attempts {
-		a.cancel()
-	}
-	for lost {
-		a := <-ra.ended
-		if a.response != nil {
-			_ = a.response.Body.Close()
-			a.grant.release(ra.router, protocol.ReleaseCancelled, 0, false)
-			return
-		}
-	}
-}
-
 // note records a failed attempt. A failure that may have run outweighs one that
 // did not, because it decides whether the request may be sent again.
 func (c *call) note(a *attempt) {
--- a/pkg/steering/router.go
+++ b/pkg/steering/router.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -206,6 +207,11 @@
 	moves      int // attempts after one that certainly did not run
 	retries    int // attempts after one that may have run
 	last       *SendFailure
+	crashes    atomic.Int32 // attempts that broke their connections
+}
+
+func (c *call) fingerprint() string {
+	return Fingerprint(c.req.Service, c.req.Method, c.req.Path, c.req.Body)
 }
 
 // Serve carries one request to its outcome. Exactly one of the results is not
@@ -262,6 +268,11 @@
 		if problem != nil {
 			return nil, settleProblem(c, problem)
 		}
+		// The wait for a slot may have been long enough for a crash to be told.
+		if left, blocked := r.poison.blocked(c.req, r.cfg.Now()); blocked {
+			g.release(r, protocol.ReleaseUnused, 0, false)
+			return nil, quarantinedProblem(c, left)
+		}
 		if won := r.race(ctx, c, g); won != nil {
 			return won, nil
 		}
--- a/pkg/steering/router_property_test.go
+++ b/pkg/steering/router_property_test.go
@@ -35,6 +35,7 @@
 		delay:   milliseconds(t, "delay", 60),
 		failure: rapid.SampledFrom(failures).Draw(t, "failure"),
 		panicky: rapid.IntRange(0, 20).Draw(t, "panic") == 0,
+		late:    rapid.IntRange(0, 3).Draw(t, "late") == 0,
 		stream:  milliseconds(t, "stream", 30),
 		cut:     rapid.IntRange(0, 9).Draw(t, "cut") == 0,
 	}
--- a/pkg/steering/router_test.go
+++ b/pkg/steering/router_test.go
@@ -231,18 +231,62 @@
 func TestPoisonTableIsBounded(t *testing.T) {
 	now := time.Now()
 	table := newPoisonTable(8)
-	assert.Equal(t, table.add("bad", "n1", quarantineTime, now), 1)
-	assert.Equal(t, table.add("bad", "n1", quarantineTime, now), 1)
-	assert.Equal(t, table.add("bad", "n2", quarantineTime, now), 2)
+	assert.Equal(t, table.raise("bad", 1, quarantineTime, now), 1)
+	assert.Equal(t, table.raise("bad", 1, quarantineTime, now), 1)
+	assert.Equal(t, table.raise("bad", 2, quarantineTime, now), 2)
 	for i := range 1000 {
-		table.add(fmt.Sprint(i), "n", quarantineTime, now.Add(time.Duration(i)))
+		table.raise(fmt.Sprint(i), 1, quarantineTime, now.Add(time.Duration(i)))
 		assert.Assert(t, len(table.entries) <= 8)
 	}
 	assert.Assert(t, table.entries["bad"] != nil)
-	table.add("late", "n", quarantineTime, now.Add(quarantineTime+time.Second))
+	table.raise("late", 1, quarantineTime, now.Add(quarantineTime+time.Second))
 	assert.Equal(t, len(table.entries), 1)
 }
 
+// Guards against popular requests being quarantined everywhere because several
+// targets that ran them ended at the same time, as in the loss of a zone.
+func TestConcurrentCrashesCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := sendStep{delay: 50 * ms, failure: &SendFailure{Kind: FailBroken, Written: true}}
+		snd := &fakeSender{steps: []sendStep{broken}}
+		teller := &tellAll{}
+		for range 2 {
+			teller.routers = append(teller.routers, newTestRouter(newFakeReserver(), snd, func(c *Config) { c.CrashTeller = teller }))
+		}
+		for _, r := range teller.routers {
+			for range 5 {
+				go serveOnce(r, false)
+			}
+		}
+		time.Sleep(time.Second)
+		snd.steps = []sendStep{{}}
+		a, p := serveOnce(teller.routers[0], false)
+		assert.Assert(t, p == nil, "%v", p)
+		assert.NilError(t, a.Body.Close())
+		assert.Equal(t, len(teller.routers[0].poison.entries), 0)
+		assert.Equal(t, len(teller.routers[1].poison.entries), 1)
+	})
+}
+
+// Guards against a request that waited for its slot being sent although it was
+// quarantined meanwhile.
+func TestQuarantineStopsWaitingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		res, snd := newFakeReserver(reserveStep{delay: 50 * ms}), &fakeSender{}
+		r := newTestRouter(res, snd)
+		time.AfterFunc(10*ms, func() {
+			r.LearnCrash(protocol.Notice{
+				Kind: protocol.NoticeCrash, Subject: Fingerprint("svc", "GET", "/p", nil), Revision: 2, TTLMs: 1000,
+			})
+		})
+		_, p := serveOnce(r, false)
+		assert.Equal(t, p.Code, protocol.CodeQuarantined)
+		assert.Equal(t, p.Outcome, protocol.OutcomeNotRun)
+		assert.Equal(t, snd.calls, 0)
+		assert.Equal(t, len(res.unbalanced()), 0)
+	})
+}
+
 // Guards against classes that split one kind of work or merge long with short.
 func TestClass(t *testing.T) {
 	long := []string{"/maps/full", "/reports"}
