--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -6,8 +6,8 @@
 // A request with an idempotent method may be sent again after any failure. All
 // other requests carry a ticket, and all attempts of one Do carry the same
 // ticket, so that the VM that issued it runs the request at most once. A new
-// ticket replaces the first one only after every attempt so far was reported
-// as not run.
+// ticket replaces the first one only if no entry VM received the first, or if
+// its issuer has stopped and reports that the request was not run.
 //
 // The outcome of Do speaks for all attempts: if any attempt ended without a
 // known outcome, a later not_run becomes unknown.
--- /dev/null
+++ b/pkg/caller/caller_test.go
@@ -0,0 +1,213 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hickoryroute/pkg/protocol"
+)
+
+// bubble runs test in virtual time and ends the servers afterwards.
+func bubble(t *testing.T, f func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet("vm1", "vm2", "vm3")
+		f(t, fl)
+		fl.close()
+	})
+}
+
+func post(c *Client, body string) (*Answer, *Error) {
+	a, err := c.Do(context.Background(), "hold-svc", "POST", "/holds", []byte(body))
+	var e *Error
+	if err != nil && !errors.As(err, &e) {
+		panic(err)
+	}
+	return a, e
+}
+
+// Guards against look-ups for each request, against tickets that are first
+// sent to another VM than their issuer, and against changed answers.
+func TestLookupsAreCachedAndTicketsGoToTheirIssuer(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		c := f.client(Config{})
+		defer c.Close()
+		for i := range 20 {
+			a, e := post(c, strconv.Itoa(i))
+			assert.Assert(t, e == nil, "%v", e)
+			assert.Equal(t, string(a.Body), "answer to "+strconv.Itoa(i))
+			assert.Equal(t, a.Entry, "vm1")
+			assert.Equal(t, a.Attempts, 1)
+		}
+		assert.Equal(t, f.lookups, 1)
+		assert.Equal(t, len(f.dials), 1, "the connection is reused")
+		time.Sleep(6 * time.Second)
+		_, e := post(c, "later")
+		assert.Assert(t, e == nil)
+		assert.Equal(t, f.lookups, 2)
+	})
+}
+
+// Guards against requests that are lost with one entry VM or with the issuer
+// of unused tickets, and against a new ticket for a request that the lost
+// issuer may have run.
+func TestEntryDown(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		c := f.client(Config{})
+		defer c.Close()
+		f.setDown("vm1", true)
+		a, e := post(c, "a")
+		assert.Assert(t, e == nil, "%v", e)
+		assert.Equal(t, a.Entry, "vm2")
+		f.setDown("vm2", true) // holds the unused tickets
+		c.conns.CloseIdle("vm2")
+		a, e = post(c, "c")
+		assert.Assert(t, e == nil, "%v", e)
+		assert.Equal(t, a.Entry, "vm3")
+
+		f.took = time.Second // vm3 is the issuer now and is lost while it runs b
+		time.AfterFunc(time.Second/2, func() { f.setDown("vm3", true); c.conns.CloseIdle("vm3") })
+		c.conns.CloseIdle("vm3")
+		f.fault = func(n net.Conn) net.Conn { return &cutConn{Conn: n, writes: 1 << 20, reads: 20} }
+		time.AfterFunc(time.Second/4, func() { f.setFault(nil); f.setDown("vm1", false) })
+		_, e = post(c, "b")
+		assert.Equal(t, e.Outcome, protocol.OutcomeUnknown)
+		assert.Assert(t, e.Ticket != "")
+		f.setDown("vm3", false)
+		a, err := c.Send(context.Background(), &Request{Service: "hold-svc", Method: "POST", Path: "/holds", Body: []byte("b"), Ticket: e.Ticket})
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), "answer to b")
+		assert.Equal(t, f.runs["b"], 1)
+	})
+}
+
+// Guards against a second run when the answer of the first is lost.
+func TestLostAnswerComesFromTheFirstRun(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		c := f.client(Config{})
+		defer c.Close()
+		_, e := post(c, "first") // takes the look-up and the tickets
+		assert.Assert(t, e == nil)
+		c.conns.CloseIdle("vm1")
+		f.took = time.Second
+		f.fault = func(n net.Conn) net.Conn { f.fault = nil; return &cutConn{Conn: n, writes: 1 << 20, reads: 20} }
+		a, e := post(c, "b")
+		assert.Assert(t, e == nil, "%v", e)
+		assert.Equal(t, string(a.Body), "answer to b")
+		assert.Equal(t, a.Entry, "vm2")
+		assert.Equal(t, f.runs["b"], 1)
+	})
+}
+
+// Guards against callers that stay with a VM that is about to stop.
+func TestLeavingEntryIsLeft(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		c := f.client(Config{})
+		defer c.Close()
+		_, e := post(c, "a")
+		assert.Assert(t, e == nil)
+		f.vms["vm1"].server.SetLeaving()
+		a, e := post(c, "b")
+		assert.Assert(t, e == nil)
+		assert.Equal(t, a.Entry, "vm1", "the look-up is still valid")
+		a, e = post(c, "c")
+		assert.Assert(t, e == nil)
+		assert.Equal(t, a.Entry, "vm2")
+	})
+}
+
+// Guards against resends beyond the budget while all requests are refused,
+// and against a refusal that is reported as unknown.
+func TestResendBudget(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		c := f.client(Config{})
+		defer c.Close()
+		executed := 0
+		f.run = func() protocol.Outcome { executed++; return protocol.OutcomeNotRun }
+		for i := range 100 {
+			_, e := post(c, strconv.Itoa(i))
+			assert.Equal(t, e.Outcome, protocol.OutcomeNotRun)
+		}
+		assert.Assert(t, executed <= 100+10+resendReserve, "%d runs", executed)
+		assert.Assert(t, executed >= 100+resendReserve, "%d runs", executed)
+	})
+}
+
+// Guards against resends of requests whose reply cannot change.
+func TestFinalRepliesAreNotResent(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		c := f.client(Config{})
+		defer c.Close()
+		f.run = func() protocol.Outcome { return protocol.OutcomeUnknown }
+		_, e := post(c, "a")
+		assert.Equal(t, e.Outcome, protocol.OutcomeUnknown)
+		assert.Equal(t, e.Attempts, 1)
+		_, err := c.Do(context.Background(), "Bad_Name", "GET", "/", nil)
+		var bad *Error
+		assert.Assert(t, errors.As(err, &bad))
+		assert.Equal(t, bad.Attempts, 1)
+		assert.Equal(t, bad.Outcome, protocol.OutcomeNotRun)
+	})
+}
+
+// Guards, for connections that break anywhere, VMs that are down and targets
+// that refuse, against a second run of a ticketed request, an answer to
+// another request, and a not_run that is false.
+func TestPropertyAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) { requestsWithFaults(rt) })
+	})
+}
+
+func requestsWithFaults(rt *rapid.T) {
+	f := newFleet("vm1", "vm2", "vm3")
+	c := f.client(Config{Timeout: 4 * time.Second})
+	draw := func(label string, limit int) int { return rapid.IntRange(0, limit).Draw(rt, label) }
+	f.took = time.Duration(draw("took", 3)) * time.Second
+	faults := rapid.SliceOfN(rapid.IntRange(0, 700), 0, 12).Draw(rt, "faults")
+	f.fault = func(n net.Conn) net.Conn {
+		if len(faults) == 0 {
+			return n
+		}
+		at := faults[0]
+		faults = faults[1:]
+		if at%2 == 0 {
+			return &cutConn{Conn: n, writes: at, reads: 1 << 20}
+		}
+		return &cutConn{Conn: n, writes: 1 << 20, reads: at}
+	}
+	results := rapid.SliceOfN(rapid.SampledFrom([]protocol.Outcome{
+		protocol.OutcomeAnswered, protocol.OutcomeAnswered, protocol.OutcomeNotRun, protocol.OutcomeUnknown,
+	}), 1, 8).Draw(rt, "results")
+	n := 0
+	f.run = func() protocol.Outcome { n++; return results[n%len(results)] }
+	failed := map[string]protocol.Outcome{}
+	for i := range 1 + draw("requests", 4) {
+		f.setDown("vm"+strconv.Itoa(1+draw("vm", 2)), draw("down", 3) == 0)
+		body := "request " + strconv.Itoa(i)
+		a, e := post(c, body)
+		if e != nil {
+			failed[body] = e.Outcome
+		} else if string(a.Body) != "answer to "+body {
+			rt.Fatalf("%q for %q", a.Body, body)
+		}
+	}
+	time.Sleep(time.Minute)
+	f.mu.Lock()
+	for body, runs := range f.runs {
+		if runs > 1 || failed[body] == protocol.OutcomeNotRun {
+			rt.Fatalf("%d runs of %q, reported as %q", runs, body, failed[body])
+		}
+	}
+	f.mu.Unlock()
+	c.Close()
+	f.close()
+	synctest.Wait()
+}
--- a/pkg/caller/directory.go
+++ b/pkg/caller/directory.go
@@ -156,6 +156,7 @@
 		}
 	}
 	d.avoid[address] = now.Add(avoidTime)
+	d.client.tickets.drop(address)
 }
 
 // leaving notes that address is about to stop: its look-ups are repeated and
@@ -173,10 +174,13 @@
 
 // control sends a look-up or ticket request to one entry VM.
 func (c *Client) control(ctx context.Context, address, method, path string, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	limited, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	reply, err := c.exchange(ctx, address, &target.Request{Method: method, Path: path}, maxControlBytes)
+	reply, err := c.exchange(limited, address, &target.Request{Method: method, Path: path}, maxControlBytes)
 	if err != nil {
+		if ctx.Err() == nil {
+			c.entries.failed(address)
+		}
 		return err
 	}
 	if reply.Status != http.StatusOK {
--- /dev/null
+++ b/pkg/caller/fleet_test.go
@@ -0,0 +1,225 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/state/outcome"
+	"hickoryroute/pkg/transport/callerhttp"
+)
+
+// Fixes the seed, so that each run gives the same verdict.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// fleet is a set of entry VMs on pipes that share one target.
+type fleet struct {
+	mu      sync.Mutex
+	vms     map[string]*vm
+	order   []string // of look-ups
+	runs    map[string]int
+	lookups int
+	dials   []string
+	run     func() protocol.Outcome // result of the next run; nil answers
+	took    time.Duration
+	fault   func(net.Conn) net.Conn // wraps the next connections; may be nil
+}
+
+// vm is one entry VM.
+type vm struct {
+	fleet   *fleet
+	address string
+	down    bool
+	server  *callerhttp.Server
+	http    *http.Server
+	accept  chan net.Conn
+	issuer  *outcome.Issuer
+	table   *outcome.Table
+}
+
+func newFleet(addresses ...string) *fleet {
+	f := &fleet{vms: map[string]*vm{}, order: addresses, runs: map[string]int{}}
+	for i, address := range addresses {
+		v := &vm{fleet: f, address: address, accept: make(chan net.Conn)}
+		v.issuer = outcome.NewIssuer(outcome.IssuerConfig{Address: address, Incarnation: uint64(i), Secret: []byte(address)})
+		v.table = outcome.NewTable(v.issuer, outcome.Config{})
+		v.server = callerhttp.New(callerhttp.Config{Directory: v, Tickets: v, Steering: v})
+		v.http = &http.Server{Handler: v.server.Handler(), ErrorLog: log.New(io.Discard, "", 0)}
+		go func() { _ = v.http.Serve(v) }()
+		f.vms[address] = v
+	}
+	return f
+}
+
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		_ = v.http.Close()
+	}
+}
+
+func (f *fleet) setDown(address string, down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms[address].down = down
+}
+
+func (f *fleet) isDown(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms[address].down
+}
+
+func (f *fleet) setFault(fault func(net.Conn) net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
+func (f *fleet) dial(ctx context.Context, address string) (net.Conn, error) {
+	f.mu.Lock()
+	f.dials = append(f.dials, address)
+	v, fault := f.vms[address], f.fault
+	f.mu.Unlock()
+	if f.isDown(address) {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	select {
+	case v.accept <- far:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if fault != nil {
+		return fault(near), nil
+	}
+	return near, nil
+}
+
+// Accept, Close and Addr make a vm a net.Listener.
+func (v *vm) Accept() (net.Conn, error) {
+	c, ok := <-v.accept
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (v *vm) Close() error   { close(v.accept); return nil }
+func (v *vm) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (v *vm) Lookup(_ context.Context, r callerhttp.LookupRequest) (*callerhttp.LookupAnswer, *protocol.Problem) {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	v.fleet.lookups++
+	a := &callerhttp.LookupAnswer{Service: r.Service, TTLMs: 5000}
+	for _, address := range v.fleet.order {
+		if !v.fleet.vms[address].server.Leaving() {
+			a.Entries = append(a.Entries, callerhttp.LookupEntry{Address: address})
+		}
+	}
+	return a, nil
+}
+
+func (v *vm) IssueTickets(service string, n int) (*callerhttp.TicketsAnswer, *protocol.Problem) {
+	a := &callerhttp.TicketsAnswer{ExpiresInMs: v.issuer.Lifetime().Milliseconds(), Entry: v.address}
+	for range n {
+		a.Tickets = append(a.Tickets, v.issuer.Issue(service))
+	}
+	return a, nil
+}
+
+// Serve runs idempotent requests here and ticketed ones at the issuer.
+func (v *vm) Serve(ctx context.Context, r *callerhttp.Request) (*callerhttp.Answer, *protocol.Problem) {
+	if r.Ticket == "" {
+		return convert(v.fleet.execute(ctx, r))
+	}
+	tk, _ := outcome.Parse(r.Ticket)
+	issuer := v.fleet.vms[tk.Issuer]
+	if v.fleet.isDown(issuer.address) {
+		return nil, protocol.NewProblem(502, protocol.CodeIssuerUnreach, protocol.OutcomeUnknown, "issuer is down", "ask again")
+	}
+	print := outcome.NewFingerprint(r.Service, r.Method, r.Path, r.Body)
+	return convert(issuer.table.Execute(ctx, r.Ticket, r.Service, print, func(ctx context.Context) protocol.ExecuteReply {
+		return v.fleet.execute(ctx, r)
+	}))
+}
+
+// execute is the target.
+func (f *fleet) execute(_ context.Context, r *callerhttp.Request) protocol.ExecuteReply {
+	f.mu.Lock()
+	result := protocol.OutcomeAnswered
+	if f.run != nil {
+		result = f.run()
+	}
+	if result != protocol.OutcomeNotRun {
+		f.runs[string(r.Body)]++
+	}
+	f.mu.Unlock()
+	time.Sleep(f.took)
+	switch result {
+	case protocol.OutcomeNotRun:
+		p := protocol.NewProblem(503, protocol.CodeTargetRefused, result, "shed", "retry")
+		return protocol.ExecuteReply{Outcome: result, Problem: p}
+	case protocol.OutcomeUnknown:
+		p := protocol.NewProblem(502, protocol.CodeTargetLost, result, "lost", "check")
+		return protocol.ExecuteReply{Outcome: result, Problem: p}
+	}
+	return protocol.ExecuteReply{Outcome: result, Status: 200, Body: []byte("answer to " + string(r.Body))}
+}
+
+func convert(r protocol.ExecuteReply) (*callerhttp.Answer, *protocol.Problem) {
+	if r.Problem != nil {
+		return nil, r.Problem
+	}
+	return &callerhttp.Answer{Status: r.Status, ContentLength: int64(len(r.Body)), Body: io.NopCloser(strings.NewReader(string(r.Body)))}, nil
+}
+
+func (f *fleet) client(cfg Config) *Client {
+	if cfg.Entries == nil {
+		cfg.Entries = slices.Clone(f.order)
+	}
+	cfg.Dial = f.dial
+	cfg.Rand = func() float64 { return 0.5 }
+	c, err := New(cfg)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// cutConn breaks after a number of bytes in either direction.
+type cutConn struct {
+	net.Conn
+	writes, reads int // bytes left
+}
+
+// Write implements net.Conn.
+func (c *cutConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p[:min(len(p), c.writes)])
+	c.writes -= n
+	if err == nil && n < len(p) {
+		_ = c.Close()
+		return n, io.ErrClosedPipe
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *cutConn) Read(p []byte) (int, error) {
+	if c.reads == 0 {
+		_ = c.Close()
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.reads)])
+	c.reads -= n
+	return n, err
+}
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -27,9 +27,6 @@
 	protocol.CodeIssuerGone, protocol.CodeTargetLost, protocol.CodeTargetTimeout, protocol.CodeBadAnswer,
 }
 
-// newTicketCodes report with not_run that the ticket will never run.
-var newTicketCodes = []protocol.Code{protocol.CodeStopping, protocol.CodeIssuerGone}
-
 // sending is the state of one Do.
 type sending struct {
 	client     *Client
@@ -38,6 +35,7 @@
 	ticket     string
 	issuer     string // address that gets the next attempt first
 	unresolved bool   // an attempt under this ticket may have run
+	delivered  bool   // an entry VM received a part of an attempt under this ticket
 	tried      []string
 	attempts   int
 }
@@ -68,9 +66,8 @@
 			last.answer.Attempts = s.attempts
 			return last.answer, nil
 		}
-		if !last.notRun {
-			s.unresolved = true
-		}
+		s.unresolved = s.unresolved || !last.notRun
+		s.delivered = s.delivered || last.sent
 	}
 	return nil, s.failure(last)
 }
@@ -84,8 +81,8 @@
 	if last.sent && !s.client.budget.withdraw() {
 		return false
 	}
-	if last.problem != nil && last.notRun && !s.unresolved && slices.Contains(newTicketCodes, last.problem.Code) {
-		s.ticket, s.issuer = "", ""
+	if s.ticketEnded(last) {
+		s.ticket, s.issuer, s.unresolved, s.delivered = "", "", false, false
 	}
 	if !last.sent && len(s.tried) < len(s.client.entries.addresses(ctx, s.request.Service)) {
 		return true
@@ -97,6 +94,23 @@
 	return s.client.backoff(ctx, n, atLeast)
 }
 
+// ticketEnded reports whether no attempt has run or can run under the ticket.
+func (s *sending) ticketEnded(last result) bool {
+	if !s.unresolved && !s.delivered {
+		return true // only its issuer knows the ticket, and cannot be reached
+	}
+	if last.problem == nil || !last.notRun {
+		return false
+	}
+	return provesNotRun(last) || last.problem.Code == protocol.CodeStopping && !s.unresolved
+}
+
+// provesNotRun reports whether last speaks for all attempts: the complete list
+// of a stopped issuer does.
+func provesNotRun(last result) bool {
+	return last.notRun && last.problem != nil && last.problem.Code == protocol.CodeIssuerGone
+}
+
 func (s *sending) ensureTicket(ctx context.Context) error {
 	if !s.ticketed || s.ticket != "" {
 		return nil
@@ -132,6 +146,7 @@
 	entry := s.nextEntry(ctx)
 	s.tried = append(s.tried, entry)
 	s.attempts++
+	outer := ctx
 	// The context is cancelled at the end of the attempt but keeps the later
 	// deadline, which is the one that the entry VM gets.
 	ctx, cancel := context.WithCancel(ctx)
@@ -143,6 +158,9 @@
 		Body: bytes.NewReader(r.Body), ContentLength: int64(len(r.Body)), Ticket: s.ticket,
 	}, s.client.cfg.MaxAnswerBytes)
 	if err != nil {
+		if outer.Err() == nil {
+			s.client.entries.failed(entry)
+		}
 		return s.lost(err)
 	}
 	if reply.Header.Get(protocol.HeaderOutcome) == string(protocol.OutcomeAnswered) {
@@ -170,7 +188,7 @@
 // failure combines the attempts into one outcome.
 func (s *sending) failure(last result) *Error {
 	e := &Error{Outcome: protocol.OutcomeUnknown, Problem: last.problem, Attempts: s.attempts, Err: last.err}
-	if last.notRun && !s.unresolved {
+	if last.notRun && (!s.unresolved || provesNotRun(last)) {
 		e.Outcome = protocol.OutcomeNotRun
 		return e
 	}
@@ -194,13 +212,11 @@
 	r.RequestID = rand.Text()
 	resp, err := c.conns.Do(ctx, r)
 	if err != nil {
-		c.entries.failed(address)
 		return nil, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		c.entries.failed(address)
 		return nil, err
 	}
 	if int64(len(body)) > limit {
@@ -211,4 +227,3 @@
 	}
 	return &Answer{Status: resp.Status, Header: resp.Header, Body: body, Entry: address}, nil
 }
-
--- a/pkg/caller/wallet.go
+++ b/pkg/caller/wallet.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -28,11 +29,12 @@
 // take returns an unused ticket from the stock or from the first entry VM that
 // issues some.
 func (w *wallet) take(ctx context.Context, service string) (ticket, error) {
-	if t, ok := w.pop(service); ok {
+	addresses := w.client.entries.addresses(ctx, service)
+	if t, ok := w.pop(service, addresses); ok {
 		return t, nil
 	}
 	var last error
-	for _, address := range w.client.entries.addresses(ctx, service) {
+	for _, address := range addresses {
 		tickets, err := w.fetch(ctx, address, service)
 		if err == nil && len(tickets) > 0 {
 			w.mu.Lock()
@@ -48,7 +50,9 @@
 	return ticket{}, last
 }
 
-func (w *wallet) pop(service string) (ticket, bool) {
+// pop takes a ticket from the stock. Tickets that are old, or whose issuer is
+// no longer listed, are dropped, because they would end as unknown.
+func (w *wallet) pop(service string, addresses []string) (ticket, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.client.cfg.Now()
@@ -56,7 +60,7 @@
 	for len(list) > 0 {
 		t := list[len(list)-1]
 		list = list[:len(list)-1]
-		if now.Before(t.until) {
+		if now.Before(t.until) && slices.Contains(addresses, t.entry) {
 			w.stock[service] = list
 			return t, true
 		}
