--- /dev/null
+++ b/cmd/hickoryd/settings.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"hickoryroute/pkg/entry"
+	"hickoryroute/pkg/transport/operatorhttp"
+	"hickoryroute/pkg/transport/platform"
+	"hickoryroute/pkg/transport/tlsfiles"
+)
+
+// settings are the process settings; each has a flag and an environment
+// variable.
+type settings struct {
+	Zone           string   `arg:"--zone,env:HICKORY_ZONE" help:"availability zone of this VM (required)"`
+	Region         string   `arg:"--region,env:HICKORY_REGION" help:"region of this VM (required)"`
+	Platform       string   `arg:"--platform,env:HICKORY_PLATFORM" help:"URL of the platform's key-value service (required)"`
+	Peers          []string `arg:"--peer,separate,env:HICKORY_PEERS" help:"peer address of another entry VM, used when the VM list cannot be read; repeatable"`
+	CallerAddress  string   `arg:"--caller-address,env:HICKORY_CALLER_ADDRESS" default:"127.0.0.1:7101" help:"listening address for callers"`
+	PeerAddress    string   `arg:"--peer-address,env:HICKORY_PEER_ADDRESS" default:"127.0.0.1:7201" help:"listening address for other entry VMs; identifies this VM"`
+	OperatorAddr   string   `arg:"--operator-address,env:HICKORY_OPERATOR_ADDRESS" default:"127.0.0.1:7301" help:"listening address for operators"`
+	MetricsAddress string   `arg:"--metrics-address,env:HICKORY_METRICS_ADDRESS" help:"listening address for metrics and health alone; empty: only on the operator port"`
+	SeatCount      int      `arg:"--seat-count,env:HICKORY_SEAT_COUNT" default:"24" help:"seats of a region; the same on all VMs of a region and at least their number"`
+	PeerKey        string   `arg:"--peer-key,env:HICKORY_PEER_KEY" help:"key shared by all entry VMs; empty accepts any peer"`
+	OperatorTokens string   `arg:"--operator-tokens,env:HICKORY_OPERATOR_TOKENS" help:"name:token,name:token; empty lets everyone in as anonymous"`
+	CallerCert     string   `arg:"--caller-cert-file,env:HICKORY_CALLER_CERT_FILE" help:"certificate for callers; empty serves plain HTTP"`
+	CallerKey      string   `arg:"--caller-key-file,env:HICKORY_CALLER_KEY_FILE"`
+	OperatorCert   string   `arg:"--operator-cert-file,env:HICKORY_OPERATOR_CERT_FILE" help:"certificate for operators; empty serves plain HTTP"`
+	OperatorKey    string   `arg:"--operator-key-file,env:HICKORY_OPERATOR_KEY_FILE"`
+	OperatorCA     string   `arg:"--operator-client-ca-file,env:HICKORY_OPERATOR_CLIENT_CA_FILE" help:"CA of operators' client certificates"`
+	LogFormat      string   `arg:"--log-format,env:HICKORY_LOG_FORMAT" default:"text" help:"text or json"`
+	LogLevel       string   `arg:"--log-level,env:HICKORY_LOG_LEVEL" default:"info" help:"debug, info, warning or error"`
+}
+
+// Version prints the version with --version.
+func (settings) Version() string { return "hickoryd " + version }
+
+// Description is printed by --help.
+func (settings) Description() string {
+	return "Entry VM of hickoryroute: answers look-ups and steers requests to targets."
+}
+
+// resolve checks all settings and returns every fault at once.
+func (s settings) resolve(logOut io.Writer) (*logrus.Logger, entry.Config, []error) {
+	var faults []error
+	fault := func(err error) {
+		if err != nil {
+			faults = append(faults, err)
+		}
+	}
+	log, err := s.logger(logOut)
+	fault(err)
+	fault(required("--zone", s.Zone))
+	fault(required("--region", s.Region))
+	fault(checkURL(s.Platform))
+	fault(checkAddress("--caller-address", s.CallerAddress))
+	fault(checkAddress("--peer-address", s.PeerAddress))
+	fault(checkAddress("--operator-address", s.OperatorAddr))
+	if s.MetricsAddress != "" {
+		fault(checkAddress("--metrics-address", s.MetricsAddress))
+	}
+	for _, p := range s.Peers {
+		fault(checkAddress("--peer", p))
+	}
+	if s.SeatCount < 1 || s.SeatCount > 4096 {
+		fault(errors.New("--seat-count must be from 1 to 4096"))
+	}
+	tokens, err := operatorhttp.ParseTokens(s.OperatorTokens)
+	fault(err)
+	callerTLS, err := loadTLS(s.CallerCert, s.CallerKey, "")
+	fault(wrapped(err, "--caller-cert-file and --caller-key-file"))
+	operatorTLS, err := loadTLS(s.OperatorCert, s.OperatorKey, s.OperatorCA)
+	fault(wrapped(err, "--operator-cert-file, --operator-key-file and --operator-client-ca-file"))
+	if len(faults) > 0 {
+		return log, entry.Config{}, faults
+	}
+	client, err := platform.NewHTTP(platform.HTTPConfig{BaseURL: s.Platform})
+	if err != nil {
+		return log, entry.Config{}, []error{errors.Wrap(err, "--platform")}
+	}
+	return log, entry.Config{
+		Region: s.Region, Zone: s.Zone,
+		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
+		OperatorAddress: s.OperatorAddr, MetricsAddress: s.MetricsAddress,
+		Store: client, VMList: client, Peers: s.Peers,
+		SeatCount: s.SeatCount, PeerKey: s.PeerKey, OperatorTokens: tokens,
+		CallerTLS: callerTLS, OperatorTLS: operatorTLS, Log: log,
+	}, nil
+}
+
+// wrapped names the flags that err is about.
+func wrapped(err error, flags string) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(err, flags)
+}
+
+func loadTLS(cert, key, clientCA string) (*tls.Config, error) {
+	if cert == "" && key == "" && clientCA == "" {
+		return nil, nil
+	}
+	return tlsfiles.Load(cert, key, clientCA)
+}
+
+// redacted returns the settings for the log with secrets hidden.
+func (s settings) redacted() logrus.Fields {
+	hide := func(secret string) string {
+		if secret == "" {
+			return ""
+		}
+		return "(hidden)"
+	}
+	return logrus.Fields{
+		"zone": s.Zone, "region": s.Region, "platform": s.Platform, "peers": s.Peers,
+		"caller_address": s.CallerAddress, "peer_address": s.PeerAddress,
+		"operator_address": s.OperatorAddr, "metrics_address": s.MetricsAddress,
+		"seat_count": s.SeatCount, "peer_key": hide(s.PeerKey),
+		"operator_tokens": hide(s.OperatorTokens),
+		"caller_cert":     s.CallerCert, "operator_cert": s.OperatorCert,
+		"log_format": s.LogFormat, "log_level": s.LogLevel,
+	}
+}
+
+func (s settings) logger(out io.Writer) (*logrus.Logger, error) {
+	log := logrus.New()
+	log.SetOutput(out)
+	switch s.LogFormat {
+	case "json":
+		log.SetFormatter(&logrus.JSONFormatter{})
+	case "text":
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
+	default:
+		return log, fmt.Errorf("--log-format %q must be text or json", s.LogFormat)
+	}
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return log, fmt.Errorf("--log-level %q must be debug, info, warning or error", s.LogLevel)
+	}
+	log.SetLevel(level)
+	return log, nil
+}
+
+func required(flag, value string) error {
+	if value == "" {
+		return fmt.Errorf("%s is required", flag)
+	}
+	return nil
+}
+
+func checkURL(s string) error {
+	u, err := url.Parse(s)
+	if err != nil || u.Host == "" {
+		return fmt.Errorf("--platform %q must be a URL such as http://127.0.0.1:7001", s)
+	}
+	return nil
+}
+
+func checkAddress(flag, s string) error {
+	host, _, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(host) == nil {
+		return fmt.Errorf("%s %q must be an IP number and a port such as 127.0.0.1:7101", flag, s)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/hickoryroute/edit.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/transport/operatorhttp"
+)
+
+// editAttempts bounds how often an edit with the same request id is sent when
+// no answer comes; the entry VM recognises repetitions.
+const editAttempts = 3
+
+type editOptions struct {
+	Reason  string        `arg:"--reason,required" help:"shown to the other operators"`
+	Base    int64         `arg:"--base" help:"fail if the tree is at another revision; 0 takes the newest"`
+	Wait    bool          `arg:"--wait" help:"wait until the change is in force everywhere"`
+	Expires time.Duration `arg:"--expires" help:"end the override after this time, such as 2h"`
+}
+
+func (o editOptions) request(op string) operatorhttp.EditRequest {
+	r := operatorhttp.EditRequest{RequestID: rand.Text(), Op: op, Base: o.Base, Reason: o.Reason}
+	if o.Expires > 0 {
+		at := time.Now().Add(o.Expires).UTC().Truncate(time.Second)
+		r.Expires = &at
+	}
+	return r
+}
+
+type setCommand struct {
+	Path  string `arg:"positional,required" help:"such as sask, sask/cluebook or sask/cluebook/cb-01; / for the root"`
+	Rules string `arg:"positional,required" help:"rules in YAML, such as 'weight: 50'"`
+	editOptions
+}
+
+func (c *setCommand) run(ctx context.Context, e *environment) error {
+	r := c.request(operatorhttp.OpSet)
+	r.Path, r.Rules = c.Path, c.Rules
+	return e.edit(ctx, r, c.Wait)
+}
+
+type removeCommand struct {
+	Path string `arg:"positional,required"`
+	editOptions
+}
+
+func (c *removeCommand) run(ctx context.Context, e *environment) error {
+	r := c.request(operatorhttp.OpRemove)
+	r.Path = c.Path
+	return e.edit(ctx, r, c.Wait)
+}
+
+type drainCommand struct {
+	Path string `arg:"positional,required" help:"region, region/service, region/service/target or availability zone"`
+	editOptions
+}
+
+func (c *drainCommand) run(ctx context.Context, e *environment) error {
+	r := c.request(operatorhttp.OpDrain)
+	r.Path = c.Path
+	return e.edit(ctx, r, c.Wait)
+}
+
+type restoreCommand struct {
+	Path string `arg:"positional,required"`
+	editOptions
+}
+
+func (c *restoreCommand) run(ctx context.Context, e *environment) error {
+	r := c.request(operatorhttp.OpRestore)
+	r.Path = c.Path
+	return e.edit(ctx, r, c.Wait)
+}
+
+type applyCommand struct {
+	File string `arg:"positional,required" help:"tree in YAML, - for standard input"`
+	editOptions
+}
+
+func (c *applyCommand) run(ctx context.Context, e *environment) error {
+	text, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	r := c.request(operatorhttp.OpApply)
+	r.Tree = text
+	return e.edit(ctx, r, c.Wait)
+}
+
+type rollCommand struct {
+	Revision int64 `arg:"positional,required" help:"revision whose content to accept again"`
+	editOptions
+}
+
+func (c *rollCommand) run(ctx context.Context, e *environment) error {
+	r := c.request(operatorhttp.OpRoll)
+	r.Revision = c.Revision
+	return e.edit(ctx, r, c.Wait)
+}
+
+type validateCommand struct {
+	File string `arg:"positional,required" help:"tree in YAML, - for standard input"`
+}
+
+func (c *validateCommand) run(ctx context.Context, e *environment) error {
+	text, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	reply, err := e.client.Validate(ctx, text)
+	if err != nil {
+		return err
+	}
+	if e.Output == "json" {
+		return e.printJSON(reply)
+	}
+	fmt.Fprintf(e.out, "valid; %d changes against revision %d\n", len(reply.Changes), reply.Revision)
+	e.printChanges(reply.Changes)
+	return nil
+}
+
+// edit sends a change, repeating it with the same request id when the answer
+// is lost.
+func (e *environment) edit(ctx context.Context, r operatorhttp.EditRequest, wait bool) error {
+	var reply operatorhttp.EditReply
+	var err error
+	for attempt := range editAttempts {
+		reply, err = e.client.Edit(ctx, r)
+		if err == nil || isProblem(err) || ctx.Err() != nil {
+			break
+		}
+		fmt.Fprintf(e.errOut, "attempt %d got no answer: %v\n", attempt+1, err)
+	}
+	if err != nil {
+		return err
+	}
+	if e.Output == "json" {
+		if err := e.printJSON(reply); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(e.out, "accepted as revision %d\n", reply.Revision)
+		e.printChanges(reply.Changes)
+	}
+	if !wait {
+		return nil
+	}
+	return (&watchCommand{Revision: reply.Revision, For: e.Timeout}).run(ctx, e)
+}
+
+func (e *environment) printChanges(changes []operatorhttp.Change) {
+	for _, c := range changes {
+		fmt.Fprintf(e.out, "  %s %s: %s -> %s\n", c.Path, c.Key, orNone(c.Old), orNone(c.New))
+	}
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "(not set)"
+	}
+	return s
+}
+
+func (e *environment) printJSON(v any) error {
+	enc := json.NewEncoder(e.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func readFile(name string) (string, error) {
+	read := func() ([]byte, error) { return os.ReadFile(name) }
+	if name == "-" {
+		read = func() ([]byte, error) { return io.ReadAll(os.Stdin) }
+	}
+	b, err := read()
+	if err != nil {
+		return "", errors.Wrap(err, "read the tree")
+	}
+	return string(b), nil
+}
--- /dev/null
+++ b/cmd/hickoryroute/main.go
@@ -0,0 +1,165 @@
+// Command hickoryroute shows and edits the tree of settings, reports status
+// and the time line, and runs a demonstration of the whole system.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/transport/operatorhttp"
+)
+
+// Exit codes of the command.
+const (
+	exitOK         = 0
+	exitFailure    = 1
+	exitUsage      = 2
+	exitConflict   = 3
+	exitNotInForce = 4
+	exitInvalid    = 5
+)
+
+// version is set by the linker for releases.
+var version = "dev"
+
+type connection struct {
+	Address string        `arg:"--address,env:HICKORY_ADDRESS" default:"127.0.0.1:7301" help:"operator address of any entry VM"`
+	Token   string        `arg:"--token,env:HICKORY_TOKEN" help:"operator token"`
+	CAFile  string        `arg:"--ca-file,env:HICKORY_CA_FILE" help:"CA certificate for https addresses"`
+	Cert    string        `arg:"--cert-file,env:HICKORY_CERT_FILE" help:"client certificate"`
+	Key     string        `arg:"--key-file,env:HICKORY_KEY_FILE" help:"key of the client certificate"`
+	Timeout time.Duration `arg:"--timeout,env:HICKORY_TIMEOUT" default:"10s" help:"longest time of a call"`
+	Output  string        `arg:"--output" default:"table" help:"table or json"`
+}
+
+type arguments struct {
+	connection
+	Show     *showCommand     `arg:"subcommand:show" help:"print the tree of settings"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"print each setting in force at a path and where it comes from"`
+	Set      *setCommand      `arg:"subcommand:set" help:"set an override at a path"`
+	Remove   *removeCommand   `arg:"subcommand:remove" help:"remove the override of a path"`
+	Drain    *drainCommand    `arg:"subcommand:drain" help:"stop new work for a region, an availability zone, a service or a target"`
+	Restore  *restoreCommand  `arg:"subcommand:restore" help:"end a drain"`
+	Validate *validateCommand `arg:"subcommand:validate" help:"check a tree and print what it would change"`
+	Apply    *applyCommand    `arg:"subcommand:apply" help:"replace the whole tree"`
+	History  *historyCommand  `arg:"subcommand:history" help:"print the last accepted changes"`
+	Roll     *rollCommand     `arg:"subcommand:roll-forward" help:"accept the content of an earlier revision as a new one"`
+	Watch    *watchCommand    `arg:"subcommand:watch" help:"wait until a revision is in force on all entry VMs"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"print regions, links, targets and members"`
+	Timeline *timelineCommand `arg:"subcommand:timeline" help:"print the merged events of all entry VMs"`
+	Demo     *demoCommand     `arg:"subcommand:demo" help:"run the whole system in this process on loopback"`
+}
+
+// Version prints the version with --version.
+func (arguments) Version() string { return "hickoryroute " + version }
+
+// Description is printed by --help.
+func (arguments) Description() string {
+	return "Operator tool of hickoryroute, a global traffic steering system."
+}
+
+// Epilogue is printed at the end of --help.
+func (arguments) Epilogue() string {
+	return `Examples:
+  hickoryroute demo --requests 200
+  hickoryroute show
+  hickoryroute explain sask/cluebook
+  hickoryroute set sask/cluebook 'hedge_percent: 0' --reason "hedges overload cb-03" --expires 2h
+  hickoryroute drain sask/cluebook/cb-03 --reason "disk swap"
+  hickoryroute apply tree.yaml --base 17 --reason "add hcm"
+  hickoryroute watch 18
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 another operator's edit came first,
+4 not in force everywhere in time, 5 the tree is invalid.`
+}
+
+// command is one sub-command.
+type command interface {
+	run(ctx context.Context, e *environment) error
+}
+
+// environment holds what the sub-commands share.
+type environment struct {
+	connection
+	client *operatorhttp.Client
+	out    io.Writer
+	errOut io.Writer
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, out, errOut io.Writer) int {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "hickoryroute"}, &a)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	switch err := parser.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return exitOK
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(out, a.Version())
+		return exitOK
+	case err != nil:
+		fmt.Fprintln(errOut, err)
+		_ = parser.WriteUsageForSubcommand(errOut, parser.SubcommandNames()...)
+		return exitUsage
+	}
+	cmd, ok := parser.Subcommand().(command)
+	if !ok || (a.Output != "table" && a.Output != "json") {
+		fmt.Fprintln(errOut, "name a sub-command, and table or json for --output; see hickoryroute --help")
+		return exitUsage
+	}
+	httpClient, err := newHTTPClient(a.connection)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	e := &environment{
+		connection: a.connection,
+		client:     operatorhttp.NewClient(a.Address, a.Token, httpClient),
+		out:        out,
+		errOut:     errOut,
+	}
+	if err := cmd.run(ctx, e); err != nil {
+		fmt.Fprintln(errOut, "hickoryroute:", err)
+		return exitCode(err)
+	}
+	return exitOK
+}
+
+// errNotInForce is returned by watch when the time ran out.
+var errNotInForce = errors.New("the revision is not in force everywhere; see the VMs above and run watch again")
+
+func exitCode(err error) int {
+	if errors.Is(err, errNotInForce) {
+		return exitNotInForce
+	}
+	var p *protocol.Problem
+	if !errors.As(err, &p) {
+		return exitFailure
+	}
+	switch p.Code {
+	case protocol.CodeConflict:
+		return exitConflict
+	case protocol.CodeInvalidSettings:
+		return exitInvalid
+	default:
+		return exitFailure
+	}
+}
--- /dev/null
+++ b/pkg/demo/demo.go
@@ -0,0 +1,237 @@
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"hickoryroute/pkg/caller"
+	"hickoryroute/pkg/transport/operatorhttp"
+)
+
+// Config holds the settings of a demonstration.
+type Config struct {
+	// Requests is the number of requests to serve; 0 runs until ctx ends.
+	Requests int
+	// FirstPort is added to 101, 201 and 301 for the ports of the VMs; 0 lets
+	// the system choose.
+	FirstPort int
+	Out       io.Writer
+	Log       logrus.FieldLogger
+}
+
+// Result counts the requests of a demonstration.
+type Result struct{ Served, Failed int }
+
+const (
+	startTime      = 30 * time.Second
+	requestTimeout = 10 * time.Second
+	workers        = 8
+	// readShare is the number of reads for each write.
+	readShare = 3
+)
+
+// Run runs the demonstration.
+func Run(ctx context.Context, cfg Config) (Result, error) {
+	var sites []*site
+	defer func() {
+		for _, s := range sites {
+			s.close()
+		}
+	}()
+	for _, p := range profiles {
+		s, err := startSite(ctx, p, cfg.FirstPort, cfg.Log)
+		if err != nil {
+			return Result{}, err
+		}
+		sites = append(sites, s)
+		fmt.Fprintf(cfg.Out, "%s: %d entry VMs in %v, %d targets\n", s.user, len(s.vms), s.regions, len(s.targets))
+	}
+	for _, s := range sites {
+		if err := s.waitReady(ctx); err != nil {
+			return Result{}, err
+		}
+		fmt.Fprintf(cfg.Out, "%s: ready\n", s.user)
+	}
+	if cfg.Requests == 0 {
+		printHints(cfg.Out, sites)
+		<-ctx.Done()
+		return Result{}, nil
+	}
+	return serveRequests(ctx, cfg, sites)
+}
+
+// waitReady waits until each VM serves a read of each service.
+func (s *site) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	for _, vm := range s.vms {
+		for _, svc := range s.services {
+			url := "http://" + vm.CallerAddress() + "/v1/services/" + svc.name + svc.read
+			for !succeeds(ctx, url) {
+				select {
+				case <-ctx.Done():
+					return errors.Errorf("%s is not ready after %s", s.user, startTime)
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func succeeds(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// job is one request of the demonstration.
+type job struct {
+	site *site
+	svc  service
+	n    int
+}
+
+// serveRequests sends the requests and makes one operator override half-way.
+func serveRequests(ctx context.Context, cfg Config, sites []*site) (Result, error) {
+	jobs := make(chan job)
+	var served, failed atomic.Int64
+	var wg sync.WaitGroup
+	clients := map[*site]*caller.Client{}
+	for _, s := range sites {
+		client, err := caller.New(caller.Config{Entries: s.entries(), Timeout: requestTimeout})
+		if err != nil {
+			return Result{}, err
+		}
+		defer client.Close()
+		clients[s] = client
+	}
+	for range workers {
+		wg.Go(func() {
+			for j := range jobs {
+				if err := send(ctx, clients[j.site], j); err != nil {
+					failed.Add(1)
+					fmt.Fprintf(cfg.Out, "request %d to %s failed: %v\n", j.n, j.svc.name, err)
+					continue
+				}
+				served.Add(1)
+			}
+		})
+	}
+	err := feed(ctx, cfg, sites, jobs)
+	close(jobs)
+	wg.Wait()
+	for _, s := range sites {
+		if doubled := s.doubleRuns(); doubled > 0 {
+			return Result{}, errors.Errorf("%s: %d tickets ran more than once", s.user, doubled)
+		}
+	}
+	return Result{Served: int(served.Load()), Failed: int(failed.Load())}, err
+}
+
+func feed(ctx context.Context, cfg Config, sites []*site, jobs chan<- job) error {
+	step := max(cfg.Requests/5, 1)
+	for n := range cfg.Requests {
+		if n == cfg.Requests/2 {
+			if err := override(ctx, cfg.Out, sites[0]); err != nil {
+				return err
+			}
+		}
+		s := sites[n%len(sites)]
+		select {
+		case jobs <- job{site: s, svc: s.services[n/len(sites)%len(s.services)], n: n}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if (n+1)%step == 0 {
+			fmt.Fprintf(cfg.Out, "%d of %d requests sent\n", n+1, cfg.Requests)
+		}
+	}
+	return nil
+}
+
+func send(ctx context.Context, client *caller.Client, j job) error {
+	if j.svc.write == "" || j.n%(readShare+1) != 0 {
+		_, err := client.Do(ctx, j.svc.name, http.MethodGet, j.svc.read, nil)
+		return err
+	}
+	body := fmt.Appendf(nil, `{"request":%d}`, j.n)
+	_, err := client.Do(ctx, j.svc.name, http.MethodPost, j.svc.write, body)
+	return err
+}
+
+// override sets one override as an operator would and waits until it is in
+// force on every VM.
+func override(ctx context.Context, out io.Writer, s *site) error {
+	client := operatorhttp.NewClient(s.vms[0].OperatorAddress(), "", http.DefaultClient)
+	path := s.regions[0] + "/" + s.services[0].name
+	reply, err := client.Edit(ctx, operatorhttp.EditRequest{
+		RequestID: rand.Text(), Op: operatorhttp.OpSet, Path: path,
+		Rules: "hedge_percent: 2", Reason: "demonstration of an override",
+	})
+	if err != nil {
+		return errors.Wrap(err, "set the override")
+	}
+	start := time.Now()
+	for _, vm := range s.vms {
+		if err := waitRevision(ctx, vm.OperatorAddress(), reply.Revision); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "override at %s accepted as revision %d, in force on %d VMs after %s\n",
+		path, reply.Revision, len(s.vms), time.Since(start).Round(time.Millisecond))
+	return nil
+}
+
+func waitRevision(ctx context.Context, address string, revision int64) error {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	client := operatorhttp.NewClient(address, "", http.DefaultClient)
+	for {
+		tree, err := client.Tree(ctx)
+		if err == nil && tree.Revision >= revision {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("revision %d is not in force at %s", revision, address)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func printHints(out io.Writer, sites []*site) {
+	for _, s := range sites {
+		vm, svc := s.vms[0], s.services[1]
+		fmt.Fprintf(out, `
+%s, entry VM with caller port %s and operator port %s. Try:
+  curl 'http://%s/v1/lookup?service=%s'
+  curl -i 'http://%s/v1/services/%s%s'
+  TICKET=$(curl -s -X POST 'http://%s/v1/tickets?service=%s' | sed 's/.*"tickets":\["\([^"]*\)".*/\1/')
+  curl -i -H "Idempotency-Key: $TICKET" -d 'body' 'http://%s/v1/services/%s%s'
+  hickoryroute --address %s status
+  hickoryroute --address %s explain %s/%s
+`, s.user, vm.CallerAddress(), vm.OperatorAddress(),
+			vm.CallerAddress(), svc.name, vm.CallerAddress(), svc.name, svc.read,
+			vm.CallerAddress(), svc.name, vm.CallerAddress(), svc.name, svc.write,
+			vm.OperatorAddress(), vm.OperatorAddress(), s.regions[0], svc.name)
+	}
+	fmt.Fprintln(out, "\nrunning until interrupted")
+}
