Test the whole path through separate processes

Cause: the path must hold between processes, not only in one. Ruled out: running the programs inside the test binary, since they could not be killed or frozen one by one.

--- /dev/null
+++ b/test/scenario/scenario_test.go
@@ -0,0 +1,59 @@
+// Package scenario holds scripted tests over real processes: the stand-ins,
+// entry VMs and the operator tool, each started as its own process.
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// binaries is the directory of the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hickoryroute-scenario")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "hickoryroute/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// Guards the promises of the system against kills, freezes and platform
+// outages; each script names the failure it injects.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/scripts",
+		RequireExplicitExec: true,
+		Setup:               setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet":      cmdFleet,
+			"vm":         cmdVM,
+			"signal":     cmdSignal,
+			"await":      cmdAwait,
+			"request":    cmdRequest,
+			"eventually": cmdEventually,
+			"background": cmdBackground,
+			"join":       cmdJoin,
+			"ticket":     cmdTicket,
+			"runs":       cmdRuns,
+			"platform":   cmdPlatform,
+			"target":     cmdTarget,
+			"putsetting": cmdPutSetting,
+			"sleep":      cmdSleep,
+		},
+	})
+}
