Wire one entry VM with its daemon and the operator interface

Cause: the modules stood apart; a request could not pass from a caller to a target. Ruled out: a planned stop reported cut requests although none was cut: the caller port's shutdown had returned nil. errors.Wrap of go-faster wraps a nil error into a non-nil one, so results are now checked before wrapping.

--- /dev/null
+++ b/pkg/entry/operator.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/coordination/config"
+	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/state/settings"
+	"hickoryroute/pkg/state/timeline"
+	"hickoryroute/pkg/transport/operatorhttp"
+)
+
+// operatorBackend implements operatorhttp.Backend.
+type operatorBackend struct{ vm *VM }
+
+// Tree implements operatorhttp.Backend.
+func (b operatorBackend) Tree() operatorhttp.TreeReply {
+	s := b.vm.config.Current()
+	reply := operatorhttp.TreeReply{Revision: s.Revision, Unattributed: unattributed(s)}
+	if s.Fault != nil {
+		reply.Fault = s.Fault.Err.Error()
+	}
+	if s.Tree == nil {
+		return reply
+	}
+	reply.Author, reply.Reason, reply.At = s.Document.Author, s.Document.Reason, s.Document.At
+	reply.Tree = s.Document.Tree
+	return reply
+}
+
+func unattributed(s *config.Snapshot) []operatorhttp.Unattributed {
+	var list []operatorhttp.Unattributed
+	for _, u := range s.Unattributed {
+		list = append(list, operatorhttp.Unattributed{Path: u.Path, Key: u.Key, Value: u.Value, Revision: u.Revision})
+	}
+	return list
+}
+
+// Explain implements operatorhttp.Backend.
+func (b operatorBackend) Explain(text string) (operatorhttp.ExplainReply, error) {
+	s := b.vm.config.Current()
+	if s.Tree == nil {
+		return operatorhttp.ExplainReply{}, b.vm.notReady()
+	}
+	path, err := settings.ParsePath(text)
+	if err != nil {
+		return operatorhttp.ExplainReply{}, editProblem(err)
+	}
+	found, err := s.Tree.Explain(path, time.Now())
+	if err != nil {
+		return operatorhttp.ExplainReply{}, editProblem(err)
+	}
+	reply := operatorhttp.ExplainReply{Path: path.String(), Revision: s.Revision, Unattributed: unattributed(s)}
+	for _, f := range found {
+		reply.Settings = append(reply.Settings, operatorhttp.Setting{
+			Key: f.Key, Value: f.Value, From: f.From, Override: f.Over, Author: f.Author,
+			Reason: f.Reason, SetAt: timeOrNil(f.SetAt), Expires: timeOrNil(f.Expires),
+		})
+	}
+	return reply, nil
+}
+
+func timeOrNil(t time.Time) *time.Time {
+	if t.IsZero() {
+		return nil
+	}
+	return &t
+}
+
+// Validate implements operatorhttp.Backend.
+func (b operatorBackend) Validate(text string) (operatorhttp.ValidateReply, error) {
+	s := b.vm.config.Current()
+	tree, err := settings.Parse([]byte(text))
+	if err != nil {
+		return operatorhttp.ValidateReply{}, editProblem(err)
+	}
+	if err := tree.ValidateAt(time.Now()); err != nil {
+		return operatorhttp.ValidateReply{}, editProblem(err)
+	}
+	return operatorhttp.ValidateReply{Revision: s.Revision, Changes: changes(s.Tree, tree)}, nil
+}
+
+func changes(old, new *settings.Tree) []operatorhttp.Change {
+	list := []operatorhttp.Change{}
+	for _, c := range settings.Diff(old, new) {
+		list = append(list, operatorhttp.Change{Path: c.Path, Key: c.Key, Old: c.Old, New: c.New})
+	}
+	return list
+}
+
+// History implements operatorhttp.Backend.
+func (b operatorBackend) History(ctx context.Context) ([]operatorhttp.Change, error) {
+	summaries := b.vm.config.History(ctx)
+	list := make([]operatorhttp.Change, 0, len(summaries))
+	for i := len(summaries) - 1; i >= 0; i-- {
+		s := summaries[i]
+		author := s.Author
+		if author == "" {
+			author = "(unattributed)"
+		}
+		list = append(list, operatorhttp.Change{
+			Revision: s.Revision, Author: author, Reason: s.Reason, At: s.At, Paths: s.Paths,
+		})
+	}
+	return list, nil
+}
+
+// RevisionText implements operatorhttp.Backend.
+func (b operatorBackend) RevisionText(ctx context.Context, revision int64) (string, error) {
+	for _, s := range b.vm.config.History(ctx) {
+		if s.Revision != revision {
+			continue
+		}
+		document, err := b.vm.config.RevisionText(ctx, s.RequestID)
+		if err != nil {
+			return "", editProblem(err)
+		}
+		return document.Tree, nil
+	}
+	return "", protocol.NewProblem(http.StatusNotFound, protocol.CodeUnknownPath, "",
+		"the history holds no such revision", "take one from hickoryroute history")
+}
+
+// Timeline implements operatorhttp.Backend.
+func (b operatorBackend) Timeline() []timeline.Event { return b.vm.ring.Events() }
+
+// Ready implements operatorhttp.Backend.
+func (b operatorBackend) Ready() (bool, string) {
+	switch {
+	case b.vm.stopping.Load():
+		return false, "a planned stop is running"
+	case b.vm.view.Load() == nil:
+		return false, "no settings yet"
+	default:
+		return true, ""
+	}
+}
+
+// SettingsAge implements operatorhttp.Backend.
+func (b operatorBackend) SettingsAge() time.Duration {
+	s := b.vm.config.Current()
+	if s.Tree == nil {
+		return 0
+	}
+	return time.Since(s.AppliedAt)
+}
+
+// WriteMetrics implements operatorhttp.Backend.
+func (b operatorBackend) WriteMetrics(w io.Writer) {
+	metrics.WritePrometheus(w, true)
+	b.vm.metrics.WritePrometheus(w)
+}
+
+// editProblem converts an error of the settings to a problem document.
+func editProblem(err error) error {
+	var (
+		conflict   *config.Conflict
+		outage     *config.PlatformError
+		unresolved *config.UnresolvedError
+		list       settings.ErrorList
+		single     *settings.Error
+		edit       *config.EditError
+	)
+	problem := func(status int, code protocol.Code, remedy string) error {
+		return protocol.NewProblem(status, code, "", err.Error(), remedy)
+	}
+	switch {
+	case errors.As(err, &conflict):
+		return problem(http.StatusConflict, protocol.CodeConflict, "look at the other change with hickoryroute history, then repeat yours")
+	case errors.As(err, &outage):
+		return problem(http.StatusServiceUnavailable, protocol.CodePlatformDown, "nothing was accepted; try again when the platform answers")
+	case errors.As(err, &unresolved):
+		return problem(http.StatusServiceUnavailable, protocol.CodePlatformDown, "repeat the edit with the same request_id; it is not applied twice")
+	case errors.As(err, &list), errors.As(err, &single), errors.As(err, &edit):
+		return problem(http.StatusUnprocessableEntity, protocol.CodeInvalidSettings, "correct the tree or path; nothing was changed")
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/pkg/entry/peers.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"hickoryroute/pkg/coordination/seat"
+	"hickoryroute/pkg/protocol"
+)
+
+// tableInterval is the time between two comparisons of seat tables with a
+// random member.
+const tableInterval = 5 * time.Second
+
+// peerCallTime bounds a call for settings or seat tables.
+const peerCallTime = 2 * time.Second
+
+// handler answers the calls of peers.
+type handler struct{ vm *VM }
+
+// Exchange implements peer.Handler.
+func (h handler) Exchange(ctx context.Context, req *protocol.ExchangeRequest, reply *protocol.ExchangeReply) error {
+	return h.vm.members.HandleExchange(ctx, req, reply)
+}
+
+// Notify implements peer.Handler.
+func (h handler) Notify(ctx context.Context, req *protocol.NotifyRequest, reply *protocol.NotifyReply) error {
+	return h.vm.members.HandleNotify(ctx, req, reply)
+}
+
+// Reserve implements peer.Handler.
+func (h handler) Reserve(ctx context.Context, req *protocol.ReserveRequest, reply *protocol.ReserveReply) error {
+	*reply = h.vm.owner.Reserve(ctx, req)
+	reply.Revision = h.vm.config.Current().Revision
+	return nil
+}
+
+// Release implements peer.Handler.
+func (h handler) Release(_ context.Context, req *protocol.ReleaseRequest, reply *protocol.ReleaseReply) error {
+	*reply = h.vm.owner.Release(req)
+	return nil
+}
+
+// Execute implements peer.Handler.
+func (h handler) Execute(ctx context.Context, req *protocol.ExecuteRequest, reply *protocol.ExecuteReply) error {
+	*reply = h.vm.executeForPeer(ctx, req)
+	return nil
+}
+
+// Borrow implements peer.Handler.
+func (h handler) Borrow(_ context.Context, req *protocol.BorrowRequest, reply *protocol.BorrowReply) error {
+	*reply = h.vm.links.Lend(req)
+	return nil
+}
+
+// Settings implements peer.Handler.
+func (h handler) Settings(_ context.Context, req *protocol.SettingsRequest, reply *protocol.SettingsReply) error {
+	*reply = h.vm.config.Settings(req.Have)
+	var newer []seat.Table
+	for _, t := range h.vm.seats.Tables() {
+		if t.Revision > req.Tables[t.Region] {
+			newer = append(newer, t)
+		}
+	}
+	if len(newer) == 0 {
+		return nil
+	}
+	tables, err := json.Marshal(newer)
+	reply.Tables = tables
+	return err
+}
+
+// configPeers implements config.Peers.
+type configPeers struct{ vm *VM }
+
+// Settings implements config.Peers. It also takes over newer seat tables.
+func (p configPeers) Settings(ctx context.Context, address string, have int64) (protocol.SettingsReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTime)
+	defer cancel()
+	req := &protocol.SettingsRequest{Have: have, Tables: map[string]int64{}}
+	for _, t := range p.vm.seats.Tables() {
+		req.Tables[t.Region] = t.Revision
+	}
+	var reply protocol.SettingsReply
+	if err := p.vm.peers.Call(ctx, address, protocol.MethodSettings, req, &reply); err != nil {
+		return reply, err
+	}
+	p.vm.mergeTables(reply.Tables)
+	return reply, nil
+}
+
+// Random implements config.Peers.
+func (p configPeers) Random(n int) []string {
+	var addresses []string
+	for _, m := range p.vm.members.Random(n) {
+		addresses = append(addresses, m.PeerAddress)
+	}
+	return addresses
+}
+
+// All implements config.Peers.
+func (p configPeers) All() []string { return p.vm.knownPeers() }
+
+// Announce implements config.Peers.
+func (p configPeers) Announce(revision int64) { p.vm.announceRevision(revision) }
+
+func (v *VM) mergeTables(encoded []byte) {
+	if len(encoded) == 0 {
+		return
+	}
+	var tables []seat.Table
+	if err := json.Unmarshal(encoded, &tables); err != nil {
+		v.log.Log(eventBadTables, map[string]any{"error": err.Error()})
+		return
+	}
+	v.seats.Merge(tables)
+}
+
+// knownPeers returns the live members and the addresses given at start.
+func (v *VM) knownPeers() []string {
+	known := map[string]bool{v.cfg.PeerAddress: true}
+	var list []string
+	add := func(address string) {
+		if !known[address] {
+			known[address] = true
+			list = append(list, address)
+		}
+	}
+	for _, m := range v.members.Alive() {
+		add(m.PeerAddress)
+	}
+	for _, address := range v.cfg.Peers {
+		add(address)
+	}
+	return list
+}
+
+// compareTables asks one random member now and then for newer seat tables, so
+// that they spread while the platform is down.
+func (v *VM) compareTables(ctx context.Context) {
+	ticker := time.NewTicker(tableInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, m := range v.members.Random(1) {
+			_, _ = configPeers{v}.Settings(ctx, m.PeerAddress, v.config.Current().Revision)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/entry/sender.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/steering"
+	"hickoryroute/pkg/transport/target"
+)
+
+// sender sends steering attempts through the target client.
+type sender struct {
+	client *target.Client
+	region string
+}
+
+var failKinds = map[target.Kind]steering.FailKind{
+	target.KindDial:      steering.FailConnect,
+	target.KindRefused:   steering.FailRefused,
+	target.KindReset:     steering.FailBroken,
+	target.KindTimeout:   steering.FailTimeout,
+	target.KindTruncated: steering.FailBroken,
+	target.KindCrossed:   steering.FailBadAnswer,
+	target.KindCancelled: steering.FailCancelled,
+	target.KindLinkFull:  steering.FailLinkFull,
+	target.KindMalformed: steering.FailBadAnswer,
+	target.KindInvalid:   steering.FailInternal,
+	target.KindBody:      steering.FailInternal,
+}
+
+// Send implements steering.Sender.
+func (s *sender) Send(ctx context.Context, r *steering.SendRequest) (*steering.SendResponse, error) {
+	resp, err := s.client.Do(ctx, &target.Request{
+		Target:        r.Target,
+		LocalRegion:   s.region,
+		Method:        r.Method,
+		Path:          r.Path,
+		Header:        r.Header,
+		Body:          bytes.NewReader(r.Body),
+		ContentLength: int64(len(r.Body)),
+		RequestID:     r.RequestID,
+		Ticket:        r.Ticket,
+		Deadline:      r.Deadline,
+	})
+	if err != nil {
+		return nil, sendFailure(err)
+	}
+	return &steering.SendResponse{
+		Status:   resp.Status,
+		Header:   resp.Header,
+		Body:     failureBody{resp.Body},
+		Draining: resp.Draining,
+	}, nil
+}
+
+func sendFailure(err error) error {
+	var f *target.Failure
+	if !errors.As(err, &f) {
+		return err
+	}
+	kind, ok := failKinds[f.Kind]
+	if !ok {
+		kind = steering.FailInternal
+	}
+	return &steering.SendFailure{
+		Kind:     kind,
+		Written:  f.Written > 0,
+		NotRun:   f.NotRun,
+		Draining: f.Draining,
+		Err:      err,
+	}
+}
+
+// failureBody converts read errors to steering failures.
+type failureBody struct{ io.ReadCloser }
+
+func (b failureBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		err = sendFailure(err)
+	}
+	return n, err
+}
--- /dev/null
+++ b/pkg/entry/serve.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"crypto/tls"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/transport/operatorhttp"
+	"hickoryroute/pkg/transport/peer"
+)
+
+// Limits of the operator and metrics ports.
+const (
+	operatorHeaderTime  = 5 * time.Second
+	operatorRequestTime = 60 * time.Second
+	operatorHeaderBytes = 16 << 10
+)
+
+// managedServer is an HTTP server of the operator or metrics port.
+type managedServer struct{ http *http.Server }
+
+// serve accepts connections on all ports.
+func (v *VM) serve(l *listeners) {
+	v.goServe("peer", func() error {
+		if err := v.peerServer.Serve(l.peer, handler{v}); !errors.Is(err, peer.ErrClosed) {
+			return err
+		}
+		return nil
+	})
+	v.goServe("caller", func() error { return v.callers.Serve(withTLS(l.caller, v.cfg.CallerTLS)) })
+	v.goHTTP("operator", withTLS(l.operator, v.cfg.OperatorTLS), operatorhttp.Handler(operatorBackend{v}, v.cfg.OperatorTokens))
+	if l.metrics != nil {
+		v.goHTTP("metrics", l.metrics, operatorhttp.MetricsHandler(operatorBackend{v}))
+	}
+}
+
+func withTLS(l net.Listener, config *tls.Config) net.Listener {
+	if config == nil {
+		return l
+	}
+	return tls.NewListener(l, config)
+}
+
+func (v *VM) goHTTP(name string, l net.Listener, h http.Handler) {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: operatorHeaderTime,
+		ReadTimeout:       operatorRequestTime,
+		WriteTimeout:      operatorRequestTime,
+		MaxHeaderBytes:    operatorHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	v.servers = append(v.servers, &managedServer{s})
+	v.goServe(name, func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+}
+
+func (v *VM) goServe(name string, f func() error) {
+	v.goRun(func() {
+		if err := f(); err != nil {
+			v.log.Log(eventListen, map[string]any{"port": name, "error": err.Error()})
+		}
+	})
+}
--- /dev/null
+++ b/pkg/entry/vm.go
@@ -0,0 +1,349 @@
+package entry
+
+import (
+	"context"
+	crand "crypto/rand"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/coordination/config"
+	"hickoryroute/pkg/coordination/linkcap"
+	"hickoryroute/pkg/coordination/member"
+	"hickoryroute/pkg/coordination/seat"
+	"hickoryroute/pkg/coordination/slot"
+	"hickoryroute/pkg/eventlog"
+	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/state/outcome"
+	"hickoryroute/pkg/state/timeline"
+	"hickoryroute/pkg/steering"
+	"hickoryroute/pkg/transport/callerhttp"
+	"hickoryroute/pkg/transport/peer"
+	"hickoryroute/pkg/transport/target"
+)
+
+const (
+	// ticketSecretBytes is the length of the key that signs tickets.
+	ticketSecretBytes = 32
+	// settingsWatchers is the number of members of a region that hold a watch.
+	settingsWatchers = 2
+	// targetProbeTime bounds one health probe.
+	targetProbeTime = time.Second
+)
+
+// VM is one running entry VM.
+type VM struct {
+	cfg         Config
+	incarnation uint64
+	log         *eventlog.Logger
+	clock       *timeline.Clock
+	ring        *timeline.Ring
+	metrics     *metrics.Set
+
+	peers      *peer.Client
+	peerServer *peer.Server
+	members    *member.List
+	seats      *seat.Manager
+	owner      *slot.Owner
+	links      *linkcap.Set
+	config     *config.Manager
+	issuer     *outcome.Issuer
+	outcomes   *outcome.Table
+	targets    *target.Client
+	router     *steering.Router
+	keeper     *targetKeeper
+	callers    *callerhttp.Server
+	servers    []*managedServer
+
+	view         atomic.Pointer[view]
+	memberIndex  atomic.Pointer[map[string]protocol.Member]
+	shares       atomic.Pointer[map[linkcap.Link]float64]
+	seatsChanged chan struct{}
+	leaving      leavingTargets
+	noticeNumber atomic.Uint64
+	stopping     atomic.Bool
+
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+// Start binds the ports of an entry VM and starts its work. It returns once
+// the ports accept connections; the VM becomes ready when it has settings.
+func Start(ctx context.Context, cfg Config) (*VM, error) {
+	cfg.Timing = cfg.Timing.withDefaults()
+	v := &VM{
+		cfg: cfg,
+		// A process that starts later at the same address has a higher
+		// incarnation, even after a restart within the same second.
+		incarnation:  uint64(time.Now().UnixNano()),
+		clock:        timeline.NewClock(time.Now),
+		metrics:      metrics.NewSet(),
+		seatsChanged: make(chan struct{}, 1),
+	}
+	listeners, err := listenAll(cfg)
+	if err != nil {
+		return nil, err
+	}
+	v.cfg.takeAddresses(listeners)
+	cfg = v.cfg
+	v.ring = timeline.NewRing(fmt.Sprintf("%s#%x", cfg.PeerAddress, v.incarnation), v.clock)
+	v.log = eventlog.New(cfg.Log, v.ring)
+	empty := map[string]protocol.Member{}
+	v.memberIndex.Store(&empty)
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	v.cancel = cancel
+	if err := v.build(); err != nil {
+		cancel()
+		listeners.close()
+		return nil, err
+	}
+	v.serve(listeners)
+	v.run(runCtx)
+	v.log.Log(eventStarted, eventlog.Fields{
+		"region": cfg.Region, "zone": cfg.Zone, "caller_address": cfg.CallerAddress,
+		"peer_address": cfg.PeerAddress, "operator_address": cfg.OperatorAddress,
+	})
+	return v, nil
+}
+
+// build creates the parts in the order of their dependencies.
+func (v *VM) build() error {
+	key := []byte(v.cfg.PeerKey)
+	v.peers = peer.NewClient(peer.ClientConfig{Key: key})
+	v.peerServer = peer.NewServer(peer.ServerConfig{Key: key, Logger: v.log})
+	members, err := member.New(v.memberConfig())
+	if err != nil {
+		return errors.Wrap(err, "membership")
+	}
+	v.members = members
+	v.members.Subscribe(v.takeNotice)
+	v.seats = seat.New(v.seatConfig())
+	v.owner = slot.New(slot.Config{Logger: v.log, MayGrant: v.seats.Owns})
+	v.links = linkcap.New(linkcap.Config{
+		Peers: v.linkPeers, Borrow: v.borrow, Valid: v.seats.Valid, Logger: v.log,
+	})
+	v.config = config.New(config.Config{
+		Store: v.cfg.Store, Peers: configPeers{v}, Logger: v.log, Watcher: v.watchesSettings,
+	})
+	if err := v.buildTickets(); err != nil {
+		return err
+	}
+	v.targets = target.New(target.Config{Dial: v.cfg.Dial, Limiter: v.links})
+	v.keeper = &targetKeeper{
+		region: v.cfg.Region, seats: v.seats, owner: v.owner,
+		prober: &target.Prober{Client: v.targets, LocalRegion: v.cfg.Region, Timeout: targetProbeTime},
+		period: v.cfg.Timing.ProbeTargets, now: time.Now,
+		leave: v.targetLeaving, healthy: v.targetHealthy, leaving: &v.leaving,
+	}
+	v.buildRouter()
+	return nil
+}
+
+func (v *VM) buildTickets() error {
+	secret := make([]byte, ticketSecretBytes)
+	if _, err := crand.Read(secret); err != nil {
+		return errors.Wrap(err, "read random bytes for the ticket key")
+	}
+	v.issuer = outcome.NewIssuer(outcome.IssuerConfig{
+		Address: v.cfg.PeerAddress, Incarnation: v.incarnation, Secret: secret,
+	})
+	v.outcomes = outcome.NewTable(v.issuer, outcome.Config{})
+	return nil
+}
+
+func (v *VM) buildRouter() {
+	v.router = steering.New(steering.Config{
+		Self:          v.cfg.PeerAddress,
+		Reserver:      &reserver{self: v.cfg.PeerAddress, own: v.owner, peers: v.peers},
+		Owners:        v.serviceOwners,
+		Sender:        &sender{client: v.targets, region: v.cfg.Region},
+		Rules:         v.serviceRules,
+		Regions:       v.serviceRegionList,
+		CrashTeller:   v,
+		TargetLeaving: v.targetLeaving,
+		Logger:        v.log,
+		Metrics:       v.metrics,
+	})
+	v.callers = callerhttp.New(callerhttp.Config{
+		Directory: v, Tickets: v, Steering: v, Log: v.log, Metrics: v.metrics,
+	})
+}
+
+func (v *VM) memberConfig() member.Config {
+	c := member.DefaultLAN()
+	c.Self = protocol.Member{
+		PeerAddress: v.cfg.PeerAddress, CallerAddress: v.cfg.CallerAddress,
+		OperatorAddress: v.cfg.OperatorAddress, Zone: v.cfg.Zone, Region: v.cfg.Region,
+		Incarnation: v.incarnation,
+	}
+	c.Call = v.peers.Call
+	c.Clock = v.clock
+	c.Logger = v.log
+	c.Removed = v.peers.Forget
+	c.ProbeInterval = v.cfg.Timing.ProbePeers
+	c.SuspectTimeout = v.cfg.Timing.SuspectPeers
+	return c
+}
+
+func (v *VM) seatConfig() seat.Config {
+	return seat.Config{
+		Store: v.cfg.Store, VMs: v.cfg.VMList.VMs, Self: v.cfg.PeerAddress,
+		Incarnation: v.incarnation, Region: v.cfg.Region, Zone: v.cfg.Zone,
+		SeatCount: v.cfg.SeatCount, Logger: v.log, Probe: v.probeIncarnation,
+		Idle: v.seatIdle, OnChange: v.signalSeats,
+	}
+}
+
+// run starts the background work.
+func (v *VM) run(ctx context.Context) {
+	v.goRun(func() { v.boot(ctx) })
+	v.goRun(func() { v.members.Run(ctx) })
+	v.goRun(func() { v.seats.Run(ctx) })
+	v.goRun(func() { v.outcomes.Run(ctx) })
+	v.goRun(func() { v.refresh(ctx) })
+	v.goRun(func() { v.followVMList(ctx) })
+	v.goRun(func() { v.compareTables(ctx) })
+}
+
+func (v *VM) goRun(f func()) {
+	v.work.Add(1)
+	go func() {
+		defer v.work.Done()
+		f()
+	}()
+}
+
+// boot finds the first settings, then keeps them up to date.
+func (v *VM) boot(ctx context.Context) {
+	v.members.Seed(v.cfg.Peers)
+	for {
+		err := v.config.Boot(ctx)
+		if err == nil {
+			break
+		}
+		v.log.Log(eventBooting, eventlog.Fields{"error": err.Error()})
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(v.cfg.Timing.BootRetry):
+		}
+	}
+	v.config.Run(ctx)
+}
+
+// watchesSettings implements config.Config.Watcher.
+func (v *VM) watchesSettings() bool {
+	rank := v.members.Rank(v.cfg.Region, v.cfg.PeerAddress)
+	return rank >= 0 && rank < settingsWatchers
+}
+
+func (v *VM) signalSeats() {
+	select {
+	case v.seatsChanged <- struct{}{}:
+	default:
+	}
+}
+
+func (v *VM) seatIdle(number int) bool {
+	return v.keeper.idle(v.config.Current().Tree, number)
+}
+
+// probeIncarnation implements seat.Config.Probe.
+func (v *VM) probeIncarnation(ctx context.Context, address string) (uint64, error) {
+	var reply protocol.ExchangeReply
+	req := &protocol.ExchangeRequest{From: v.members.Self(), Time: v.clock.Now()}
+	if err := v.peers.Call(ctx, address, protocol.MethodExchange, req, &reply); err != nil {
+		return 0, err
+	}
+	return reply.From.Incarnation, nil
+}
+
+// linkPeers implements linkcap.Config.Peers.
+func (v *VM) linkPeers(link linkcap.Link) []string {
+	var list []string
+	for _, m := range v.members.Alive() {
+		if m.PeerAddress != v.cfg.PeerAddress && (m.Region == link.From || m.Region == link.To) {
+			list = append(list, m.PeerAddress)
+		}
+	}
+	return list
+}
+
+// borrow implements linkcap.Config.Borrow.
+func (v *VM) borrow(ctx context.Context, address, from, to string, bytes int64) int64 {
+	var reply protocol.BorrowReply
+	req := &protocol.BorrowRequest{Requester: v.cfg.PeerAddress, From: from, To: to, Bytes: bytes}
+	if err := v.peers.Call(ctx, address, protocol.MethodBorrow, req, &reply); err != nil {
+		return 0
+	}
+	return reply.Bytes
+}
+
+// publishSelf tells the members what changed about this VM.
+func (v *VM) publishSelf(revision int64) {
+	free := v.owner.FreeSlots()
+	v.members.UpdateSelf(func(m *protocol.Member) {
+		m.Revision = revision
+		m.FreeSlots = free
+		m.Ready = !v.stopping.Load()
+		m.Leaving = v.stopping.Load()
+	})
+}
+
+// LogSettings logs the process settings.
+func (v *VM) LogSettings(fields map[string]any) { v.log.Log(eventSettings, fields) }
+
+// CallerAddress returns the address for callers.
+func (v *VM) CallerAddress() string { return v.cfg.CallerAddress }
+
+// PeerAddress returns the address for other entry VMs.
+func (v *VM) PeerAddress() string { return v.cfg.PeerAddress }
+
+// OperatorAddress returns the address for operators.
+func (v *VM) OperatorAddress() string { return v.cfg.OperatorAddress }
+
+// listeners are the bound ports of a VM.
+type listeners struct{ caller, peer, operator, metrics net.Listener }
+
+func listenAll(cfg Config) (*listeners, error) {
+	l := &listeners{}
+	for _, p := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{cfg.PeerAddress, &l.peer}, {cfg.CallerAddress, &l.caller},
+		{cfg.OperatorAddress, &l.operator}, {cfg.MetricsAddress, &l.metrics},
+	} {
+		if p.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", p.address)
+		if err != nil {
+			l.close()
+			return nil, errors.Wrapf(err, "listen on %s; choose a free port or stop the other process", p.address)
+		}
+		*p.into = listener
+	}
+	return l, nil
+}
+
+// takeAddresses replaces the addresses by those bound, which differ where the
+// port was 0.
+func (c *Config) takeAddresses(l *listeners) {
+	c.PeerAddress = l.peer.Addr().String()
+	c.CallerAddress = l.caller.Addr().String()
+	c.OperatorAddress = l.operator.Addr().String()
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.caller, l.peer, l.operator, l.metrics} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
--- a/pkg/protocol/peer.go
+++ b/pkg/protocol/peer.go
@@ -174,7 +174,8 @@
 	Body       []byte
 	DeadlineMs int64
 	RequestID  string
-	QueryOnly  bool // never runs the request, only reports what is known
+	FromRegion string // region of the sender, for the cap of the way back
+	QueryOnly  bool   // never runs the request, only reports what is known
 }
 
 // ExecuteReply carries the outcome. Problem is set unless Outcome is
@@ -201,13 +202,16 @@
 	Bytes int64
 }
 
-// SettingsRequest asks for the settings document if it is newer than Have.
+// SettingsRequest asks for the settings document if it is newer than Have, and
+// for the seat tables that are newer than the given revisions by region.
 type SettingsRequest struct {
-	Have int64
+	Have   int64
+	Tables map[string]int64
 }
 
 // SettingsReply carries the document, or none if the peer has nothing newer.
 type SettingsReply struct {
 	Revision int64
 	Document []byte
+	Tables   []byte // JSON list of seat tables
 }
--- /dev/null
+++ b/pkg/state/outcome/running.go
@@ -0,0 +1,22 @@
+package outcome
+
+// Running returns the number of runs in progress.
+func (t *Table) Running() int {
+	running := 0
+	for i := range t.shards {
+		running += t.shards[i].running()
+	}
+	return running
+}
+
+func (s *tableShard) running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running := 0
+	for _, e := range s.entries {
+		if e.state == stateRunning {
+			running++
+		}
+	}
+	return running
+}
