--- /dev/null
+++ b/pkg/coordination/member/member_test.go
@@ -0,0 +1,287 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hickoryroute/pkg/protocol"
+)
+
+// Guards against a member that is declared dead although it was cut off for
+// less than the time it has to refute, and against members that stay suspected
+// afterwards.
+func TestShortIsolationIsRefuted(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(3, 40).Draw(rt, "members")
+		cut := time.Duration(rapid.IntRange(300, 2500).Draw(rt, "cut, ms")) * time.Millisecond
+		victim := rapid.IntRange(0, n-1).Draw(rt, "victim")
+		err := fleet(t, n, nil, func(_ context.Context, net *network, lists []*List) error {
+			net.isolate(address(victim), true)
+			time.Sleep(cut)
+			net.isolate(address(victim), false)
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				for _, l := range lists {
+					for _, m := range l.Members() {
+						if m.State >= protocol.MemberDead {
+							return fmt.Errorf("%s holds %s for dead", l.Self().PeerAddress, m.PeerAddress)
+						}
+					}
+				}
+			}
+			return allSee(lists, n)
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// Guards against a crashed member that is still offered to callers. The bound
+// is the time of suspicion, 5 s, plus the time until some member probes it and
+// the probes fail, and the time until all know.
+func TestCrashIsDetected(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(3, 40).Draw(rt, "members")
+		err := fleet(t, n, nil, func(_ context.Context, net *network, lists []*List) error {
+			net.isolate(address(n-1), true)
+			return within(15*time.Second, func() error {
+				for _, l := range lists[:n-1] {
+					if m, ok := stateOf(l, address(n-1)); ok && m.State != protocol.MemberDead {
+						return fmt.Errorf("%s holds the crashed member for %d", l.Self().PeerAddress, m.State)
+					}
+				}
+				return nil
+			})
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// Guards against a restarted process that is ignored because its address is
+// known, alive or dead, and against old records that replace it again.
+func TestRestartReplacesOldProcess(t *testing.T) {
+	for _, pause := range []time.Duration{0, 20 * time.Second} {
+		err := fleet(t, 12, nil, func(ctx context.Context, net *network, lists []*List) error {
+			net.stop(address(5))
+			lists[5].cancel()
+			time.Sleep(pause)
+			lists[5] = net.start(ctx, 5, 2, nil)
+			accepted := func() error {
+				for _, l := range lists {
+					if m, _ := stateOf(l, address(5)); m.Incarnation != 2 || m.State != protocol.MemberAlive {
+						return fmt.Errorf("%s holds %+v", l.Self().PeerAddress, m)
+					}
+				}
+				return nil
+			}
+			if err := within(5*time.Second, accepted); err != nil {
+				return err
+			}
+			time.Sleep(time.Minute)
+			return accepted()
+		})
+		assert.NilError(t, err)
+	}
+}
+
+// Guards against regions that do not find each other again after a long
+// partition, during which each declared the other dead.
+func TestPartitionHeals(t *testing.T) {
+	const n = 30
+	err := fleet(t, n, nil, func(_ context.Context, net *network, lists []*List) error {
+		for i := range n / 3 {
+			net.isolate(address(i), true)
+		}
+		time.Sleep(time.Hour)
+		if m, _ := stateOf(lists[n-1], address(0)); m.State != protocol.MemberDead {
+			return fmt.Errorf("cut off member is in state %d", m.State)
+		}
+		for i := range n / 3 {
+			net.isolate(address(i), false)
+		}
+		return within(time.Minute, func() error { return allSee(lists, n) })
+	})
+	assert.NilError(t, err)
+}
+
+// Guards against a planned leave that looks like a crash, or is not noticed.
+func TestLeaveIsKnown(t *testing.T) {
+	err := fleet(t, 12, nil, func(ctx context.Context, net *network, lists []*List) error {
+		if err := lists[3].Leave(ctx); err != nil {
+			return err
+		}
+		net.stop(address(3))
+		return within(3*time.Second, func() error {
+			for i, l := range lists {
+				if m, _ := stateOf(l, address(3)); m.State != protocol.MemberLeft {
+					return fmt.Errorf("member %d holds state %d", i, m.State)
+				}
+			}
+			return nil
+		})
+	})
+	assert.NilError(t, err)
+}
+
+// Guards against notices that miss a member, come twice or come after the 3 s
+// that a leaving target may still receive work, at the two-year size.
+func TestNoticeReachesAll700(t *testing.T) {
+	const n = 700
+	err := fleet(t, n, nil, func(ctx context.Context, net *network, lists []*List) error {
+		var received [n]atomic.Int32
+		for i, l := range lists {
+			l.Subscribe(func(notice protocol.Notice) {
+				if notice.Subject == "sask/cluebook/1" {
+					received[i].Add(1)
+				}
+			})
+		}
+		lists[0].Broadcast(protocol.Notice{Kind: protocol.NoticeTargetLeaving, Subject: "sask/cluebook/1"})
+		time.Sleep(3 * time.Second)
+		for i := 1; i < n; i++ {
+			if got := received[i].Load(); got != 1 {
+				return fmt.Errorf("member %d received the notice %d times within 3 s", i, got)
+			}
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+}
+
+// Guards against a caller that is answered before all members know of a crash,
+// and against a dead member that holds the answer up for long.
+func TestBroadcastAllWaitsForAcknowledgments(t *testing.T) {
+	err := fleet(t, 12, nil, func(ctx context.Context, net *network, lists []*List) error {
+		var received atomic.Int32
+		for _, l := range lists[1:] {
+			l.Subscribe(func(protocol.Notice) { received.Add(1) })
+		}
+		result := lists[0].BroadcastAll(ctx, protocol.Notice{Kind: protocol.NoticeCrash, Subject: "a"})
+		if result != (BroadcastResult{Asked: 11, Acknowledged: 11}) || received.Load() != 11 {
+			return fmt.Errorf("result %+v, received %d", result, received.Load())
+		}
+		net.isolate(address(4), true)
+		begin := time.Now()
+		result = lists[0].BroadcastAll(ctx, protocol.Notice{Kind: protocol.NoticeCrash, Subject: "b"})
+		if result.Acknowledged != 10 || time.Since(begin) > 2*time.Second {
+			return fmt.Errorf("result %+v after %v", result, time.Since(begin))
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+}
+
+// Guards against notices that grow without bound or outlive their time.
+func TestNoticesAreBounded(t *testing.T) {
+	begin := time.Unix(0, 0)
+	n := newNotices(100)
+	for i := range 1000 {
+		assert.Assert(t, n.add(protocol.Notice{ID: fmt.Sprint(i), TTLMs: 1000}, begin))
+	}
+	assert.Assert(t, !n.add(protocol.Notice{ID: "999", TTLMs: 1000}, begin))
+	assert.Equal(t, len(n.known), 100)
+	assert.Equal(t, n.pending.len(), 100)
+	assert.Equal(t, len(n.all(begin)), 100)
+	assert.Equal(t, len(n.all(begin.Add(time.Second))), 0)
+	n.expire(begin.Add(2 * time.Minute))
+	assert.Equal(t, len(n.known), 0)
+}
+
+// Guards against members that stay unknown to others when a whole fleet starts
+// at once.
+func TestFleetStartsAtOnce(t *testing.T) {
+	err := fleet(t, 250, nil, func(context.Context, *network, []*List) error { return nil })
+	assert.NilError(t, err)
+}
+
+// Guards against two views of a region that agree on the members but not on
+// the members with the lowest ranks.
+func TestRankOrdersTheRegion(t *testing.T) {
+	err := fleet(t, 12, nil, func(_ context.Context, _ *network, lists []*List) error {
+		lists[2].UpdateSelf(func(m *protocol.Member) { m.Leaving = true })
+		time.Sleep(3 * time.Second)
+		seen := map[int]bool{}
+		for i := range lists {
+			rank := lists[0].Rank("sask", address(i))
+			for _, l := range lists {
+				if other := l.Rank("sask", address(i)); other != rank {
+					return fmt.Errorf("ranks %d and %d for member %d", rank, other, i)
+				}
+			}
+			if (rank < 0) != (i == 2) || rank >= 0 && seen[rank] || rank > 10 {
+				return fmt.Errorf("rank %d for member %d", rank, i)
+			}
+			seen[rank] = true
+		}
+		if rank := lists[0].Rank("hcm", address(0)); rank != -1 {
+			return fmt.Errorf("rank %d in another region", rank)
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+}
+
+// settled checks that no change is being passed on.
+func settled(lists []*List) error {
+	for _, l := range lists {
+		l.mu.Lock()
+		waiting := l.changes.len()
+		l.mu.Unlock()
+		if waiting > 0 {
+			return fmt.Errorf("%s passes on %d changes", l.Self().PeerAddress, waiting)
+		}
+	}
+	return nil
+}
+
+// Guards against a control cost that grows with the fleet. The target is 3 KB
+// a second for each node at 700 members; the slope may use a tenth of it. The
+// window holds one notice and one change of a member, about the rate of 2,000
+// changes of the settings and 100 restarts a day.
+func TestBytesDoNotDependOnSize(t *testing.T) {
+	const (
+		budget   = 3 * 1024 // bytes a second
+		goal     = 700      // members
+		window   = 30 * time.Second
+		smallest = 50
+		largest  = 400
+	)
+	rates := map[int]float64{}
+	for _, n := range []int{smallest, 100, 200, largest} {
+		err := fleet(t, n, nil, func(_ context.Context, net *network, lists []*List) error {
+			net.mu.Lock()
+			net.streams = map[string]*stream{}
+			net.mu.Unlock()
+			time.Sleep(time.Minute) // until the connections to all partners are open
+			if err := within(10*time.Minute, func() error { return settled(lists) }); err != nil {
+				return err
+			}
+			net.mu.Lock()
+			net.bytes = 0
+			net.mu.Unlock()
+			lists[1].Broadcast(protocol.Notice{Kind: protocol.NoticeRevision, Revision: 2})
+			lists[2].UpdateSelf(func(m *protocol.Member) { m.Ready = false })
+			time.Sleep(window)
+			net.mu.Lock()
+			defer net.mu.Unlock()
+			// Each byte is sent by one member and received by another.
+			rates[n] = 2 * float64(net.bytes) / float64(n) / window.Seconds()
+			return nil
+		})
+		assert.NilError(t, err)
+		t.Logf("%d members: %.0f bytes a second for each member, sent and received", n, rates[n])
+	}
+	slope := (rates[largest] - rates[smallest]) / (largest - smallest)
+	t.Logf("slope: %.3f bytes a second for each further member", slope)
+	assert.Assert(t, slope*goal < budget/10, "slope %.3f", slope)
+	assert.Assert(t, rates[largest]+slope*(goal-largest) < budget, "rates %v", rates)
+}
