--- a/pkg/coordination/config/propose.go
+++ b/pkg/coordination/config/propose.go
@@ -156,6 +156,9 @@
 	if err := parsed.ValidateAt(m.config.Now()); err != nil {
 		return 0, err
 	}
+	if lost := settings.Diff(tree, parsed); len(lost) > 0 {
+		return 0, &EditError{"YAML text does not hold the change " + lost[0].String(), "write this value in another way"}
+	}
 	p.changes = settings.Diff(old, parsed)
 	if len(p.changes) == 0 && !p.AdoptUnattributed && p.base.Fault == nil && p.base.Tree != nil {
 		return p.base.Revision, nil
--- a/pkg/state/settings/edit.go
+++ b/pkg/state/settings/edit.go
@@ -65,7 +65,7 @@
 		}
 	}
 	c.Overrides = append(c.Overrides, o)
-	return c.validated()
+	return c.checked()
 }
 
 // RemoveOverride returns a tree without the overrides at path.
@@ -82,7 +82,7 @@
 			Remedy:  "list the overrides and name the path of one of them",
 		}
 	}
-	return c.validated()
+	return c.checked()
 }
 
 // SetDrain returns a tree whose rules at path set drain to on. Turning it off
@@ -117,7 +117,7 @@
 		region.editRules(path, edit)
 		c.Regions[path.Region] = region
 	}
-	return c.validated()
+	return c.checked()
 }
 
 func (r *Region) editRules(path Path, edit func(*Rules)) {
@@ -146,11 +146,3 @@
 	}
 	return path, nil
 }
-
-// validated checks t and completes it.
-func (t *Tree) validated() (*Tree, error) {
-	if err := t.Validate(); err != nil {
-		return nil, err
-	}
-	return t.withIndex(), nil
-}
--- a/pkg/state/settings/effective.go
+++ b/pkg/state/settings/effective.go
@@ -107,6 +107,11 @@
 	overrides := t.overridesByPath()
 	idx := &index{periods: map[Path][]period{}, targets: t.buildTargets()}
 	for _, p := range t.paths() {
+		rules, _ := t.rulesAt(p)
+		if p.Target != "" && rules.empty() && len(overrides[p]) == 0 {
+			idx.periods[p] = idx.periods[Path{Region: p.Region, Service: p.Service}]
+			continue
+		}
 		idx.periods[p] = t.buildPeriods(p, overrides)
 	}
 	t.index = idx
--- a/pkg/state/settings/errors.go
+++ b/pkg/state/settings/errors.go
@@ -30,12 +30,20 @@
 // ErrorList holds all faults found in one tree.
 type ErrorList []*Error
 
-// Error returns all faults, one a line.
+// maxErrorLines bounds the text of an ErrorList; a tree of 1 MiB may have
+// thousands of faults.
+const maxErrorLines = 100
+
+// Error returns the first faults, one a line.
 func (l ErrorList) Error() string {
-	lines := make([]string, 0, len(l))
-	for _, e := range l {
+	shown := l[:min(len(l), maxErrorLines)]
+	lines := make([]string, 0, len(shown)+1)
+	for _, e := range shown {
 		lines = append(lines, e.Error())
 	}
+	if more := len(l) - len(shown); more > 0 {
+		lines = append(lines, fmt.Sprintf("%d more faults; correct these first", more))
+	}
 	return strings.Join(lines, "\n")
 }
 
--- a/pkg/state/settings/parse.go
+++ b/pkg/state/settings/parse.go
@@ -1,8 +1,8 @@
 package settings
 
 import (
-	"bytes"
 	"fmt"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/goccy/go-yaml"
@@ -23,29 +23,15 @@
 			Remedy:  "remove unused targets, client blocks or expired overrides",
 		}}
 	}
-	t := &Tree{}
-	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
-	if err := decoder.Decode(t); err != nil {
-		return nil, ErrorList{syntaxError(err)}
-	}
-	if err := t.Validate(); err != nil {
+	root, err := parseSyntax(text)
+	if err != nil {
 		return nil, err
 	}
-	return t.withIndex(), nil
-}
-
-// syntaxError converts an error of the YAML library.
-func syntaxError(err error) *Error {
-	e := &Error{Message: err.Error(), Remedy: "correct the YAML text at this place"}
-	var positioned yaml.Error
-	if !errors.As(err, &positioned) {
-		return e
-	}
-	e.Message = positioned.GetMessage()
-	if token := positioned.GetToken(); token != nil && token.Position != nil {
-		e.Line, e.Column = token.Position.Line, token.Position.Column
+	t := &Tree{}
+	if err := yaml.NewDecoder(strings.NewReader(""), yaml.Strict()).DecodeFromNode(root, t); err != nil {
+		return nil, ErrorList{syntaxError(err)}
 	}
-	return e
+	return t.checked()
 }
 
 // Marshal returns the YAML text of t. Equal trees give equal texts.
--- a/pkg/state/settings/validate.go
+++ b/pkg/state/settings/validate.go
@@ -23,6 +23,12 @@
 // Validate checks t and reports all faults at once. The verdict does not
 // depend on the clock, so that all VMs agree on it.
 func (t *Tree) Validate() error {
+	_, err := t.checked()
+	return err
+}
+
+// checked validates t and returns it with its index.
+func (t *Tree) checked() (*Tree, error) {
 	v := &validator{tree: t, zones: map[string]string{}, addresses: map[string]string{}}
 	v.checkRules("/", t.Rules)
 	v.checkServices()
@@ -30,17 +36,26 @@
 	v.checkLinks()
 	v.checkBlocks()
 	v.checkOverrides()
-	if len(v.errs) == 0 {
-		v.checkServed()
+	if err := v.errs.orNil(); err != nil {
+		return nil, err
 	}
-	return v.errs.orNil()
+	if v.tree.index == nil {
+		indexed := *t
+		v.tree = indexed.withIndex()
+	}
+	v.checkServed()
+	if err := v.errs.orNil(); err != nil {
+		return nil, err
+	}
+	return v.tree, nil
 }
 
 // ValidateAt also checks that each service has a region at now and after each
 // later expiry of an override. Editors use it; VMs that apply an accepted tree
 // use Validate alone, because their clocks may differ.
 func (t *Tree) ValidateAt(now time.Time) error {
-	if err := t.Validate(); err != nil {
+	t, err := t.checked()
+	if err != nil {
 		return err
 	}
 	v := &validator{tree: t}
--- a/pkg/state/settings/validate_rules.go
+++ b/pkg/state/settings/validate_rules.go
@@ -4,6 +4,7 @@
 	"regexp"
 	"strings"
 	"time"
+	"unicode"
 )
 
 // Bounds of rules.
@@ -38,7 +39,7 @@
 	v.checkDuration(path, "stop_timeout", r.StopTimeout, minStopTimeout, maxStopTimeout)
 	v.checkList(path, "idempotent_methods", r.IdempotentMethods, "write methods in capitals such as GET", methodPattern.MatchString)
 	v.checkList(path, "long_paths", r.LongPaths, "write path prefixes that start with /", func(s string) bool {
-		return strings.HasPrefix(s, "/") && len(s) <= maxTextBytes
+		return strings.HasPrefix(s, "/") && validText(s)
 	})
 }
 
@@ -106,11 +107,11 @@
 }
 
 func (v *validator) checkOverrideText(o Override) {
-	if strings.TrimSpace(o.Author) == "" || len(o.Author) > maxTextBytes {
-		v.errs.add(o.Path, "name the person who sets it", "override has no author or one that is too long")
+	if !validText(o.Author) {
+		v.errs.add(o.Path, "name the person who sets it in one line of up to 512 bytes", "override has no valid author")
 	}
-	if strings.TrimSpace(o.Reason) == "" || len(o.Reason) > maxTextBytes {
-		v.errs.add(o.Path, "say in a sentence why it is set", "override has no reason or one that is too long")
+	if !validText(o.Reason) {
+		v.errs.add(o.Path, "say in one line of up to 512 bytes why it is set", "override has no valid reason")
 	}
 	if o.Rules.empty() {
 		v.errs.add(o.Path, "set at least one rule or remove the override", "override sets no rule")
@@ -122,3 +123,8 @@
 		v.errs.add(o.Path, "set expires after set_at", "override expires before it is set")
 	}
 }
+
+// validText tells whether s is one line of text that is not too long.
+func validText(s string) bool {
+	return strings.TrimSpace(s) != "" && len(s) <= maxTextBytes && !strings.ContainsFunc(s, unicode.IsControl)
+}
