--- a/test/scenario/system_test.go
+++ b/test/scenario/system_test.go
@@ -22,7 +22,6 @@
 
 // system is what one script has started.
 type system struct {
-	mu        sync.Mutex
 	platform  string
 	targets   []string // addresses
 	processes map[string]*process
