Close gaps in the tests that mutations showed

Mutations on a scratch copy survived: sweeping running entries, a query after a refused run, and taking any 503 for not run. The reset of the read deadline after a body was redundant, since net/http does it.

--- a/pkg/state/outcome/table_test.go
+++ b/pkg/state/outcome/table_test.go
@@ -136,6 +136,31 @@
 	r = table.Execute(context.Background(), sealed, service, printA, returns(answered("x"), &runs))
 	assert.Equal(t, r.Outcome, protocol.OutcomeNotRun)
 	assert.Equal(t, runs, 2)
+
+	shedFirst := issuer.Issue(service)
+	table.Execute(context.Background(), shedFirst, service, printA, returns(shed, &runs))
+	assert.Equal(t, table.Query(shedFirst, service).Outcome, protocol.OutcomeNotRun)
+	r = table.Execute(context.Background(), shedFirst, service, printA, returns(answered("x"), &runs))
+	assert.Equal(t, r.Outcome, protocol.OutcomeNotRun)
+	assert.Equal(t, runs, 3)
+}
+
+// Guards against the removal of an entry whose run outlasts its ticket, which
+// would lose its answer and the count of its memory.
+func TestSweepKeepsRunningEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		issuer := NewIssuer(IssuerConfig{Address: "a", Secret: secret, Lifetime: time.Second})
+		table := NewTable(issuer, Config{Retain: time.Second})
+		ticket := issuer.Issue(service)
+		run := func(context.Context) protocol.ExecuteReply { time.Sleep(5 * time.Second); return answered("x") }
+		go table.Execute(context.Background(), ticket, service, printA, run)
+		time.Sleep(4 * time.Second)
+		table.Sweep()
+		r := table.Execute(context.Background(), ticket, service, printA, run)
+		assert.Equal(t, string(r.Body), "x")
+		table.Sweep()
+		assert.Equal(t, table.Bytes(), int64(0))
+	})
 }
 
 // Guards against growth without bound: new tickets are refused, and answers
--- a/pkg/transport/callerhttp/check.go
+++ b/pkg/transport/callerhttp/check.go
@@ -227,10 +227,10 @@
 	if deadline.Before(end) {
 		end = deadline
 	}
+	// net/http removes the read deadline at the end of the body. After an
+	// error it stays and bounds the reading of the rest.
 	_ = control.SetReadDeadline(end)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes))
-	// A read deadline that stays set would end the context of the request.
-	_ = control.SetReadDeadline(time.Time{})
 	var over *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/pkg/transport/target/answer_test.go
+++ b/pkg/transport/target/answer_test.go
@@ -75,6 +75,7 @@
 		{"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n", ""},
 		{"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", ""},
 		{"HEAD", "HTTP/1.1 200 OK\r\n\r\n", ""},
+		{"POST", "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nok", "ok"},
 		{"POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok"},
 	} {
 		dials := 0
