--- a/pkg/coordination/seat/release.go
+++ b/pkg/coordination/seat/release.go
@@ -105,7 +105,10 @@
 		if held == 0 {
 			return m.revoke(ctx)
 		}
-		if len(ready) > 0 && m.free(ctx, base, ready) != unresolved {
+		if len(ready) > 0 {
+			m.free(ctx, base, ready)
+		}
+		if m.table().Revision > base.Revision {
 			continue
 		}
 		if !m.sleep(ctx, releasePoll) {
--- a/pkg/coordination/slot/health.go
+++ b/pkg/coordination/slot/health.go
@@ -71,8 +71,17 @@
 	})
 }
 
-// Leaving tells that the target is leaving, or that the sign was revoked.
+// Leaving tells that the target is leaving, or that the sign was revoked. The
+// sign is remembered for targets that this VM doesn't own yet, because it may
+// take over their seat later.
 func (o *Owner) Leaving(name string, leaving bool) {
+	o.mu.Lock()
+	if leaving {
+		o.leaving[name] = true
+	} else {
+		delete(o.leaving, name)
+	}
+	o.mu.Unlock()
 	o.onTarget(name, func(t *target, now time.Time) {
 		if t.leaving && !leaving {
 			t.ramp.begin(now)
--- a/pkg/coordination/slot/owner.go
+++ b/pkg/coordination/slot/owner.go
@@ -62,10 +62,11 @@
 	cfg     Config
 	metrics *instruments
 
-	mu     sync.RWMutex
-	byName map[string]*shard // by target name
-	shards map[string]*shard // by service
-	order  []*shard          // by shard index, never shrinks
+	mu      sync.RWMutex
+	byName  map[string]*shard // by target name
+	shards  map[string]*shard // by service
+	order   []*shard          // by shard index, never shrinks
+	leaving map[string]bool   // names of targets with a sign of leaving
 }
 
 // New returns an Owner without targets.
@@ -90,6 +91,7 @@
 		metrics: newInstruments(cfg.MetricsPrefix),
 		byName:  map[string]*shard{},
 		shards:  map[string]*shard{},
+		leaving: map[string]bool{},
 	}
 }
 
@@ -111,7 +113,7 @@
 		o.byName[spec.Ref.Name] = o.shardLocked(service)
 	}
 	for service, list := range byService {
-		o.shards[service].setTargets(list)
+		o.shards[service].setTargets(list, o.leaving)
 	}
 }
 
--- a/pkg/coordination/slot/shard.go
+++ b/pkg/coordination/slot/shard.go
@@ -76,7 +76,7 @@
 func (s *shard) now() time.Time { return s.owner.cfg.Now() }
 
 // setTargets replaces the targets and grants waiting requests that now fit.
-func (s *shard) setTargets(specs []TargetSpec) {
+func (s *shard) setTargets(specs []TargetSpec, leaving map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -85,7 +85,9 @@
 	}
 	s.list = s.list[:0]
 	for _, spec := range specs {
-		s.list = append(s.list, s.upsert(spec))
+		t := s.upsert(spec)
+		t.leaving = leaving[spec.Ref.Name]
+		s.list = append(s.list, t)
 	}
 	s.sweepDropped()
 	s.advance(now)
