--- a/pkg/coordination/member/exchange.go
+++ b/pkg/coordination/member/exchange.go
@@ -30,7 +30,8 @@
 			members = append(members, r.Member)
 		}
 	}
-	notices := l.notices.take(l.cfg.MaxNoticesPerMessage, limit, l.cfg.Now())
+	// Notices are pushed as well, so that they need fewer transmissions.
+	notices := l.notices.take(l.cfg.MaxNoticesPerMessage, limit/l.cfg.RetransmitFactor, l.cfg.Now())
 	if len(members) > 0 || len(notices) > 0 {
 		return members, notices
 	}
--- a/pkg/coordination/member/list.go
+++ b/pkg/coordination/member/list.go
@@ -59,9 +59,9 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		members: map[string]*record{cfg.Self.PeerAddress: {Member: cfg.Self}},
-		changes: newQueue(),
+		changes: newQueue(cfg.Now),
 		seeds:   map[string]bool{},
-		notices: newNotices(cfg.MaxNotices),
+		notices: newNotices(cfg.MaxNotices, cfg.Now),
 	}
 	l.changes.add(cfg.Self.PeerAddress)
 	return l, nil
--- a/pkg/coordination/member/member_test.go
+++ b/pkg/coordination/member/member_test.go
@@ -183,7 +183,7 @@
 // Guards against notices that grow without bound or outlive their time.
 func TestNoticesAreBounded(t *testing.T) {
 	begin := time.Unix(0, 0)
-	n := newNotices(100)
+	n := newNotices(100, func() time.Time { return begin })
 	for i := range 1000 {
 		assert.Assert(t, n.add(protocol.Notice{ID: fmt.Sprint(i), TTLMs: 1000}, begin))
 	}
--- a/pkg/coordination/member/network_test.go
+++ b/pkg/coordination/member/network_test.go
@@ -184,7 +184,7 @@
 	for _, l := range lists {
 		l.adopt(everyone)
 		l.mu.Lock()
-		l.changes = newQueue()
+		l.changes = newQueue(l.cfg.Now)
 		l.synced = wholeLists
 		l.mu.Unlock()
 	}
--- a/pkg/coordination/member/notice.go
+++ b/pkg/coordination/member/notice.go
@@ -39,8 +39,8 @@
 	ends time.Time
 }
 
-func newNotices(limit int) *notices {
-	return &notices{max: limit, known: map[string]*known{}, pending: newQueue(), subscribers: map[int]func(protocol.Notice){}}
+func newNotices(limit int, now func() time.Time) *notices {
+	return &notices{max: limit, known: map[string]*known{}, pending: newQueue(now), subscribers: map[int]func(protocol.Notice){}}
 }
 
 // add stores a notice and reports whether it is new.
@@ -130,8 +130,6 @@
 	for _, notice := range received {
 		if l.notices.add(notice, now) {
 			fresh = append(fresh, notice)
-		} else {
-			l.notices.pending.seen(notice.ID, l.transmitLimit())
 		}
 	}
 	subscribers := make([]func(protocol.Notice), 0, len(l.notices.subscribers))
--- a/pkg/coordination/member/queue.go
+++ b/pkg/coordination/member/queue.go
@@ -1,17 +1,36 @@
 package member
 
-import "math/bits"
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
 
-// staleSlack is the number of superseded items that a queue may hold in
-// addition to as many as it has valid ones.
-const staleSlack = 256
+const (
+	// staleSlack is the number of superseded items that a queue may hold in
+	// addition to as many as it has valid ones.
+	staleSlack = 256
+	// recentTime is the time for which a change also fills the free room of
+	// messages, whatever the number of times it was sent. A member that few
+	// others have for a partner gets it with the replies to its own probes;
+	// without this, one of 700 members missed a notice.
+	recentTime = 5 * time.Second
+)
 
 // queue holds the keys of changes that are still passed on. A change leaves
 // the queue after it was sent a limited number of times.
 type queue struct {
-	valid map[string]*queued
-	tiers [][]*queued // by the number of times sent; the latest is the last
-	held  int         // items in tiers, with superseded ones
+	now    func() time.Time
+	recent []recentChange // oldest first
+	valid  map[string]*queued
+	tiers  [][]*queued // by the number of times sent; the latest is the last
+	held   int         // items in tiers, with superseded ones
+}
+
+// recentChange is a change with the time when it became known.
+type recentChange struct {
+	key string
+	at  time.Time
 }
 
 // queued is one change in the queue. It is superseded if valid does not hold
@@ -21,13 +40,18 @@
 	sent int
 }
 
-func newQueue() *queue { return &queue{valid: map[string]*queued{}} }
+func newQueue(now func() time.Time) *queue {
+	return &queue{now: now, valid: map[string]*queued{}}
+}
 
 // add queues a change, or restarts the count of a queued one.
 func (q *queue) add(key string) {
 	item := &queued{key: key}
 	q.valid[key] = item
 	q.put(item)
+	now := q.now()
+	q.trimRecent(now)
+	q.recent = append(q.recent, recentChange{key: key, at: now})
 	if q.held > 2*len(q.valid)+staleSlack {
 		q.compact()
 	}
@@ -54,7 +78,17 @@
 	}
 }
 
-func (q *queue) remove(key string) { delete(q.valid, key) }
+func (q *queue) remove(key string) {
+	delete(q.valid, key)
+	q.recent = slices.DeleteFunc(q.recent, func(c recentChange) bool { return c.key == key })
+}
+
+// trimRecent drops changes that are no longer recent.
+func (q *queue) trimRecent(now time.Time) {
+	for len(q.recent) > 0 && now.Sub(q.recent[0].at) >= recentTime {
+		q.recent = q.recent[1:]
+	}
+}
 
 func (q *queue) len() int { return len(q.valid) }
 
@@ -87,7 +121,8 @@
 	return nil
 }
 
-// take returns up to n keys for one message.
+// take returns up to n keys for one message: queued changes, and recent ones
+// if there is room.
 func (q *queue) take(n, limit int) []string {
 	var taken []*queued
 	var keys []string
@@ -103,6 +138,12 @@
 		q.put(item)
 		q.seen(item.key, limit)
 	}
+	q.trimRecent(q.now())
+	for i := len(q.recent) - 1; i >= 0 && len(keys) < n; i-- {
+		if !slices.Contains(keys, q.recent[i].key) {
+			keys = append(keys, q.recent[i].key)
+		}
+	}
 	return keys
 }
 
--- a/pkg/transport/peer/client.go
+++ b/pkg/transport/peer/client.go
@@ -15,6 +15,9 @@
 const (
 	// DefaultDialTimeout bounds a connection attempt with its handshake.
 	DefaultDialTimeout = time.Second
+	// DefaultClientIdleTimeout closes connections that are not in use. It
+	// exceeds the longest deadline of a request.
+	DefaultClientIdleTimeout = 2 * time.Minute
 	// DefaultMinBackoff is the wait after the first failed attempt.
 	DefaultMinBackoff = 50 * time.Millisecond
 	// DefaultMaxBackoff bounds the wait after repeated failures.
@@ -45,6 +48,10 @@
 	// WriteTimeout bounds one write. A peer that does not read for this time
 	// loses its connection.
 	WriteTimeout time.Duration
+	// IdleTimeout closes a connection on which nothing was received. It must
+	// exceed the longest call. A shorter time keeps fewer connections and makes
+	// more new ones, each of which sends the gob type descriptions again.
+	IdleTimeout time.Duration
 	// MinBackoff and MaxBackoff bound the wait between failed connection
 	// attempts. Calls in that time fail at once.
 	MinBackoff, MaxBackoff time.Duration
@@ -74,6 +81,9 @@
 	if cfg.WriteTimeout == 0 {
 		cfg.WriteTimeout = DefaultWriteTimeout
 	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = DefaultClientIdleTimeout
+	}
 	if cfg.MinBackoff == 0 {
 		cfg.MinBackoff = DefaultMinBackoff
 	}
--- a/pkg/transport/peer/link.go
+++ b/pkg/transport/peer/link.go
@@ -99,7 +99,7 @@
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "handshake")
 	}
-	conn.writeTimeout = c.cfg.WriteTimeout
+	conn.readTimeout, conn.writeTimeout = c.cfg.IdleTimeout, c.cfg.WriteTimeout
 	return &link{conn: conn, rpc: rpc.NewClient(conn), slots: make(chan struct{}, c.cfg.MaxPending)}, nil
 }
 
