Keep unread answers from other regions within the charged window

With SetReadBuffer(32 KiB) a loopback connection held up to 74,344 unread bytes, above the 65,536 that are charged; with 16 KiB it held up to 58,950.

--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -12,9 +12,10 @@
 	// linkWindowBytes is charged before a request to another region is sent,
 	// because that much of the answer can arrive without being read.
 	linkWindowBytes = 64 << 10
-	// linkReadBuffer is the value given to SetReadBuffer. Linux doubles it, so
-	// that the socket holds at most linkWindowBytes.
-	linkReadBuffer = linkWindowBytes / 2
+	// linkReadBuffer is the value given to SetReadBuffer. Linux doubles it and
+	// may advertise a window of twice the result: a value of 32 KiB held up to
+	// 74,344 unread bytes and 16 KiB up to 58,950 (Linux 6.18, loopback).
+	linkReadBuffer = 16 << 10
 	// linkChunkBytes limits one charge, so that large bodies do not need a
 	// large burst of the link bucket.
 	linkChunkBytes = 16 << 10
@@ -86,8 +87,8 @@
 	c.written, c.writeErr, c.readErr = 0, nil, nil
 	c.headLeft = int64(maxHead)
 	c.head = c.head[:0]
-	if ch == nil {
-		return
+	if ch == nil || c.reused {
+		return // the buffer of a reused connection is set already
 	}
 	if b, ok := c.Conn.(interface{ SetReadBuffer(int) error }); ok {
 		_ = b.SetReadBuffer(linkReadBuffer)
--- /dev/null
+++ b/pkg/transport/target/window_linux_test.go
@@ -0,0 +1,65 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"gotest.tools/v3/assert"
+)
+
+// unread returns the number of received bytes in the socket of c (FIONREAD).
+func unread(c net.Conn) int {
+	const fionread = 0x541b
+	var n int32
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_, _, _ = syscall.Syscall(syscall.SYS_IOCTL, fd, fionread, uintptr(unsafe.Pointer(&n)))
+		})
+	}
+	return int(n)
+}
+
+// Guards against a target in another region that sends more than the charged
+// window while its answer is not read.
+func TestUnreadAnswerStaysWithinTheWindow(t *testing.T) {
+	for _, size := range []int{1, 100, 500, 1400, 4000, 64 << 10} {
+		blocked := make(chan struct{})
+		address := listen(t, func(_ int, c net.Conn) {
+			defer close(blocked)
+			k := &counter{}
+			req, err := k.read(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\nHickory-Request-Id: "+req.Header.Get("Hickory-Request-Id")+"\r\n\r\n")
+			_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+			for piece := make([]byte, size); err == nil; {
+				_, err = c.Write(piece)
+			}
+		})
+		var conn net.Conn
+		client := New(Config{
+			Limiter: &link{capacity: 1 << 30},
+			Dial: func(context.Context, string) (net.Conn, error) {
+				c, err := net.Dial("tcp", address)
+				conn = c
+				return c, err
+			},
+		})
+		r := post(address, "a", "")
+		r.LocalRegion = "local"
+		resp, err := client.Do(context.Background(), r)
+		assert.NilError(t, err)
+		<-blocked
+		assert.Assert(t, unread(conn) <= linkWindowBytes, "pieces of %d bytes: %d unread", size, unread(conn))
+		assert.Assert(t, unread(conn) > 0)
+		assert.NilError(t, resp.Body.Close())
+	}
+}
