--- a/pkg/steering/fakes_test.go
+++ b/pkg/steering/fakes_test.go
@@ -135,6 +135,13 @@
 	pick  func(*SendRequest) sendStep // overrides steps
 }
 
+// set replaces the steps while routers may be sending.
+func (f *fakeSender) set(steps ...sendStep) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.steps = steps
+}
+
 func (f *fakeSender) next(req *SendRequest) sendStep {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/steering/router_test.go
+++ b/pkg/steering/router_test.go
@@ -161,13 +161,17 @@
 	})
 }
 
-// Guards against leaving the preferred region while it has room, and against
-// waiting there while another region reports room.
+// Guards against leaving the preferred region while it has room, against
+// waiting there while another region reports room, and against sending work to
+// a region without headroom, where it would hold slots for round trips.
 func TestRegionOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		res := &regionReserver{fakeReserver: newFakeReserver()}
+		res, elsewhere := &regionReserver{fakeReserver: newFakeReserver()}, 4
 		r := newTestRouter(res, &fakeSender{}, func(c *Config) {
 			c.Regions = func(string) []string { return []string{"r1", "r2"} }
+			c.Owners = func(_, region string) []OwnerInfo {
+				return []OwnerInfo{{Address: region + "a", FreeSlots: elsewhere}, {Address: region + "b", FreeSlots: elsewhere}}
+			}
 		})
 		a, _ := serveOnce(r, false)
 		assert.NilError(t, a.Body.Close())
@@ -179,6 +183,12 @@
 		assert.NilError(t, a.Body.Close())
 		assert.Equal(t, res.lastAsks[len(res.lastAsks)-1].Region, "r2")
 		assert.Assert(t, time.Since(start) < 50*ms)
+		elsewhere = 0
+		time.Sleep(2 * viewMaxAge)
+		asked := len(res.lastAsks)
+		_, p := serveOnce(r, false)
+		assert.Equal(t, p.Outcome, protocol.OutcomeNotRun)
+		assert.Equal(t, len(res.lastAsks), asked)
 	})
 }
 
@@ -259,7 +269,7 @@
 			}
 		}
 		time.Sleep(time.Second)
-		snd.steps = []sendStep{{}}
+		snd.set(sendStep{})
 		a, p := serveOnce(teller.routers[0], false)
 		assert.Assert(t, p == nil, "%v", p)
 		assert.NilError(t, a.Body.Close())
