Bound the receive buffer of connections to other regions before they open

Setting it on the open connection is not enough: the new test saw 69,818 unread bytes with SetReadBuffer(16 KiB), because the window announced at the opening does not shrink. A request whose deadline passed while the process was frozen is no longer written, and metrics take only known services as labels.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -106,6 +106,28 @@
 	})
 }
 
+// frozenConn takes the request and never answers.
+type frozenConn struct{ net.Conn }
+
+func (c frozenConn) Write(p []byte) (int, error) { return len(p), nil }
+
+// Guards against callers that spend their whole time at a frozen VM.
+func TestFrozenEntryIsLeft(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		c := f.client(Config{})
+		defer c.Close()
+		_, e := post(c, "first")
+		assert.Assert(t, e == nil)
+		c.conns.CloseIdle("vm1")
+		f.fault = func(n net.Conn) net.Conn { f.fault = nil; return frozenConn{n} }
+		start := time.Now()
+		a, e := post(c, "b")
+		assert.Assert(t, e == nil, "%v", e)
+		assert.Equal(t, a.Entry, "vm2")
+		assert.Assert(t, time.Since(start) < DefaultTimeout/2+time.Second)
+	})
+}
+
 // Guards against callers that stay with a VM that is about to stop.
 func TestLeavingEntryIsLeft(t *testing.T) {
 	bubble(t, func(t *testing.T, f *fleet) {
--- a/pkg/state/outcome/reply.go
+++ b/pkg/state/outcome/reply.go
@@ -24,6 +24,11 @@
 		"check the effect of the request at the service before taking a new ticket")
 }
 
+func lateReply() protocol.ExecuteReply {
+	return refuse(http.StatusGatewayTimeout, protocol.CodeDeadlinePassed,
+		"the deadline passed before the request was run", "send the request again with a longer deadline")
+}
+
 func reused() protocol.ExecuteReply {
 	return refuse(http.StatusConflict, protocol.CodeTicketReused,
 		"the ticket was used for another request", "take a ticket for each request")
--- a/pkg/state/outcome/table.go
+++ b/pkg/state/outcome/table.go
@@ -183,8 +183,7 @@
 		return refuse(http.StatusServiceUnavailable, protocol.CodeStopping,
 			"the issuer of the ticket is stopping", "take a new ticket from another entry VM"), false
 	case ctx.Err() != nil:
-		return refuse(http.StatusGatewayTimeout, protocol.CodeDeadlinePassed,
-			"the deadline passed before the request was run", "send the request again with a longer deadline"), false
+		return lateReply(), false
 	case isNew && (t.entries.Load() >= int64(t.cfg.MaxEntries) || t.bytes.Load() >= int64(admitShare*float64(t.cfg.MaxBytes))):
 		return refuse(http.StatusServiceUnavailable, protocol.CodeNoRoom,
 			"the table of outcomes is full", "send the request again later or with a ticket of another entry VM"), false
@@ -220,6 +219,9 @@
 // call turns a panic of do into an unknown outcome, since the request may
 // have reached a target.
 func call(ctx context.Context, do RunFunc) (reply protocol.ExecuteReply) {
+	if ctx.Err() != nil { // the process was frozen after the run was admitted
+		return lateReply()
+	}
 	defer func() {
 		if cause := recover(); cause != nil {
 			reply = unknown(http.StatusInternalServerError, protocol.CodeInternal,
--- a/pkg/state/outcome/ticket.go
+++ b/pkg/state/outcome/ticket.go
@@ -25,6 +25,7 @@
 
 import (
 	"crypto/hmac"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -101,7 +102,7 @@
 type IssuerConfig struct {
 	Address     string        // peer address of this VM
 	Incarnation uint64        // identifies this process
-	Secret      []byte        // MAC key; a random one per incarnation, at least 16 bytes
+	Secret      []byte        // MAC key; nil makes a random one, which suits all but tests
 	Lifetime    time.Duration // default DefaultLifetime
 	Now         func() time.Time
 }
@@ -121,6 +122,10 @@
 	if cfg.Lifetime <= 0 {
 		cfg.Lifetime = DefaultLifetime
 	}
+	if cfg.Secret == nil {
+		cfg.Secret = make([]byte, sha256.Size)
+		_, _ = rand.Read(cfg.Secret) // never fails
+	}
 	return &Issuer{cfg: cfg, start: cfg.Now()}
 }
 
--- a/pkg/transport/callerhttp/handler.go
+++ b/pkg/transport/callerhttp/handler.go
@@ -110,10 +110,13 @@
 		p.RequestID = x.id
 		outcome, code = p.Outcome, string(p.Code)
 		if p.Code == protocol.CodeUnknownService {
-			x.service = "" // keeps callers from creating series
+			x.service = ""
 		}
 		writeProblem(x.w, &p)
 	}
+	if s.cfg.KnownService != nil && !s.cfg.KnownService(x.service) {
+		x.service = ""
+	}
 	s.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf(
 		"hickory_requests_total{service=%q,outcome=%q,code=%q}", x.service, outcome, code)).Inc()
 	s.cfg.Metrics.GetOrCreateHistogram(fmt.Sprintf(
@@ -210,6 +213,9 @@
 	if problem != nil {
 		return problem
 	}
+	if answer.Body == nil {
+		answer.Body = http.NoBody
+	}
 	defer answer.Body.Close()
 	return s.writeAnswer(x, answer)
 }
--- a/pkg/transport/callerhttp/server.go
+++ b/pkg/transport/callerhttp/server.go
@@ -45,6 +45,10 @@
 	Log       *eventlog.Logger
 	Metrics   *metrics.Set  // nil makes a private set
 	NewID     func() string // makes request ids; nil makes random ones
+	// KnownService tells which names may become labels of metrics, so that
+	// callers cannot create series. Nil accepts all names that are not answered
+	// with unknown_service.
+	KnownService func(service string) bool
 
 	// MaxHeaderBytes limits the request line and headers of a request.
 	MaxHeaderBytes int
--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -12,10 +13,6 @@
 	// linkWindowBytes is charged before a request to another region is sent,
 	// because that much of the answer can arrive without being read.
 	linkWindowBytes = 64 << 10
-	// linkReadBuffer is the value given to SetReadBuffer. Linux doubles it and
-	// may advertise a window of twice the result: a value of 32 KiB held up to
-	// 74,344 unread bytes and 16 KiB up to 58,950 (Linux 6.18, loopback).
-	linkReadBuffer = 16 << 10
 	// linkChunkBytes limits one charge, so that large bodies do not need a
 	// large burst of the link bucket.
 	linkChunkBytes = 16 << 10
@@ -67,7 +64,8 @@
 	charge   *charge // nil for targets in the region of this VM
 	headLeft int64   // bytes left for the head of the answer; negative for no limit
 	head     []byte  // bytes read while the head of the answer is limited
-	readErr  error   // last error of the socket or the limiter while reading
+	deadline time.Time
+	readErr  error // last error of the socket or the limiter while reading
 	idle     *idleWatch
 
 	writeMu  sync.Mutex // held during each write
@@ -87,18 +85,19 @@
 	c.written, c.writeErr, c.readErr = 0, nil, nil
 	c.headLeft = int64(maxHead)
 	c.head = c.head[:0]
-	if ch == nil || c.reused {
-		return // the buffer of a reused connection is set already
-	}
-	if b, ok := c.Conn.(interface{ SetReadBuffer(int) error }); ok {
-		_ = b.SetReadBuffer(linkReadBuffer)
-	}
+	c.deadline = time.Time{}
 }
 
 // send writes p and counts what the socket accepted.
 func (c *conn) send(p []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
+	// The process may have been frozen since the deadline was checked, and the
+	// timer of the connection may not have run yet.
+	if c.written == 0 && !c.deadline.IsZero() && !time.Now().Before(c.deadline) {
+		c.writeErr = os.ErrDeadlineExceeded
+		return 0, c.writeErr
+	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
 	if err != nil && c.writeErr == nil {
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -80,7 +80,11 @@
 	}
 	cn := c.pool.takeIdle(address)
 	if cn == nil {
-		nc, err := c.cfg.Dial(ctx, address)
+		dial := c.cfg.Dial
+		if r.LocalRegion != r.Target.Region {
+			dial = c.cfg.LinkDial
+		}
+		nc, err := dial(ctx, address)
 		if err != nil {
 			c.pool.exit(address, nil, false)
 			return nil, unsent(ctx, err, KindDial)
@@ -112,6 +116,7 @@
 // run writes the request and reads the head of the answer.
 func (x *exchange) run(hr *http.Request) (*Response, *Failure) {
 	if end, ok := x.ctx.Deadline(); ok {
+		x.conn.deadline = end
 		_ = x.conn.SetDeadline(end)
 	}
 	x.stopCancel = context.AfterFunc(x.ctx, func() { _ = x.conn.Close() })
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -66,6 +66,10 @@
 	// Dial opens a connection to address. The Write method of the connection
 	// must report exactly how many bytes it accepted.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// LinkDial opens a connection to a target in another region. It must bound
+	// the receive buffer before it connects, as DialLink does. Nil uses Dial if
+	// that is set, and DialLink otherwise.
+	LinkDial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxIdlePerTarget limits the idle connections kept for one target. More
 	// save dials (about 1 ms each) and hold more file descriptors.
 	MaxIdlePerTarget int
@@ -90,6 +94,12 @@
 }
 
 func (c Config) withDefaults() Config {
+	if c.LinkDial == nil {
+		c.LinkDial = c.Dial
+	}
+	if c.LinkDial == nil {
+		c.LinkDial = DialLink
+	}
 	if c.Dial == nil {
 		var dialer net.Dialer
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
--- a/pkg/transport/target/window_linux_test.go
+++ b/pkg/transport/target/window_linux_test.go
@@ -47,8 +47,8 @@
 		var conn net.Conn
 		client := New(Config{
 			Limiter: &link{capacity: 1 << 30},
-			Dial: func(context.Context, string) (net.Conn, error) {
-				c, err := net.Dial("tcp", address)
+			LinkDial: func(ctx context.Context, address string) (net.Conn, error) {
+				c, err := DialLink(ctx, address)
 				conn = c
 				return c, err
 			},
