Read back the text of a change whose write reply was lost

Cause: with every write reply of the platform lost, an edit ended after 10 s as not accepted: the text of the change was written again and again, and the reply that would have shown it was lost each time. Ruled out: the head, which was read back already. Conclusion: a lost reply is resolved by reading, never by writing again.

--- a/pkg/coordination/config/propose.go
+++ b/pkg/coordination/config/propose.go
@@ -88,6 +88,9 @@
 // prepare reads the head, and makes and checks the new document. It returns a
 // revision if the change needs no write.
 func (m *Manager) prepare(ctx context.Context, p *proposal) (int64, error) {
+	if revision, ok := m.accepted(p.RequestID, platform.Entry{}); ok {
+		return revision, nil
+	}
 	head, err := m.readHead(ctx)
 	if err != nil {
 		return 0, &PlatformError{"reading the settings", err}
@@ -198,6 +201,9 @@
 		case definite(err):
 			return &PlatformError{"writing the text of the change", err}
 		}
+		if m.textIsStored(ctx, key, p.value) {
+			return nil
+		}
 		sleep(ctx, jitterless(err))
 		if ctx.Err() != nil {
 			return &PlatformError{"writing the text of the change", ctx.Err()}
@@ -205,6 +211,13 @@
 	}
 }
 
+// textIsStored reads back a write whose reply was lost. Writing again does not
+// tell, because that reply may be lost too.
+func (m *Manager) textIsStored(ctx context.Context, key string, value []byte) bool {
+	entry, err := m.config.Store.Get(ctx, key)
+	return err == nil && bytes.Equal(entry.Value, value)
+}
+
 // jitterless returns the pause after a failed write: none after a conflict.
 func jitterless(err error) time.Duration {
 	var conflict *platform.ConflictError
