Add scripted proofs over real processes

Cause: the promises need evidence under kills, freezes and platform faults. Conclusion: at most once, settings, drain, planned stop, poison request and platform outage are scripted.

--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -91,7 +91,7 @@
 
 func waitServing(ts *testscript.TestScript, n int) {
 	url := "http://" + ts.Getenv(fmt.Sprintf("caller%d", n)) + "/v1/services/desk/ready"
-	poll(ts, readyTime, regexp.MustCompile(`(?m)^outcome: answered$`), func() string { return send("GET", url, "", "") })
+	poll(ts, readyTime, regexp.MustCompile(`(?m)^outcome: answered$`), func() string { return send("GET", url, "", "", "") })
 }
 
 func poll(ts *testscript.TestScript, limit time.Duration, want *regexp.Regexp, get func() string) string {
@@ -153,10 +153,10 @@
 	}
 }
 
-// requestArgs reads METHOD URL [TICKET [BODY]].
-func requestArgs(args []string) (method, url, ticket, body string) {
-	args = append(slices.Clone(args), "", "", "", "")
-	return args[0], args[1], args[2], args[3]
+// requestArgs reads METHOD URL [TICKET [BODY [DEADLINE_MS]]].
+func requestArgs(args []string) (method, url, ticket, body, deadlineMs string) {
+	args = append(slices.Clone(args), "", "", "", "", "")
+	return args[0], args[1], args[2], args[3], args[4]
 }
 
 // cmdRequest sends a request and prints the answer for stdout to match.
@@ -166,7 +166,7 @@
 
 // cmdEventually repeats a request until its answer matches:
 //
-//	eventually DURATION PATTERN METHOD URL [TICKET [BODY]]
+//	eventually DURATION PATTERN METHOD URL [TICKET [BODY [DEADLINE_MS]]]
 func cmdEventually(ts *testscript.TestScript, _ bool, args []string) {
 	limit, err := time.ParseDuration(args[0])
 	ts.Check(err)
--- /dev/null
+++ b/test/scenario/counters_test.go
@@ -0,0 +1,83 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// counts reads the request counters of a target.
+func counts(ts *testscript.TestScript, address string) (runs, crashes int) {
+	resp, err := client.Get("http://" + address + "/control/runs")
+	ts.Check(err)
+	defer resp.Body.Close()
+	var document struct {
+		Counts struct{ Runs, Crashes int }
+	}
+	ts.Check(json.NewDecoder(resp.Body).Decode(&document))
+	return document.Counts.Runs, document.Counts.Crashes
+}
+
+// cmdCountRuns stores the number of runs of a target: countruns VARIABLE N.
+func cmdCountRuns(ts *testscript.TestScript, _ bool, args []string) {
+	runs, _ := counts(ts, systemOf(ts).targets[number(ts, args[1])-1])
+	ts.Setenv(args[0], strconv.Itoa(runs))
+}
+
+// cmdSame compares two variables: same A B.
+func cmdSame(ts *testscript.TestScript, _ bool, args []string) {
+	if a, b := ts.Getenv(args[0]), ts.Getenv(args[1]); a != b {
+		ts.Fatalf("%s is %s but %s is %s", args[0], a, args[1], b)
+	}
+}
+
+// cmdLoad sends requests to entry VMs in turn: load N CALLER...
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	for i := range number(ts, args[0]) {
+		address := args[1+i%(len(args)-1)]
+		got := send("GET", "http://"+address+"/v1/services/desk/load", "", "", "")
+		if !strings.Contains(got, "outcome: answered") {
+			ts.Fatalf("request %d: %s", i, got)
+		}
+	}
+}
+
+// cmdCrashes checks that the targets crashed MAX times at most, and at least
+// once: crashes MAX.
+func cmdCrashes(ts *testscript.TestScript, _ bool, args []string) {
+	total := 0
+	for _, address := range systemOf(ts).targets {
+		_, crashes := counts(ts, address)
+		total += crashes
+	}
+	if total < 1 || total > number(ts, args[0]) {
+		ts.Fatalf("the targets crashed %d times, want 1 to %s", total, args[0])
+	}
+}
+
+// cmdRevision stores the revision in the JSON on standard output.
+func cmdRevision(ts *testscript.TestScript, _ bool, args []string) {
+	var document struct{ Revision int64 }
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile("stdout")), &document))
+	ts.Setenv(args[0], strconv.FormatInt(document.Revision, 10))
+}
+
+// cmdWriteTree writes a tree with rules for sask/desk: writetree FILE RULES.
+func cmdWriteTree(ts *testscript.TestScript, _ bool, args []string) {
+	text := tree([]string{"sask"}, systemOf(ts).targets, 4)
+	rules := fmt.Sprintf("      desk:\n        rules: {%s}\n", args[1])
+	text = strings.Replace(text, "      desk:\n", rules, 1)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+}
+
+// cmdLeaveVM marks a target's VM as leaving in the VM list: leavevm N.
+func cmdLeaveVM(ts *testscript.TestScript, _ bool, args []string) {
+	s := systemOf(ts)
+	address := s.targets[number(ts, args[0])-1]
+	body := fmt.Sprintf(`{"address":%q,"zone":"sask-a","state":"leaving"}`, address)
+	control(ts, s.platform, "/control/vms", body)
+}
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -54,6 +54,13 @@
 			"target":     cmdTarget,
 			"putsetting": cmdPutSetting,
 			"sleep":      cmdSleep,
+			"revision":   cmdRevision,
+			"writetree":  cmdWriteTree,
+			"countruns":  cmdCountRuns,
+			"same":       cmdSame,
+			"load":       cmdLoad,
+			"crashes":    cmdCrashes,
+			"leavevm":    cmdLeaveVM,
 		},
 	})
 }
--- a/test/scenario/system_test.go
+++ b/test/scenario/system_test.go
@@ -117,7 +117,7 @@
 }
 
 // send sends one request and returns its status, outcome and body as text.
-func send(method, url, ticket, body string) string {
+func send(method, url, ticket, body, deadlineMs string) string {
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return "error: " + err.Error()
@@ -126,6 +126,9 @@
 		// A canonical Idempotency-Key would let the client resend by itself.
 		req.Header["idempotency-key"] = []string{ticket}
 	}
+	if deadlineMs != "" {
+		req.Header.Set("Hickory-Deadline-Ms", deadlineMs)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return "error: " + err.Error()
