--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -67,8 +67,8 @@
 		assert.Assert(t, e == nil, "%v", e)
 		assert.Equal(t, a.Entry, "vm2")
 		dials := len(f.dials)
-		_, e = post(c, "a2")
-		assert.Assert(t, e == nil)
+		_, err := c.Do(context.Background(), "hold-svc", "GET", "/holds", nil)
+		assert.NilError(t, err)
 		assert.Equal(t, len(f.dials), dials, "vm1 is avoided")
 		f.setDown("vm2", true) // holds the unused tickets
 		c.conns.CloseIdle("vm2")
@@ -85,7 +85,7 @@
 		assert.Equal(t, e.Outcome, protocol.OutcomeUnknown)
 		assert.Assert(t, e.Ticket != "")
 		f.setDown("vm3", false)
-		a, err := c.Send(context.Background(), &Request{Service: "hold-svc", Method: "POST", Path: "/holds", Body: []byte("b"), Ticket: e.Ticket})
+		a, err = c.Send(context.Background(), &Request{Service: "hold-svc", Method: "POST", Path: "/holds", Body: []byte("b"), Ticket: e.Ticket})
 		assert.NilError(t, err)
 		assert.Equal(t, string(a.Body), "answer to b")
 		assert.Equal(t, f.runs["b"], 1)
@@ -110,6 +110,22 @@
 	})
 }
 
+// Guards against tickets of an entry VM that is no longer listed.
+func TestTicketsOfUnlistedIssuersAreDropped(t *testing.T) {
+	bubble(t, func(t *testing.T, f *fleet) {
+		c := f.client(Config{Entries: []string{"vm2"}})
+		defer c.Close()
+		a, e := post(c, "a")
+		assert.Assert(t, e == nil)
+		assert.Equal(t, a.Entry, "vm1")
+		f.order = []string{"vm2", "vm3"}
+		time.Sleep(6 * time.Second)
+		a, e = post(c, "b")
+		assert.Assert(t, e == nil)
+		assert.Equal(t, a.Entry, "vm2")
+	})
+}
+
 // frozenConn takes the request and never answers.
 type frozenConn struct{ net.Conn }
 
