--- a/pkg/transport/target/pool_test.go
+++ b/pkg/transport/target/pool_test.go
@@ -165,8 +165,8 @@
 	}{
 		{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true, false},
 		{"HTTP/1.1 200 OK\r\nHickory-Draining: true\r\nContent-Length: 0\r\n\r\n", true, true},
-		{"HTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\n{\"status\":\"starting\"}", false, false},
-		{"HTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\n{\"status\":\"draining\"}", true, true},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{\"state\":\"starting\"}", false, false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{\"state\":\"draining\"}", true, true},
 		{"HTTP/1.1 503 X\r\nHickory-Not-Run: true\r\nContent-Length: 0\r\n\r\n", false, false},
 		{"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", false, false},
 	} {
@@ -179,7 +179,7 @@
 	p := &Prober{Client: pipeClient(Config{}, answers("HTTP/1.1 200 OK\r\nContent-Length: 27\r\n\r\n{\"in_flight\":2,\"slots\":3,\"x\""))}
 	_, err := p.Load(context.Background(), protocol.TargetRef{Address: "target"})
 	assert.ErrorIs(t, err, ErrLoadReport)
-	report, err := ParseLoadReport([]byte(`{"in_flight":2,"slots":3,"queue_length":1,"draining":true,"more":[]}`))
+	report, err := ParseLoadReport([]byte(`{"in_flight":2,"slots":3,"queue":1,"draining":true,"more":[]}`))
 	assert.NilError(t, err)
 	assert.Equal(t, report, LoadReport{InFlight: 2, Slots: 3, QueueLength: 1, Draining: true})
 }
@@ -187,7 +187,7 @@
 // FuzzLoadReport guards against reports that crash the parser or pass with
 // counts out of range.
 func FuzzLoadReport(f *testing.F) {
-	f.Add([]byte(`{"in_flight":2,"slots":3,"queue_length":1}`))
+	f.Add([]byte(`{"in_flight":2,"slots":3,"queue":1}`))
 	f.Add([]byte(`{"in_flight":-2}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		r, err := ParseLoadReport(body)
--- a/pkg/transport/target/probe.go
+++ b/pkg/transport/target/probe.go
@@ -24,7 +24,7 @@
 type LoadReport struct {
 	InFlight    int  `json:"in_flight"`
 	Slots       int  `json:"slots"`
-	QueueLength int  `json:"queue_length"`
+	QueueLength int  `json:"queue"`
 	Draining    bool `json:"draining"`
 }
 
@@ -72,11 +72,11 @@
 	h := Health{Status: resp.Status, Draining: resp.Draining, Latency: time.Since(start)}
 	h.Healthy = resp.Status >= 200 && resp.Status <= 299
 	var report struct {
-		Status string `json:"status"`
+		State string `json:"state"`
 	}
 	if json.Unmarshal(body, &report) == nil {
-		h.Draining = h.Draining || report.Status == "draining"
-		h.Healthy = h.Healthy && report.Status != "starting"
+		h.Draining = h.Draining || report.State == "draining"
+		h.Healthy = h.Healthy && report.State != "starting"
 	}
 	return h, nil
 }
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -23,14 +23,14 @@
 // GET /healthz answers any 2xx status while the target accepts work. The
 // optional JSON body has one field:
 //
-//	status  string  "ok", "starting" or "draining"
+//	state  string  "ready", "starting" or "draining"
 //
 // GET /load answers status 200 with a JSON object of these fields:
 //
-//	in_flight     integer  requests that run now
-//	slots         integer  requests that the target can run at once
-//	queue_length  integer  requests that wait inside the target
-//	draining      boolean  the target is leaving
+//	in_flight  integer  requests that run now
+//	slots      integer  requests that the target can run at once
+//	queue      integer  requests that wait inside the target
+//	draining   boolean  the target is leaving
 //
 // Unknown fields are ignored and missing fields are zero.
 package target
