--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"hickoryroute/pkg/eventlog"
@@ -42,7 +41,7 @@
 func (ra *race) startHedge(ctx context.Context, region string) *attempt {
 	a := &attempt{race: ra, hedge: true, skipped: true}
 	ctx, a.cancel = context.WithCancel(ctx)
-	exclude := slices.Clone(ra.call.tried)
+	exclude := ra.call.state.slow.with(ra.call.tried, ra.router.cfg.Now())
 	go a.runHedge(ctx, region, exclude)
 	return a
 }
--- a/pkg/steering/hedge.go
+++ b/pkg/steering/hedge.go
@@ -11,6 +11,9 @@
 	// minHedgeDelay keeps hedges away from fast services, where a second
 	// request costs more than it saves.
 	minHedgeDelay = 10 * time.Millisecond
+	// hedgeAgain is the pause after a hedge found no free slot. Slots come free
+	// every few milliseconds in a busy region.
+	hedgeAgain = 10 * time.Millisecond
 	// hedgeWindow is the width of the sliding window of the hedge budget.
 	hedgeWindow = 10 * time.Second
 	// hedgeCells divides the window.
--- a/pkg/steering/latency.go
+++ b/pkg/steering/latency.go
@@ -26,34 +26,30 @@
 	otherClass = "\x00other"
 )
 
-// latencyTracker keeps sliding latency quantiles of a service and its classes.
+// latencyTracker keeps sliding latency quantiles of the classes of a service.
 type latencyTracker struct {
 	mu      sync.Mutex
-	all     *slidingHistogram
 	classes map[string]*slidingHistogram
 }
 
 func newLatencyTracker() *latencyTracker {
-	return &latencyTracker{all: &slidingHistogram{}, classes: map[string]*slidingHistogram{}}
+	return &latencyTracker{classes: map[string]*slidingHistogram{}}
 }
 
 // record adds a sample.
 func (t *latencyTracker) record(class string, d time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.all.record(d, now)
 	t.class(class).record(d, now)
 }
 
-// quantile returns the quantile q of class, or of the whole service while the
-// class has too few samples.
+// quantile returns the quantile q of class. It is not known while the class has
+// too few samples: judged by the latency of other classes, rare long work would
+// look slow, and a hedge would double the longest work of a service.
 func (t *latencyTracker) quantile(class string, q float64, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if d, ok := t.class(class).quantile(q, now); ok {
-		return d, true
-	}
-	return t.all.quantile(q, now)
+	return t.class(class).quantile(q, now)
 }
 
 func (t *latencyTracker) class(name string) *slidingHistogram {
--- a/pkg/steering/owners.go
+++ b/pkg/steering/owners.go
@@ -27,7 +27,7 @@
 
 type ownerView struct {
 	free        int
-	peak        int // highest free count seen, a sign of the owner's size
+	peak        int // highest free count seen, a sign of the owner's slots
 	at          time.Time
 	unreachable bool
 }
@@ -77,7 +77,11 @@
 		if view.unreachable && age < unreachableMemory {
 			continue
 		}
-		c := candidate{address: o.Address, free: o.FreeSlots, peak: max(view.peak, o.FreeSlots)}
+		if o.FreeSlots > view.peak && len(v.views) < maxViews {
+			view.peak = o.FreeSlots
+			v.views[o.Address] = view
+		}
+		c := candidate{address: o.Address, free: o.FreeSlots, peak: view.peak}
 		if age < viewMaxAge && o.Address != self {
 			c.free = view.free
 			c.full = view.free == 0 && age < fullMemory
--- a/pkg/steering/race.go
+++ b/pkg/steering/race.go
@@ -23,6 +23,8 @@
 	attempts := []*attempt{ra.start(ctx, g)}
 	timer, stop := ra.hedgeTimer()
 	defer stop()
+	slow, stopSlow := ra.slowTimer()
+	defer stopSlow()
 	for running := 1; running > 0; {
 		select {
 		case a := <-ra.ended:
@@ -32,6 +34,12 @@
 				return a
 			}
 			c.note(a)
+			if a.skipped && running > 0 {
+				timer = time.After(hedgeAgain)
+			}
+		case <-slow:
+			slow = nil
+			c.state.slow.mark(g.reply.Target.Name, r.cfg.Now())
 		case <-timer:
 			timer = nil
 			if r.mayHedge(c) {
--- a/pkg/steering/reserve.go
+++ b/pkg/steering/reserve.go
@@ -22,9 +22,15 @@
 	// maxWaitSlice bounds one stay in a queue, so that room that opens
 	// elsewhere is found.
 	maxWaitSlice = time.Second
-	// DefaultLocalPatience is half a round trip between regions, the time
-	// that a request loses anyway when it leaves its region.
-	DefaultLocalPatience = 20 * time.Millisecond
+	// DefaultLocalPatience is the longest first stay in a queue: a round trip between regions, the time that a
+	// request loses anyway when it leaves its region.
+	DefaultLocalPatience = 40 * time.Millisecond
+	// headroomPercent is the share of a region's slots that must be free for
+	// requests of other regions to go there. A slot that is used from another
+	// region is held for two more round trips, several times a short run time.
+	// Without headroom, regions that are briefly full send each other work and
+	// hold all slots while most targets are idle.
+	headroomPercent = 20
 )
 
 // grant is a reservation held by this VM.
@@ -60,7 +66,9 @@
 }
 
 // reserve obtains a slot: a free one in the preferred region, a place in a
-// queue there, then the same in the other regions.
+// queue there, or a free one in another region with headroom. A request does
+// not queue in another region, since its wait there would not be shorter for
+// it and longer for the requests of that region.
 func (r *Router) reserve(ctx context.Context, c *call) (*grant, *protocol.Problem) {
 	start := r.cfg.Now()
 	defer func() { r.metrics.reserveWait.Update(r.cfg.Now().Sub(start).Seconds()) }()
@@ -82,36 +90,50 @@
 	}
 }
 
-// reserveRound tries all regions once. queued tells that the request stayed in
-// a queue for its whole slice, so another round is worthwhile.
+// reserveRound tries all regions once. Targets that this VM knows to be slow
+// are passed over while a fast one has room or comes free soon. queued tells
+// that the request stayed in a queue, so another round is worthwhile.
 func (r *Router) reserveRound(ctx context.Context, c *call, regions []string, round int) (g *grant, queued bool) {
-	local, remote := regions[0], regions[1:]
-	if g = r.askFree(ctx, c, local); g != nil {
+	local, remote := regions[0], r.withHeadroom(c, regions[1:])
+	fast := c.state.slow.with(c.tried, r.cfg.Now())
+	if g = r.askFree(ctx, c, local, fast); g != nil {
 		return g, true
 	}
-	wait := maxWaitSlice
-	if round == 0 && r.knownFree(c, remote) {
-		wait = r.cfg.LocalPatience
-	}
-	if g, queued = r.askQueues(ctx, c, local, wait); g != nil {
+	if g, queued = r.askQueues(ctx, c, local, fast, r.waitSlice(c, round)); g != nil {
 		return g, true
 	}
-	for _, region := range remote {
-		if g = r.askFree(ctx, c, region); g != nil {
+	if len(fast) > len(c.tried) {
+		if g = r.askFree(ctx, c, local, c.tried); g != nil {
 			return g, true
 		}
 	}
 	for _, region := range remote {
-		if queued {
-			break
-		}
-		if g, queued = r.askQueues(ctx, c, region, maxWaitSlice); g != nil {
+		if g = r.askFree(ctx, c, region, fast); g != nil {
 			return g, true
 		}
 	}
+	if !queued && len(fast) > len(c.tried) {
+		return r.askQueues(ctx, c, local, c.tried, r.waitSlice(c, round))
+	}
 	return nil, queued
 }
 
+// waitSlice returns the stay in one owner's queue: about the time in which a
+// slot comes free, then twice as long in each round. An owner whose targets
+// are slow is thus left soon, and the number of asks stays low in overload.
+func (r *Router) waitSlice(c *call, round int) time.Duration {
+	slice := r.cfg.LocalPatience
+	if median, ok := c.state.latency.quantile(c.class, 0.5, r.cfg.Now()); ok {
+		slice = min(slice, max(median, minHedgeDelay))
+	}
+	return min(slice<<min(round, 10), maxWaitSlice)
+}
+
+// withHeadroom returns the regions that take work of other regions.
+func (r *Router) withHeadroom(c *call, regions []string) []string {
+	return slices.DeleteFunc(slices.Clone(regions), func(region string) bool { return !r.hasHeadroom(c, region) })
+}
+
 // openRegions returns the regions with owners that may be used for c.
 func (r *Router) openRegions(c *call) []string {
 	var open []string
@@ -138,26 +160,25 @@
 	return c.state.free.candidates(owners, r.cfg.Self, r.cfg.Now())
 }
 
-// knownFree tells whether an owner in one of the regions reports free slots.
-func (r *Router) knownFree(c *call, regions []string) bool {
-	for _, region := range regions {
-		for _, o := range r.candidates(c, region) {
-			if o.free > 0 {
-				return true
-			}
-		}
+// hasHeadroom tells whether the owners in a region report enough free slots
+// for work of other regions.
+func (r *Router) hasHeadroom(c *call, region string) bool {
+	free, slots := 0, 0
+	for _, o := range r.candidates(c, region) {
+		free += o.free
+		slots += o.peak
 	}
-	return false
+	return free > 0 && free*100 >= slots*headroomPercent
 }
 
 // askFree asks this VM and then up to maxFullOwners others for a free slot.
-func (r *Router) askFree(ctx context.Context, c *call, region string) *grant {
+func (r *Router) askFree(ctx context.Context, c *call, region string, exclude []string) *grant {
 	list := r.candidates(c, region)
 	if i := slices.IndexFunc(list, func(o candidate) bool { return o.address == r.cfg.Self }); i >= 0 {
 		own := list[i]
 		list = slices.Delete(list, i, i+1)
 		if own.free > 0 {
-			if g, _ := r.ask(ctx, c, own.address, region, c.tried, 0); g != nil {
+			if g, _ := r.ask(ctx, c, own.address, region, exclude, 0); g != nil {
 				return g
 			}
 		}
@@ -168,7 +189,7 @@
 		if !ok || ctx.Err() != nil {
 			return nil
 		}
-		if g, _ := r.ask(ctx, c, o.address, region, c.tried, 0); g != nil {
+		if g, _ := r.ask(ctx, c, o.address, region, exclude, 0); g != nil {
 			return g
 		}
 	}
@@ -178,7 +199,7 @@
 // askQueues waits in the queue of one owner. An owner whose queue is full
 // answers at once, and another is asked. It reports whether the request stayed
 // in a queue.
-func (r *Router) askQueues(ctx context.Context, c *call, region string, wait time.Duration) (*grant, bool) {
+func (r *Router) askQueues(ctx context.Context, c *call, region string, exclude []string, wait time.Duration) (*grant, bool) {
 	list := r.candidates(c, region)
 	for range maxQueueOwners {
 		o, ok := pickTwo(&list, sizeWeight, r.cfg.Rand)
@@ -190,7 +211,7 @@
 			return nil, false
 		}
 		start := r.cfg.Now()
-		g, answered := r.ask(ctx, c, o.address, region, c.tried, slice)
+		g, answered := r.ask(ctx, c, o.address, region, exclude, slice)
 		if g != nil {
 			return g, true
 		}
--- a/pkg/steering/router.go
+++ b/pkg/steering/router.go
@@ -88,10 +88,9 @@
 	// TargetLeaving is called when an answer shows that a target drains; nil
 	// ignores the sign. It does not block.
 	TargetLeaving func(target string)
-	// LocalPatience is the longest time that a request queues in its preferred
-	// region while another region reports free slots. A longer time saves link
-	// capacity and delays requests in a full region. 0 means
-	// DefaultLocalPatience.
+	// LocalPatience is the longest first stay in a queue of the preferred
+	// region before other regions are asked. A longer time saves link capacity
+	// and delays requests in a full region. 0 means DefaultLocalPatience.
 	LocalPatience time.Duration
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
@@ -144,6 +143,7 @@
 	hedges  *hedgeBudget
 	retries *retryBudget
 	free    *freeView
+	slow    *slowTable
 }
 
 // New returns a Router.
@@ -185,6 +185,7 @@
 			hedges:  &hedgeBudget{},
 			retries: newRetryBudget(),
 			free:    newFreeView(),
+			slow:    newSlowTable(),
 		}
 		r.services[service] = s
 	}
