--- a/pkg/steering/lookup/answer.go
+++ b/pkg/steering/lookup/answer.go
@@ -1,10 +1,7 @@
 package lookup
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -33,7 +30,38 @@
 	spread float64
 }
 
-var rankPool = sync.Pool{New: func() any { return new([]ranked) }}
+// before orders members by tier, then by spread.
+func (r *ranked) before(o *ranked) bool {
+	if r.tier != o.tier {
+		return r.tier < o.tier
+	}
+	if r.spread != o.spread {
+		return r.spread < o.spread
+	}
+	return r.member.CallerAddress < o.member.CallerAddress
+}
+
+// ranking holds the first members in order. Only those are sorted, because a
+// full sort of 700 members takes most of the time of a look-up.
+type ranking struct {
+	list [MaxEntries]ranked
+	n    int
+}
+
+// add inserts a member at its place and drops the last one when full.
+func (k *ranking) add(r ranked) {
+	if k.n == MaxEntries && !r.before(&k.list[k.n-1]) {
+		return
+	}
+	if k.n < MaxEntries {
+		k.n++
+	}
+	i := k.n - 1
+	for ; i > 0 && r.before(&k.list[i-1]); i-- {
+		k.list[i] = k.list[i-1]
+	}
+	k.list[i] = r
+}
 
 // Answer returns the entry VMs for a client in order of preference: those in
 // the caller's zone, in its region, then in the regions of the client's block.
@@ -46,9 +74,7 @@
 	block, order := t.block(client)
 	key := spreadKey(service, block)
 	tiers := newTiers(service, key, zone, order, members, rules)
-	scratch := rankPool.Get().(*[]ranked)
-	defer rankPool.Put(scratch)
-	list := (*scratch)[:0]
+	var first ranking
 	for i := range members {
 		m := &members[i]
 		if !usable(m) {
@@ -58,17 +84,12 @@
 		if weight == 0 {
 			continue
 		}
-		list = append(list, ranked{member: m, tier: tier, spread: spread(key, m.CallerAddress)})
+		first.add(ranked{member: m, tier: tier, spread: spread(key, m.CallerAddress)})
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.spread, b.spread), cmp.Compare(a.member.CallerAddress, b.member.CallerAddress))
-	})
-	entries := make([]Entry, 0, min(len(list), MaxEntries))
-	for _, r := range list[:min(len(list), MaxEntries)] {
+	entries := make([]Entry, 0, first.n)
+	for _, r := range first.list[:first.n] {
 		entries = append(entries, Entry{Address: r.member.CallerAddress, Zone: r.member.Zone, Region: r.member.Region})
 	}
-	clear(list)
-	*scratch = list[:0]
 	return entries
 }
 
