--- a/pkg/coordination/config/apply.go
+++ b/pkg/coordination/config/apply.go
@@ -12,26 +12,33 @@
 // than the current one. A document that is not valid is kept out, recorded as
 // the fault of Current and returned as an error.
 func (m *Manager) Apply(revision int64, document []byte) error {
+	applied, err := m.apply(revision, document)
+	if applied {
+		m.config.Peers.Announce(revision)
+	}
+	return err
+}
+
+func (m *Manager) apply(revision int64, document []byte) (bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.Current()
 	if revision <= old.Revision {
-		return nil
+		return false, nil
 	}
 	if old.Fault != nil && old.Fault.Revision == revision {
-		return old.Fault.Err
+		return false, old.Fault.Err
 	}
 	d, tree, err := read(document)
 	if err != nil {
 		m.keepOut(old, revision, d, err)
-		return err
+		return false, err
 	}
 	next := m.snapshot(old, revision, d, tree, document)
 	m.remember(revision, d)
 	m.publish(next)
 	m.logApplied(next)
-	m.config.Peers.Announce(revision)
-	return nil
+	return true, nil
 }
 
 func read(document []byte) (*settings.Document, *settings.Tree, error) {
--- a/pkg/coordination/config/errors.go
+++ b/pkg/coordination/config/errors.go
@@ -21,12 +21,16 @@
 	if author == "" {
 		author = "an unattributed write"
 	}
+	paths := strings.Join(c.Paths, ", ")
+	if paths == "" {
+		paths = "an unknown set of paths"
+	}
 	return fmt.Sprintf("revision %d by %s (%s) replaced revision %d and changed %s; read the settings again and repeat the change on top of it",
-		c.Revision, author, c.Reason, c.Base, strings.Join(c.Paths, ", "))
+		c.Revision, author, c.Reason, c.Base, paths)
 }
 
-// PlatformError tells that the platform could not be asked; nothing was
-// accepted.
+// PlatformError tells that the platform could not be asked and that this
+// attempt changed nothing. An earlier attempt may have been accepted.
 type PlatformError struct {
 	Op  string
 	Err error
@@ -34,7 +38,7 @@
 
 // Error names the operation, the cause and the remedy.
 func (e *PlatformError) Error() string {
-	return fmt.Sprintf("%s failed and nothing was accepted: %v; the settings in force stay; repeat the change when the platform answers", e.Op, e.Err)
+	return fmt.Sprintf("%s failed, this attempt changed nothing: %v; repeat the change with the same request id when the platform answers", e.Op, e.Err)
 }
 
 // Unwrap returns the cause.
--- a/pkg/state/settings/document_test.go
+++ b/pkg/state/settings/document_test.go
@@ -67,6 +67,9 @@
 		{Path: "sask/cluebook/c1", Key: "slots", Value: "5", Revision: 8},
 	}
 	assert.DeepEqual(t, list, want)
+	whole := FindUnattributed(d, 8, true, nil, tree, nil)
+	assert.DeepEqual(t, whole, []Unattributed{{Path: "/", Key: "tree", Value: d.Digest(), Revision: 8}})
+	assert.DeepEqual(t, StillInForce(whole, old), whole)
 	later := mustParse(t, strings.NewReplacer("slots: 3", "slots: 6", "weight: 30", "weight: 31").Replace(base))
 	assert.DeepEqual(t, StillInForce(list, later), want[:1])
 	assert.DeepEqual(t, FindUnattributed(d, 9, true, tree, later, list), []Unattributed{
--- a/pkg/state/settings/unattributed.go
+++ b/pkg/state/settings/unattributed.go
@@ -2,6 +2,10 @@
 
 import "slices"
 
+// keyWholeTree stands for all settings in an Unattributed whose origin is not
+// known in detail.
+const keyWholeTree = "tree"
+
 // Unattributed is a setting in force that no recorded change made.
 type Unattributed struct {
 	Path     string `json:"path"`
@@ -50,11 +54,15 @@
 
 // FindUnattributed returns the settings of tree, stored in d at revision, that
 // no recorded change made: those that d carries and, if d was written around
-// the operator tool, those that differ from the tree known before.
+// the operator tool, those that differ from the tree known before. A VM that
+// knows no tree before it reports the whole tree.
 func FindUnattributed(d *Document, revision int64, bypassed bool, known, tree *Tree, carried []Unattributed) []Unattributed {
 	if !bypassed {
 		return d.Unattributed
 	}
+	if known == nil {
+		return []Unattributed{{Path: Path{}.String(), Key: keyWholeTree, Value: d.Digest(), Revision: revision}}
+	}
 	list := StillInForce(carried, tree)
 	for _, c := range Diff(known, tree) {
 		list = slices.DeleteFunc(list, func(u Unattributed) bool { return u.Path == c.Path && u.Key == c.Key })
@@ -63,12 +71,13 @@
 	return list
 }
 
-// StillInForce returns the entries of list whose value is that of tree.
+// StillInForce returns the entries of list whose value is that of tree. An
+// entry for the whole tree stays until somebody adopts it.
 func StillInForce(list []Unattributed, tree *Tree) []Unattributed {
 	flat := flatten(tree)
 	var kept []Unattributed
 	for _, u := range list {
-		if flat[settingKey{u.Path, u.Key}] == u.Value {
+		if u.Key == keyWholeTree || flat[settingKey{u.Path, u.Key}] == u.Value {
 			kept = append(kept, u)
 		}
 	}
