Add operator pages, event catalogue and a script of the first start

Cause: an operator needs the commands and what is seen; the catalogue of events had no page. Conclusion: TestEventCatalogue holds docs/EVENTS.md equal to the code.

--- a/pkg/demo/site.go
+++ b/pkg/demo/site.go
@@ -18,6 +18,7 @@
 	"hickoryroute/pkg/entry"
 	standinplatform "hickoryroute/pkg/standin/platform"
 	standintarget "hickoryroute/pkg/standin/target"
+	"hickoryroute/pkg/state/settings"
 	"hickoryroute/pkg/transport/platform"
 )
 
@@ -85,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := s.store.CompareAndSwap(ctx, config.HeadKey, []byte(tree), 0, 0); err != nil {
+	if err := s.writeTree(ctx, tree); err != nil {
 		return nil, errors.Wrap(err, "write the first tree")
 	}
 	if err := s.startVMs(ctx, firstPort, log); err != nil {
@@ -94,6 +95,17 @@
 	return s, nil
 }
 
+// writeTree stores the first tree with its author.
+func (s *site) writeTree(ctx context.Context, tree string) error {
+	d := settings.NewDocument([]byte(tree), "demo", "first tree", "demo-first-tree", time.Now(), 0, []string{"/"})
+	value, err := settings.EncodeDocument(d)
+	if err != nil {
+		return err
+	}
+	_, err = s.store.CompareAndSwap(ctx, config.HeadKey, value, 0, 0)
+	return err
+}
+
 // startTargets starts the targets and returns the tree that names them.
 func (s *site) startTargets() (string, error) {
 	var tree strings.Builder
--- /dev/null
+++ b/pkg/entry/catalogue_test.go
@@ -0,0 +1,25 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/golden"
+
+	"hickoryroute/pkg/eventlog"
+)
+
+// Guards against a catalogue of log events that differs from the code. Run it
+// with -update to write the page.
+func TestEventCatalogue(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Log events\n\n")
+	b.WriteString("Every log line carries the field `event` with one of these numbers. The same events are kept in the time line (`hickoryroute timeline`). ")
+	b.WriteString("The page is written by `go test ./pkg/entry -run TestEventCatalogue -update`.\n\n")
+	b.WriteString("| number | level | event | meaning and remedy |\n|---|---|---|---|\n")
+	for _, e := range eventlog.Catalogue() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Number, e.Level, e.Name, e.Help)
+	}
+	golden.Assert(t, b.String(), "../../../docs/EVENTS.md")
+}
--- a/pkg/entry/events.go
+++ b/pkg/entry/events.go
@@ -8,30 +8,30 @@
 
 // Log events of an entry VM, numbers 1000 to 1099.
 var (
-	eventStarted = eventlog.Define(1000, "entry VM started", logrus.InfoLevel,
+	eventStarted = eventlog.Define(1000, "vm_started", logrus.InfoLevel,
 		"The VM listens on its ports. It is ready once it has settings.")
-	eventSettings = eventlog.Define(1001, "process settings", logrus.InfoLevel,
+	eventSettings = eventlog.Define(1001, "vm_process_settings", logrus.InfoLevel,
 		"The effective flags and environment; secrets are hidden.")
-	eventReady = eventlog.Define(1002, "entry VM is ready", logrus.InfoLevel,
+	eventReady = eventlog.Define(1002, "vm_ready", logrus.InfoLevel,
 		"Settings are in force; look-ups name this VM from now on.")
-	eventBooting = eventlog.Define(1003, "no settings found yet", logrus.WarnLevel,
+	eventBooting = eventlog.Define(1003, "vm_without_settings", logrus.WarnLevel,
 		"Neither the platform nor a peer gave valid settings. The VM tries again; check the platform and --peer.")
-	eventBadTables = eventlog.Define(1004, "seat tables of a peer are not readable", logrus.WarnLevel,
+	eventBadTables = eventlog.Define(1004, "seat_tables_unreadable", logrus.WarnLevel,
 		"A peer of another version may have sent them. Finish the upgrade.")
-	eventTargetLeaving = eventlog.Define(1005, "target is leaving", logrus.InfoLevel,
+	eventTargetLeaving = eventlog.Define(1005, "target_leaving", logrus.InfoLevel,
 		"A sign of leaving was seen; the target gets no new work.")
-	eventTargetBack = eventlog.Define(1006, "target is back", logrus.InfoLevel,
+	eventTargetBack = eventlog.Define(1006, "target_back", logrus.InfoLevel,
 		"The sign of leaving is gone; the target gets work again.")
-	eventStopping = eventlog.Define(1007, "planned stop started", logrus.InfoLevel,
+	eventStopping = eventlog.Define(1007, "stop_started", logrus.InfoLevel,
 		"Look-ups leave this VM out; it serves on for the drain time.")
-	eventStopped = eventlog.Define(1008, "planned stop finished", logrus.InfoLevel,
+	eventStopped = eventlog.Define(1008, "stop_finished", logrus.InfoLevel,
 		"No request was cut off unless the field cut says so.")
-	eventKilled = eventlog.Define(1009, "stopped at once", logrus.WarnLevel,
+	eventKilled = eventlog.Define(1009, "stop_forced", logrus.WarnLevel,
 		"A second signal ended the VM; the field requests lists what was cut off.")
-	eventOutcomesLost = eventlog.Define(1010, "outcomes were not written to the platform", logrus.WarnLevel,
+	eventOutcomesLost = eventlog.Define(1010, "outcomes_not_written", logrus.WarnLevel,
 		"Resends of this VM's tickets are answered as unknown. The platform was down during the stop.")
-	eventListen = eventlog.Define(1011, "listener failed", logrus.ErrorLevel,
+	eventListen = eventlog.Define(1011, "listener_failed", logrus.ErrorLevel,
 		"A port stopped accepting connections; restart the VM.")
-	eventVMList = eventlog.Define(1012, "VM list is not readable", logrus.WarnLevel,
+	eventVMList = eventlog.Define(1012, "vm_list_unreadable", logrus.WarnLevel,
 		"Leaving VMs are learnt by other signs until the platform answers again.")
 )
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -25,7 +25,12 @@
 //
 // It sets $platform and, for each VM n, $callern, $peern and $operatorn. VMs
 // and targets are spread over the regions in turn.
-func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) { startFleet(ts, args, false) }
+
+// cmdBare starts the system without settings; arguments as for fleet.
+func cmdBare(ts *testscript.TestScript, _ bool, args []string) { startFleet(ts, args, true) }
+
+func startFleet(ts *testscript.TestScript, args []string, bare bool) {
 	if len(args) < 3 {
 		ts.Fatalf("usage: fleet VMS TARGETS REGIONS [target flags]")
 	}
@@ -41,7 +46,9 @@
 		ts.Check(err)
 		s.targets = append(s.targets, lastField(line))
 	}
-	ts.Check(s.putHead(tree(regions, s.targets, 4), 0))
+	if !bare {
+		ts.Check(s.putHead(tree(regions, s.targets, 4), 0))
+	}
 	addresses, err := freePorts(3 * vms)
 	ts.Check(err)
 	for i := range vms {
@@ -55,7 +62,9 @@
 		startVM(ts, i+1)
 	}
 	for i := range vms {
-		waitServing(ts, i+1)
+		if !bare {
+			waitServing(ts, i+1)
+		}
 	}
 }
 
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -41,6 +41,7 @@
 		Setup:               setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet":      cmdFleet,
+			"bare":       cmdBare,
 			"vm":         cmdVM,
 			"signal":     cmdSignal,
 			"await":      cmdAwait,
