Close idle connections before their place is free

An idle connection that timed out was closed just after its removal, so that a dial in between could exceed the limit for a moment.

--- a/pkg/transport/target/pool.go
+++ b/pkg/transport/target/pool.go
@@ -159,13 +159,13 @@
 			break
 		}
 	}
+	if !taken {
+		_ = c.Close() // before another request can dial, to stay within the limit
+	}
 	s.dropEmpty(c.address, t)
 	s.mu.Unlock()
 	w.clean = taken && n == 0 && isTimeout(err)
 	close(w.done)
-	if !taken {
-		_ = c.Close()
-	}
 }
 
 func isTimeout(err error) bool {
--- a/pkg/transport/target/pool_test.go
+++ b/pkg/transport/target/pool_test.go
@@ -15,24 +15,41 @@
 	"hickoryroute/pkg/protocol"
 )
 
+// countedConn reports its first Close.
+type countedConn struct {
+	net.Conn
+	closed func()
+}
+
+func (c *countedConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
 // Guards against more connections than the limit, requests that wait beyond
-// their deadline, and idle connections that stay open.
+// their deadline, and idle connections that stay open. Connections are counted
+// at the client, because a target notices their end later.
 func TestConnectionLimitAndIdleTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
 		open, most := 0, 0
 		k := &counter{}
 		client := pipeClient(Config{MaxConnsPerTarget: 2, MaxIdlePerTarget: 1, IdleTimeout: 10 * time.Second}, func(_ int, c net.Conn) {
-			mu.Lock()
-			open++
-			most = max(most, open)
-			mu.Unlock()
 			time.Sleep(time.Second)
 			k.serve(c)
-			mu.Lock()
-			open--
-			mu.Unlock()
 		})
+		dial := client.cfg.Dial
+		add := func(n int) {
+			mu.Lock()
+			defer mu.Unlock()
+			open += n
+			most = max(most, open)
+		}
+		client.cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := dial(ctx, address)
+			add(1)
+			return &countedConn{Conn: c, closed: sync.OnceFunc(func() { add(-1) })}, err
+		}
 		count := func() int {
 			mu.Lock()
 			defer mu.Unlock()
@@ -52,14 +69,19 @@
 		assert.Equal(t, f.Kind, KindTimeout)
 		assert.Assert(t, f.NotRun)
 		done.Wait()
+		mu.Lock()
 		assert.Equal(t, most, 2)
+		mu.Unlock()
 		assert.Equal(t, k.runs.Load(), int64(6))
 		time.Sleep(5 * time.Second)
 		assert.Equal(t, count(), 1)
 		time.Sleep(6 * time.Second)
 		assert.Equal(t, count(), 0)
 		for i := range client.pool.shards {
-			assert.Equal(t, len(client.pool.shards[i].targets), 0)
+			s := &client.pool.shards[i]
+			s.mu.Lock()
+			assert.Equal(t, len(s.targets), 0)
+			s.mu.Unlock()
 		}
 	})
 }
