--- a/pkg/steering/lookup/table.go
+++ b/pkg/steering/lookup/table.go
@@ -16,8 +16,8 @@
 // order of preference. It is immutable; Load builds a new one. It is safe for
 // concurrent use.
 type Table struct {
-	prefixes bart.Fast[uint32] // index into orders
-	orders   [][]string        // distinct region orders
+	prefixes bart.Table[uint32] // index into orders
+	orders   [][]string         // distinct region orders
 }
 
 // BlockError reports a client block that cannot be loaded.
