--- a/pkg/state/outcome/table.go
+++ b/pkg/state/outcome/table.go
@@ -23,6 +23,9 @@
 	tableShards   = 64
 	// entryOverheadBytes is the estimated cost of an entry without its answer.
 	entryOverheadBytes = 400
+	// headerOverheadBytes is the estimated cost of a header value besides its
+	// text.
+	headerOverheadBytes = 64
 	// admitShare is the share of MaxBytes above which no new run starts. The
 	// rest takes the answers of runs that have already started.
 	admitShare = 0.75
@@ -267,7 +270,7 @@
 	for name, values := range r.Header {
 		n += len(name)
 		for _, v := range values {
-			n += len(v)
+			n += len(v) + headerOverheadBytes
 		}
 	}
 	return int64(n)
