Test that a change survives the loss of every write reply

The text of a change is read back since; only a scenario covered it. With the read-back switched off on a scratch copy the test fails with "writing the text of the change failed".

--- a/pkg/coordination/config/manager_test.go
+++ b/pkg/coordination/config/manager_test.go
@@ -182,6 +182,18 @@
 	assert.Equal(t, store.accepted(t, "second"), 1)
 }
 
+// Guards against a change that is written over and over while the platform
+// takes every write and loses every reply.
+func TestEveryWriteReplyLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, m := started(t)
+		store.next = func(op string) fault { return map[string]fault{"cas": lost}[op] }
+		_, err := m.Propose(t.Context(), weight("second", 0, 20))
+		assert.NilError(t, err)
+		assert.Equal(t, store.accepted(t, "second"), 1)
+	})
+}
+
 // Guards against VMs that miss a revision: watchers while the watch fails,
 // the others while they have no watch, and all of them after a hint.
 func TestRunFollowsTheHead(t *testing.T) {
