--- a/pkg/coordination/seat/change.go
+++ b/pkg/coordination/seat/change.go
@@ -103,11 +103,11 @@
 	if m.sight.vms[m.cfg.Self] == platform.VMLeaving {
 		return 0
 	}
-	counts := t.counts()
+	rest := t.clone()
 	for _, i := range dead {
-		counts[t.Seats[i].Holder.Address]--
+		rest.Seats[i] = Seat{}
 	}
-	return fairShare(m.cfg.Self, counts, m.live(t), pool)
+	return fairShare(m.cfg.Self, rest.counts(), m.live(rest), pool)
 }
 
 // live returns the addresses of the VMs of this region that take part in the
--- a/pkg/coordination/seat/manager.go
+++ b/pkg/coordination/seat/manager.go
@@ -73,12 +73,12 @@
 	calls atomic.Uint64
 	instruments
 
-	// Used only by the goroutine of Run or Release, which stepMu serialises.
-	stepMu  sync.Mutex
-	lease   lease
-	sight   sight
-	members []Member
-	joined  time.Time // when the member record was first written
+	// Used only by the goroutine that holds stepping, in Run or Release.
+	stepping chan struct{}
+	lease    lease
+	sight    sight
+	members  []Member
+	joined   time.Time // when the member record was first written
 
 	mu          sync.RWMutex
 	tables      map[string]Table
@@ -117,6 +117,7 @@
 		cfg:         cfg,
 		self:        Holder{cfg.Self, cfg.Incarnation},
 		instruments: newInstruments(cfg.MetricsPrefix),
+		stepping:    make(chan struct{}, 1),
 		sight:       newSight(),
 		tables:      map[string]Table{},
 		givingUp:    map[int]int64{},
@@ -148,8 +149,10 @@
 
 // step does one round of platform calls and returns the pause before the next.
 func (m *Manager) step(ctx context.Context) time.Duration {
-	m.stepMu.Lock()
-	defer m.stepMu.Unlock()
+	if m.beginStep(ctx) != nil {
+		return 0
+	}
+	defer m.endStep()
 	if m.isStopping() {
 		return 0
 	}
@@ -171,6 +174,18 @@
 	return m.jitter(renewInterval)
 }
 
+// beginStep waits until no other round runs.
+func (m *Manager) beginStep(ctx context.Context) error {
+	select {
+	case m.stepping <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (m *Manager) endStep() { <-m.stepping }
+
 // jitter returns a duration within 10% of d, so that the calls of a fleet that
 // was started together spread out.
 func (m *Manager) jitter(d time.Duration) time.Duration {
--- a/pkg/coordination/seat/observe.go
+++ b/pkg/coordination/seat/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"hickoryroute/pkg/transport/platform"
@@ -88,6 +89,9 @@
 		return err
 	}
 	for _, entry := range entries {
+		if m.knows(strings.TrimPrefix(entry.Key, tablePrefix), entry.Revision) {
+			continue
+		}
 		t, err := decodeTable(entry.Key, entry.Value, entry.Revision)
 		if err != nil {
 			return err
@@ -97,6 +101,13 @@
 	return nil
 }
 
+// knows reports whether the known table of a region is as new as revision.
+func (m *Manager) knows(region string, revision int64) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.tables[region].Revision >= revision
+}
+
 func (m *Manager) readMembers(ctx context.Context) error {
 	m.countCall()
 	entries, err := m.cfg.Store.List(ctx, memberPrefix)
--- a/pkg/coordination/seat/release.go
+++ b/pkg/coordination/seat/release.go
@@ -96,8 +96,10 @@
 	m.mu.Lock()
 	m.stopping = true
 	m.mu.Unlock()
-	m.stepMu.Lock()
-	defer m.stepMu.Unlock()
+	if err := m.beginStep(ctx); err != nil {
+		return &HeldError{Seats: m.table().counts()[m.cfg.Self]}
+	}
+	defer m.endStep()
 	defer m.cfg.OnChange()
 	for {
 		base := m.table()
