--- a/pkg/coordination/seat/fake_test.go
+++ b/pkg/coordination/seat/fake_test.go
@@ -33,6 +33,7 @@
 	stalePct  int // reads answered from the state of up to maxStale ago
 	history   []snapshot
 	noLists   bool
+	afterList func(prefix string, n *node)    // runs before the reply of a list
 	afterSwap func(key string, n *node) error // replaces the reply of a write
 }
 
@@ -151,6 +152,9 @@
 		sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
 		return nil
 	})
+	if c.afterList != nil {
+		c.afterList(prefix, c.node)
+	}
 	return list, err
 }
 
--- a/pkg/coordination/seat/rules_test.go
+++ b/pkg/coordination/seat/rules_test.go
@@ -124,3 +124,34 @@
 		assert.DeepEqual(t, counts, []int{8, 8, 8})
 	})
 }
+
+// Guards against a takeover on a table learned by gossip after the records
+// were read: the holder may have renewed and confirmed its seats in between.
+func TestTakeoverNeedsTableReadBeforeRecords(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		holder, other := w.nodes[0], w.nodes[1].live()
+		fired := false
+		w.store.set(func() {
+			w.store.afterList = func(prefix string, n *node) {
+				p := other.sight.holders[holder.live().self]
+				if fired || n != w.nodes[1] || prefix != memberPrefix || p == nil || p.lapsedAt.IsZero() ||
+					time.Since(p.lapsedAt) < Quarantine+quarantineMargin-time.Second {
+					return
+				}
+				fired = true
+				holder.setCut(false)
+				m := holder.live()
+				m.sight.last = time.Time{}
+				m.step(t.Context())
+				other.Merge(m.Tables())
+				holder.setCut(true)
+				time.Sleep(time.Second)
+			}
+		})
+		holder.setCut(true)
+		w.pass(Quarantine + 12*time.Minute)
+		assert.Assert(t, fired)
+		counts, _ := held(w)
+		assert.DeepEqual(t, counts, []int{12, 12})
+	})
+}
