Give each attempt at a target a request id of its own

Cause: a caller may use one request id for several requests; a crossed answer with the same id would then pass as its own. Ruled out: refusing repeated ids, which would need memory of all of them. Conclusion: the caller still gets its own id back; targets see id.attempt.

--- a/pkg/entry/sender.go
+++ b/pkg/entry/sender.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"io"
+	"strconv"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
@@ -13,8 +15,16 @@
 
 // sender sends steering attempts through the target client.
 type sender struct {
-	client *target.Client
-	region string
+	client   *target.Client
+	region   string
+	attempts atomic.Uint64
+}
+
+// attemptID makes the request id of one attempt. Callers may repeat their own
+// ids, and an answer to an earlier request with the same id must not be taken
+// for the answer to this one.
+func (s *sender) attemptID(requestID string) string {
+	return requestID + "." + strconv.FormatUint(s.attempts.Add(1), 36)
 }
 
 var failKinds = map[target.Kind]steering.FailKind{
@@ -41,7 +51,7 @@
 		Header:        r.Header,
 		Body:          bytes.NewReader(r.Body),
 		ContentLength: int64(len(r.Body)),
-		RequestID:     r.RequestID,
+		RequestID:     s.attemptID(r.RequestID),
 		Ticket:        r.Ticket,
 		Deadline:      r.Deadline,
 	})
