Ramp the work that a shift brings from other regions

slot.Owner.Ramp was never called, so a target that began to receive the requests of another region got up to all its slots at once. Calling it would have cut the target's own region to one slot per target at the moment of a shift. The owner now counts reservations by the requester's region, and a ramp of its own limits those of other regions.

go test -race passes for slot, seat, steering and protocol; the test of the ramp fails without the limit in hasRoom.

--- a/pkg/coordination/seat/holding.go
+++ b/pkg/coordination/seat/holding.go
@@ -85,15 +85,6 @@
 	return until, ok && m.cfg.Now().Before(until)
 }
 
-// Recovered ends the recovery wait of a seat, after every member has answered
-// that it holds none of the earlier owner's reservations.
-func (m *Manager) Recovered(seat int) {
-	m.mu.Lock()
-	delete(m.waits, seat)
-	m.mu.Unlock()
-	m.cfg.OnChange()
-}
-
 // Tables returns the known tables, to be passed to the Merge of peers.
 func (m *Manager) Tables() []Table {
 	m.mu.RLock()
--- a/pkg/coordination/slot/choose.go
+++ b/pkg/coordination/slot/choose.go
@@ -40,6 +40,9 @@
 	if free <= 0 {
 		return false
 	}
+	if isRemote(w, t) && t.shift.inFlight >= t.shift.limit(now, t.spec.WarmupStep) {
+		return false
+	}
 	return !w.long || t.spec.Slots < 2 || t.long < t.spec.Slots-1
 }
 
--- a/pkg/coordination/slot/owner.go
+++ b/pkg/coordination/slot/owner.go
@@ -206,17 +206,3 @@
 	}
 	return s.inFlight(name)
 }
-
-// HeldReservations returns the number of reservations of requester on this
-// owner. A new owner of a seat may skip its recovery wait only when every
-// member has reported that it holds none of the earlier owner's reservations.
-func (o *Owner) HeldReservations(requester string) int {
-	o.mu.RLock()
-	shards := append([]*shard(nil), o.order...)
-	o.mu.RUnlock()
-	total := 0
-	for _, s := range shards {
-		total += s.heldBy(requester)
-	}
-	return total
-}
--- a/pkg/coordination/slot/owner_test.go
+++ b/pkg/coordination/slot/owner_test.go
@@ -147,6 +147,44 @@
 	})
 }
 
+// Guards against a traffic shift that reaches a target's full slots at once,
+// and against a shift that takes slots from the target's own region.
+func TestShiftFromAnotherRegionIsRamped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner()
+		warm(o, spec("a", 6))
+		home := spec("a", 6).Ref.Region
+		grants := func(from string) (list []protocol.ReserveReply) {
+			for {
+				req := request("k", 0)
+				req.Region, req.FromRegion = home, from
+				r := o.Reserve(background, req)
+				if !r.Granted {
+					return list
+				}
+				list = append(list, r)
+			}
+		}
+		end := func(list []protocol.ReserveReply) {
+			for _, r := range list {
+				release(o, r, protocol.ReleaseOK, time.Millisecond)
+			}
+		}
+		for range 2 {
+			for _, want := range []int{1, 2, 4, 6} {
+				o.SetHealth("a", ready, time.Now())
+				remote := grants("elsewhere")
+				assert.Equal(t, len(remote), want)
+				own := grants(home)
+				assert.Equal(t, len(remote)+len(own), 6)
+				end(append(remote, own...))
+				time.Sleep(time.Second)
+			}
+			time.Sleep(shiftMemory)
+		}
+	})
+}
+
 // Guards against load on a target that sheds or fails, and against a target
 // that is never tried again.
 func TestBackOffAndRecovery(t *testing.T) {
--- a/pkg/coordination/slot/ramp.go
+++ b/pkg/coordination/slot/ramp.go
@@ -43,17 +43,45 @@
 	return r.start.Add(time.Duration(doublings+1) * step)
 }
 
-// Ramp starts the warm-up of all targets of a service, for a service that is
-// about to receive traffic shifted from another region.
-func (o *Owner) Ramp(service string) {
-	s := o.shardOfService(service)
-	if s == nil {
-		return
+// shiftMemory is the time without work from other regions after which a target
+// counts further such work as a new shift. It exceeds the gaps between requests
+// of a shift that goes on.
+const shiftMemory = 10 * time.Second
+
+// shift limits the work that a target gets from other regions. Its own ramp
+// leaves the work of the target's region alone, which is not new to it.
+type shift struct {
+	ramp
+	inFlight int
+	last     time.Time // latest grant or end of a reservation of another region
+}
+
+// limit returns the number of reservations that other regions may hold.
+func (s *shift) limit(now time.Time, step time.Duration) int {
+	if s.over(now) {
+		return 1
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	for _, t := range s.list {
-		t.ramp.begin(now)
+	return s.ramp.limit(now, step)
+}
+
+func (s *shift) over(now time.Time) bool {
+	return s.inFlight == 0 && (s.last.IsZero() || now.Sub(s.last) >= shiftMemory)
+}
+
+func (s *shift) add(now time.Time) {
+	if s.over(now) {
+		s.begin(now)
 	}
+	s.inFlight++
+	s.last = now
+}
+
+func (s *shift) remove(now time.Time) {
+	s.inFlight--
+	s.last = now
+}
+
+// isRemote reports whether w comes from another region than t's.
+func isRemote(w *waiter, t *target) bool {
+	return w.req.FromRegion != "" && w.req.FromRegion != t.spec.Ref.Region
 }
--- a/pkg/coordination/slot/shard.go
+++ b/pkg/coordination/slot/shard.go
@@ -23,6 +23,7 @@
 	requester string
 	class     string
 	long      bool
+	remote    bool // the requester is in another region
 	granted   time.Time
 	ends      time.Time
 }
@@ -35,6 +36,7 @@
 	healthState
 	limiter limiter
 	ramp    ramp
+	shift   shift
 	speed   speed
 	held    []*reservation
 	long    int // reservations of long classes in held
@@ -134,23 +136,27 @@
 		requester: w.req.Requester,
 		class:     w.req.Class,
 		long:      w.long,
+		remote:    isRemote(w, t),
 		granted:   now,
 		ends:      w.deadline,
 	}
 	s.reservations[r.id] = r
-	t.add(r)
+	t.add(r, now)
 	w.grant = r
 	s.owner.metrics.granted.Inc()
 }
 
-func (t *target) add(r *reservation) {
+func (t *target) add(r *reservation, now time.Time) {
 	t.held = append(t.held, r)
 	if r.long {
 		t.long++
 	}
+	if r.remote {
+		t.shift.add(now)
+	}
 }
 
-func (t *target) remove(r *reservation) {
+func (t *target) remove(r *reservation, now time.Time) {
 	for i, h := range t.held {
 		if h != r {
 			continue
@@ -164,6 +170,9 @@
 	if r.long {
 		t.long--
 	}
+	if r.remote {
+		t.shift.remove(now)
+	}
 }
 
 // release ends a reservation with the result that its holder reports.
@@ -184,7 +193,7 @@
 // end removes a reservation from all counts.
 func (s *shard) end(r *reservation) {
 	delete(s.reservations, r.id)
-	r.target.remove(r)
+	r.target.remove(r, s.now())
 	if !r.target.present && len(r.target.held) == 0 {
 		delete(s.targets, r.target.spec.Ref.Name)
 	}
@@ -229,15 +238,3 @@
 	}
 	return len(t.held)
 }
-
-func (s *shard) heldBy(requester string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, r := range s.reservations {
-		if r.requester == requester {
-			n++
-		}
-	}
-	return n
-}
--- a/pkg/coordination/slot/timer.go
+++ b/pkg/coordination/slot/timer.go
@@ -54,6 +54,7 @@
 		next.addAfter(now, t.spec.HoldUntil)
 		next.addAfter(now, t.limiter.restUntil)
 		next.addAfter(now, t.ramp.nextStep(now, t.spec.WarmupStep))
+		next.addAfter(now, t.shift.nextStep(now, t.spec.WarmupStep))
 	}
 	return next.time
 }
--- a/pkg/entry/reserver.go
+++ b/pkg/entry/reserver.go
@@ -23,9 +23,10 @@
 
 // reserver reaches owners of targets, this VM's own included.
 type reserver struct {
-	self  string
-	own   *slot.Owner
-	peers peerCaller
+	self   string
+	region string // of this VM
+	own    *slot.Owner
+	peers  peerCaller
 }
 
 type reserveResult struct {
@@ -35,6 +36,7 @@
 
 // Reserve implements steering.Reserver.
 func (r *reserver) Reserve(ctx context.Context, owner string, req *protocol.ReserveRequest) (*protocol.ReserveReply, error) {
+	req.FromRegion = r.region
 	if owner == r.self {
 		reply := r.own.Reserve(ctx, req)
 		return &reply, nil
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -159,7 +159,7 @@
 func (v *VM) buildRouter() {
 	v.router = steering.New(steering.Config{
 		Self:          v.cfg.PeerAddress,
-		Reserver:      &reserver{self: v.cfg.PeerAddress, own: v.owner, peers: v.peers},
+		Reserver:      &reserver{self: v.cfg.PeerAddress, region: v.cfg.Region, own: v.owner, peers: v.peers},
 		Owners:        v.serviceOwners,
 		Sender:        &sender{client: v.targets, region: v.cfg.Region},
 		Rules:         v.serviceRules,
--- a/pkg/protocol/peer.go
+++ b/pkg/protocol/peer.go
@@ -109,7 +109,8 @@
 type ReserveRequest struct {
 	Requester  string // peer address
 	Service    string
-	Region     string
+	Region     string   // of the target
+	FromRegion string   // of the requester; empty if unknown
 	Class      string   // run time class, usually the first path segment
 	Exclude    []string // names of targets already tried
 	WaitMs     int64    // longest time to queue; 0 asks for an answer at once
