--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -93,7 +93,7 @@
 	}
 }
 
-func newFleet(t *testing.T, cfg fleetConfig) *fleet {
+func newFleet(t testing.TB, cfg fleetConfig) *fleet {
 	t.Helper()
 	if len(cfg.regions) == 0 {
 		cfg.regions = []string{"sask"}
@@ -152,7 +152,7 @@
 	return tree.String()
 }
 
-func (f *fleet) startVM(t *testing.T, region string) *VM {
+func (f *fleet) startVM(t testing.TB, region string) *VM {
 	t.Helper()
 	timing := DefaultTiming()
 	timing.ReadVMList = 200 * time.Millisecond
@@ -204,7 +204,7 @@
 }
 
 // waitServing waits until every VM answers a request.
-func (f *fleet) waitServing(t *testing.T) {
+func (f *fleet) waitServing(t testing.TB) {
 	t.Helper()
 	waitFor(t, func() error {
 		for _, v := range f.vms {
@@ -223,7 +223,7 @@
 }
 
 // waitFor repeats check until it succeeds.
-func waitFor(t *testing.T, check func() error) {
+func waitFor(t testing.TB, check func() error) {
 	t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
 	for {
