Base each apply on a revision, confirm the age of settings, log effects

It is now the time since the platform confirmed the settings in a read, write or watch, here or on a peer; peers tell an age, as their clocks may differ. A watch without news confirms every 30 s, so readyz reports old settings above 90 s instead of 30 s.

New events 1020 to 1022 tell when a drain or weight takes effect at the owner and when requests move between regions; event 1200 lists the changed paths.

--- a/cmd/hickoryroute/edit.go
+++ b/cmd/hickoryroute/edit.go
@@ -7,6 +7,9 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,7 +23,7 @@
 
 type editOptions struct {
 	Reason  string        `arg:"--reason,required" help:"shown to the other operators"`
-	Base    int64         `arg:"--base" help:"fail if the tree is at another revision; 0 takes the newest"`
+	Base    int64         `arg:"--base" help:"fail if the tree is at another revision; apply takes it from the first line of the file"`
 	Wait    bool          `arg:"--wait" help:"wait until the change is in force everywhere"`
 	Expires time.Duration `arg:"--expires" help:"end the override after this time, such as 2h"`
 }
@@ -91,6 +94,9 @@
 	}
 	r := c.request(operatorhttp.OpApply)
 	r.Tree = text
+	if r.Base == 0 {
+		r.Base = baseRevision(text)
+	}
 	return e.edit(ctx, r, c.Wait)
 }
 
@@ -105,6 +111,47 @@
 	return e.edit(ctx, r, c.Wait)
 }
 
+// baseLine is the first line that show prints.
+var baseLine = regexp.MustCompile(`^# revision ([0-9]+)\b`)
+
+// baseRevision returns the revision named in the first line of the output of
+// show, or 0 if the text does not start with that line.
+func baseRevision(text string) int64 {
+	match := baseLine.FindStringSubmatch(text)
+	if match == nil {
+		return 0
+	}
+	n, err := strconv.ParseInt(match[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+type diffCommand struct {
+	File string `arg:"positional,required" help:"tree in YAML, - for standard input"`
+}
+
+func (c *diffCommand) run(ctx context.Context, e *environment) error {
+	text, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	reply, err := e.client.Validate(ctx, text)
+	if err != nil {
+		return err
+	}
+	if base := baseRevision(text); base != 0 && base != reply.Revision {
+		fmt.Fprintf(e.errOut, "the file was made from revision %d; changes accepted since then show as undone\n", base)
+	}
+	if e.Output == "json" {
+		return e.printJSON(reply)
+	}
+	fmt.Fprintf(e.out, "%d changes against revision %d\n", len(reply.Changes), reply.Revision)
+	e.printChanges(reply.Changes)
+	return nil
+}
+
 type validateCommand struct {
 	File string `arg:"positional,required" help:"tree in YAML, - for standard input"`
 }
@@ -148,13 +195,38 @@
 	} else {
 		fmt.Fprintf(e.out, "accepted as revision %d\n", reply.Revision)
 		e.printChanges(reply.Changes)
+		e.printOverrides("replaces", reply.Replaced)
+		e.printOverrides("keeps", reply.Kept)
 	}
 	if !wait {
 		return nil
 	}
-	return (&watchCommand{Revision: reply.Revision, For: e.Timeout}).run(ctx, e)
+	return (&watchCommand{Revision: reply.Revision, For: e.Timeout, quiet: e.Output == "json"}).run(ctx, e)
+}
+
+// printOverrides tells what became of the rules that earlier overrides of the
+// same path set.
+func (e *environment) printOverrides(verb string, list []operatorhttp.Override) {
+	for _, o := range list {
+		fmt.Fprintf(e.out, "  %s the override %s %s: %s by %s (%s)%s\n",
+			verb, o.Path, o.Key, o.Value, o.Author, oneLine(o.Reason), expiryText(o))
+	}
 }
 
+func expiryText(o operatorhttp.Override) string {
+	switch {
+	case o.Expired:
+		return ", expired " + formatTime(o.Expires)
+	case o.Expires != nil:
+		return " until " + formatTime(o.Expires)
+	default:
+		return ""
+	}
+}
+
+// oneLine keeps text of other operators from breaking lines and comments.
+func oneLine(s string) string { return strings.Join(strings.Fields(s), " ") }
+
 func (e *environment) printChanges(changes []operatorhttp.Change) {
 	for _, c := range changes {
 		fmt.Fprintf(e.out, "  %s %s: %s -> %s\n", c.Path, c.Key, orNone(c.Old), orNone(c.New))
--- a/cmd/hickoryroute/main.go
+++ b/cmd/hickoryroute/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -50,6 +51,7 @@
 	Drain    *drainCommand    `arg:"subcommand:drain" help:"stop new work for a region, an availability zone, a service or a target"`
 	Restore  *restoreCommand  `arg:"subcommand:restore" help:"end a drain"`
 	Validate *validateCommand `arg:"subcommand:validate" help:"check a tree and print what it would change"`
+	Diff     *diffCommand     `arg:"subcommand:diff" help:"print how a tree differs from the one in force"`
 	Apply    *applyCommand    `arg:"subcommand:apply" help:"replace the whole tree"`
 	History  *historyCommand  `arg:"subcommand:history" help:"print the last accepted changes"`
 	Roll     *rollCommand     `arg:"subcommand:roll-forward" help:"accept the content of an earlier revision as a new one"`
@@ -75,7 +77,9 @@
   hickoryroute explain sask/cluebook
   hickoryroute set sask/cluebook 'hedge_percent: 0' --reason "hedges overload cb-03" --expires 2h
   hickoryroute drain sask/cluebook/cb-03 --reason "disk swap"
-  hickoryroute apply tree.yaml --base 17 --reason "add hcm"
+  hickoryroute show > tree.yaml
+  hickoryroute diff tree.yaml
+  hickoryroute apply tree.yaml --reason "add hcm"
   hickoryroute watch 18
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 another operator's edit came first,
@@ -91,6 +95,7 @@
 type environment struct {
 	connection
 	client *operatorhttp.Client
+	http   *http.Client
 	out    io.Writer
 	errOut io.Writer
 }
@@ -109,6 +114,9 @@
 	switch err := parser.Parse(args); {
 	case errors.Is(err, arg.ErrHelp):
 		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		if names := parser.SubcommandNames(); len(names) > 0 {
+			fmt.Fprintf(out, "\nExample of %s:\n%s", names[0], examples[names[0]])
+		}
 		return exitOK
 	case errors.Is(err, arg.ErrVersion):
 		fmt.Fprintln(out, a.Version())
@@ -133,6 +141,7 @@
 	e := &environment{
 		connection: a.connection,
 		client:     operatorhttp.NewClient(a.Address, a.Token, httpClient),
+		http:       httpClient,
 		out:        out,
 		errOut:     errOut,
 	}
@@ -159,6 +168,8 @@
 		return exitConflict
 	case protocol.CodeInvalidSettings:
 		return exitInvalid
+	case protocol.CodeBadRequest:
+		return exitUsage
 	default:
 		return exitFailure
 	}
--- /dev/null
+++ b/cmd/hickoryroute/status.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"hickoryroute/pkg/state/settings"
+	"hickoryroute/pkg/transport/operatorhttp"
+)
+
+type statusCommand struct{}
+
+func (c *statusCommand) run(ctx context.Context, e *environment) error {
+	s, err := e.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if e.Output == "json" {
+		return e.printJSON(s)
+	}
+	age := time.Duration(s.SettingsAgeSeconds * float64(time.Second)).Round(time.Second)
+	fmt.Fprintf(e.out, "seen by %s at revision %d, confirmed by the platform %s ago\n", s.VM, s.Revision, age)
+	if s.Fault != "" {
+		fmt.Fprintf(e.out, "# NOT IN FORCE: %s\n", oneLine(s.Fault))
+	}
+	e.printUnattributed(s.Unattributed)
+	e.section(overrideRows(s.Overrides))
+	e.section(regionRows(s.Regions))
+	e.section(linkRows(s.Links))
+	e.section(targetRows(s.Targets))
+	e.section(memberRows(s.Members))
+	return nil
+}
+
+// section prints an empty line and a table.
+func (e *environment) section(rows [][]string) {
+	fmt.Fprintln(e.out)
+	e.table(rows...)
+}
+
+func overrideRows(list []operatorhttp.Override) [][]string {
+	rows := [][]string{{"OVERRIDE", "RULE", "VALUE", "BY", "SINCE", "UNTIL", "REASON"}}
+	for _, o := range list {
+		until := formatTime(o.Expires)
+		if o.Expired {
+			until += " (expired, not in force)"
+		}
+		rows = append(rows, []string{o.Path, o.Key, o.Value, o.Author, formatTime(o.SetAt), until, oneLine(o.Reason)})
+	}
+	return rows
+}
+
+func regionRows(list []operatorhttp.RegionStatus) [][]string {
+	rows := [][]string{{"REGION", "LIMIT", "FREE SLOTS"}}
+	for _, r := range list {
+		rows = append(rows, []string{r.Region, limitText(r.Limit), fmt.Sprint(r.FreeSlots)})
+	}
+	return rows
+}
+
+// bitsPerByte converts the share of a link to the unit of its cap.
+const bitsPerByte = 8
+
+func linkRows(list []operatorhttp.LinkStatus) [][]string {
+	rows := [][]string{{"LINK", "CAP", "SHARE OF THIS VM", "ROOM IN BYTES"}}
+	for _, l := range list {
+		share := settings.Bandwidth(l.ShareBytes * bitsPerByte).String()
+		rows = append(rows, []string{l.From + " -> " + l.To, l.Cap, share, fmt.Sprint(l.AvailableBytes)})
+	}
+	return rows
+}
+
+func targetRows(list []operatorhttp.TargetStatus) [][]string {
+	rows := [][]string{{"TARGET OF THIS VM", "STATE", "IN FLIGHT", "USABLE", "SLOTS"}}
+	for _, t := range list {
+		rows = append(rows, []string{t.Target, t.State, fmt.Sprint(t.InFlight), fmt.Sprint(t.Usable), fmt.Sprint(t.Slots)})
+	}
+	return rows
+}
+
+func memberRows(list []operatorhttp.MemberStatus) [][]string {
+	rows := [][]string{{"MEMBER", "OPERATOR PORT", "ZONE", "STATE", "READY", "LEAVING", "REVISION", "SEATS"}}
+	for _, m := range list {
+		rows = append(rows, []string{
+			m.Address, m.Operator, m.Zone, m.State, fmt.Sprint(m.Ready), fmt.Sprint(m.Leaving),
+			fmt.Sprint(m.Revision), fmt.Sprint(m.Seats),
+		})
+	}
+	return rows
+}
+
+func limitText(n int) string {
+	if n == 0 {
+		return "none"
+	}
+	return strconv.Itoa(n)
+}
--- a/cmd/hickoryroute/view.go
+++ b/cmd/hickoryroute/view.go
@@ -11,13 +11,9 @@
 	"github.com/go-faster/errors"
 
 	"hickoryroute/pkg/protocol"
-	"hickoryroute/pkg/state/timeline"
 	"hickoryroute/pkg/transport/operatorhttp"
 )
 
-// watchInterval is the time between two looks at the members.
-const watchInterval = 200 * time.Millisecond
-
 func isProblem(err error) bool {
 	var p *protocol.Problem
 	return errors.As(err, &p)
@@ -51,10 +47,11 @@
 	if e.Output == "json" {
 		return e.printJSON(tree)
 	}
-	fmt.Fprintf(e.out, "# revision %d by %s at %s: %s\n", tree.Revision, tree.Author, tree.At.Format(time.RFC3339), tree.Reason)
+	fmt.Fprintf(e.out, "# revision %d by %s at %s: %s\n",
+		tree.Revision, orUnattributed(tree.Author), tree.At.Format(time.RFC3339), oneLine(tree.Reason))
 	e.printUnattributed(tree.Unattributed)
 	if tree.Fault != "" {
-		fmt.Fprintf(e.out, "# NOT IN FORCE: %s\n", tree.Fault)
+		fmt.Fprintf(e.out, "# NOT IN FORCE: %s\n", oneLine(tree.Fault))
 	}
 	fmt.Fprint(e.out, tree.Tree)
 	return nil
@@ -63,7 +60,7 @@
 func (e *environment) printUnattributed(list []operatorhttp.Unattributed) {
 	for _, u := range list {
 		fmt.Fprintf(e.out, "# UNATTRIBUTED: %s %s = %s, written to the store without this tool, revision %d\n",
-			u.Path, u.Key, u.Value, u.Revision)
+			u.Path, u.Key, oneLine(u.Value), u.Revision)
 	}
 }
 
@@ -85,13 +82,24 @@
 		if s.Override {
 			from += " (override)"
 		}
-		rows = append(rows, []string{s.Key, s.Value, from, s.Author, formatTime(s.SetAt), formatTime(s.Expires), s.Reason})
+		rows = append(rows, []string{s.Key, s.Value, from, s.Author, formatTime(s.SetAt), formatTime(s.Expires), oneLine(s.Reason)})
 	}
 	e.table(rows...)
+	for _, o := range reply.Expired {
+		fmt.Fprintf(e.out, "# EXPIRED, not in force: override %s %s: %s by %s (%s)%s\n",
+			o.Path, o.Key, o.Value, o.Author, oneLine(o.Reason), expiryText(o))
+	}
 	e.printUnattributed(reply.Unattributed)
 	return nil
 }
 
+func orUnattributed(author string) string {
+	if author == "" {
+		return "(unattributed)"
+	}
+	return author
+}
+
 func formatTime(t *time.Time) string {
 	if t == nil || t.IsZero() {
 		return "-"
@@ -111,141 +119,8 @@
 	}
 	rows := [][]string{{"REVISION", "AT", "BY", "PATHS", "REASON"}}
 	for _, h := range changes {
-		rows = append(rows, []string{strconv.FormatInt(h.Revision, 10), h.At.Format(time.RFC3339), h.Author, strings.Join(h.Paths, " "), h.Reason})
+		rows = append(rows, []string{strconv.FormatInt(h.Revision, 10), h.At.Format(time.RFC3339), h.Author, strings.Join(h.Paths, " "), oneLine(h.Reason)})
 	}
 	e.table(rows...)
 	return nil
 }
-
-type watchCommand struct {
-	Revision int64         `arg:"positional" help:"revision to wait for; 0 takes the one now in force"`
-	For      time.Duration `arg:"--for" default:"10s" help:"longest time to wait"`
-}
-
-func (c *watchCommand) run(ctx context.Context, e *environment) error {
-	ctx, cancel := context.WithTimeout(ctx, c.For)
-	defer cancel()
-	start := time.Now()
-	var lagging []string
-	for {
-		status, err := e.client.Status(ctx)
-		if err == nil {
-			if c.Revision == 0 {
-				c.Revision = status.Revision
-			}
-			lagging = laggingMembers(status, c.Revision)
-			if len(lagging) == 0 {
-				fmt.Fprintf(e.out, "revision %d is in force on %d VMs after %s\n",
-					c.Revision, countAlive(status), time.Since(start).Round(time.Millisecond))
-				return nil
-			}
-			fmt.Fprintf(e.errOut, "waiting for %d of %d VMs\n", len(lagging), len(status.Members))
-		} else if isProblem(err) {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			fmt.Fprintf(e.out, "not at revision %d: %s\n", c.Revision, strings.Join(lagging, ", "))
-			return errNotInForce
-		case <-time.After(watchInterval):
-		}
-	}
-}
-
-func laggingMembers(s operatorhttp.StatusReply, revision int64) []string {
-	var lagging []string
-	for _, m := range s.Members {
-		if m.State != "dead" && m.State != "left" && m.Revision < revision {
-			lagging = append(lagging, fmt.Sprintf("%s (%s, at %d)", m.Address, m.State, m.Revision))
-		}
-	}
-	return lagging
-}
-
-func countAlive(s operatorhttp.StatusReply) int {
-	alive := 0
-	for _, m := range s.Members {
-		if m.State == "alive" {
-			alive++
-		}
-	}
-	return alive
-}
-
-type statusCommand struct{}
-
-func (c *statusCommand) run(ctx context.Context, e *environment) error {
-	s, err := e.client.Status(ctx)
-	if err != nil {
-		return err
-	}
-	if e.Output == "json" {
-		return e.printJSON(s)
-	}
-	fmt.Fprintf(e.out, "seen by %s at revision %d\n\n", s.VM, s.Revision)
-	rows := [][]string{{"REGION", "LIMIT", "FREE SLOTS"}}
-	for _, r := range s.Regions {
-		rows = append(rows, []string{r.Region, limitText(r.Limit), fmt.Sprint(r.FreeSlots)})
-	}
-	e.table(rows...)
-	fmt.Fprintln(e.out)
-	rows = [][]string{{"LINK", "CAP", "SHARE BYTES/S", "AVAILABLE BYTES"}}
-	for _, l := range s.Links {
-		rows = append(rows, []string{l.From + " -> " + l.To, l.Cap, fmt.Sprint(l.ShareBytes), fmt.Sprint(l.AvailableBytes)})
-	}
-	e.table(rows...)
-	fmt.Fprintln(e.out)
-	rows = [][]string{{"TARGET", "STATE", "IN FLIGHT", "USABLE", "SLOTS"}}
-	for _, t := range s.Targets {
-		rows = append(rows, []string{t.Target, t.State, fmt.Sprint(t.InFlight), fmt.Sprint(t.Usable), fmt.Sprint(t.Slots)})
-	}
-	e.table(rows...)
-	fmt.Fprintln(e.out)
-	rows = [][]string{{"MEMBER", "ZONE", "STATE", "READY", "LEAVING", "REVISION"}}
-	for _, m := range s.Members {
-		rows = append(rows, []string{m.Address, m.Zone, m.State, fmt.Sprint(m.Ready), fmt.Sprint(m.Leaving), fmt.Sprint(m.Revision)})
-	}
-	e.table(rows...)
-	return nil
-}
-
-func limitText(n int) string {
-	if n == 0 {
-		return "none"
-	}
-	return strconv.Itoa(n)
-}
-
-type timelineCommand struct {
-	VMs []string `arg:"--vm,separate" help:"operator address of a further VM to merge, repeatable"`
-}
-
-func (c *timelineCommand) run(ctx context.Context, e *environment) error {
-	events, err := e.client.Timeline(ctx)
-	if err != nil {
-		return err
-	}
-	logs := [][]timeline.Event{events}
-	for _, address := range c.VMs {
-		h, err := newHTTPClient(e.connection)
-		if err != nil {
-			return err
-		}
-		more, err := operatorhttp.NewClient(address, e.Token, h).Timeline(ctx)
-		if err != nil {
-			fmt.Fprintf(e.errOut, "%s is left out: %v\n", address, err)
-			continue
-		}
-		logs = append(logs, more)
-	}
-	merged := timeline.Merge(logs...)
-	if e.Output == "json" {
-		return e.printJSON(merged)
-	}
-	for _, event := range merged {
-		fmt.Fprintf(e.out, "%s.%d %s %d %s %v\n",
-			time.UnixMilli(event.Time.WallMs).UTC().Format("2006-01-02T15:04:05.000Z"),
-			event.Time.Logical, event.Process, event.Number, event.Name, event.Fields)
-	}
-	return nil
-}
--- a/pkg/coordination/config/apply.go
+++ b/pkg/coordination/config/apply.go
@@ -1,10 +1,16 @@
 package config
 
 import (
+	"fmt"
+	"strings"
+
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/state/settings"
 )
 
+// maxLoggedPaths bounds the changed paths in a log event.
+const maxLoggedPaths = 20
+
 // maxRequests bounds the request ids that are remembered.
 const maxRequests = 1000
 
@@ -36,8 +42,11 @@
 	}
 	next := m.snapshot(old, revision, d, tree, document)
 	m.remember(revision, d)
+	if m.config.Caused != nil && !d.Plain {
+		m.config.Caused(d.At)
+	}
 	m.publish(next)
-	m.logApplied(next)
+	m.logApplied(old, next)
 	return true, nil
 }
 
@@ -111,10 +120,10 @@
 	m.requests[d.RequestID] = revision
 }
 
-func (m *Manager) logApplied(s *Snapshot) {
+func (m *Manager) logApplied(old, s *Snapshot) {
 	m.config.Logger.Log(eventApplied, eventlog.Fields{
 		"revision": s.Revision, "author": s.Document.Author, "reason": s.Document.Reason,
-		"request_id": s.Document.RequestID,
+		"request_id": s.Document.RequestID, "from_revision": old.Revision, "paths": pathsText(old.Tree, s.Tree),
 	})
 	if s.Bypass == "" {
 		return
@@ -125,3 +134,15 @@
 		})
 	}
 }
+
+// pathsText lists the paths that differ, for the log.
+func pathsText(old, new *settings.Tree) string {
+	if old == nil {
+		return "(first settings of this process)"
+	}
+	paths := settings.ChangedPaths(settings.Diff(old, new))
+	if more := len(paths) - maxLoggedPaths; more > 0 {
+		paths = append(paths[:maxLoggedPaths], fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(paths, " ")
+}
--- a/pkg/coordination/config/boot.go
+++ b/pkg/coordination/config/boot.go
@@ -35,11 +35,14 @@
 func (m *Manager) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, bootCallTimeout)
 	defer cancel()
+	asked := m.config.Now()
 	head, err := m.config.Store.Get(ctx, HeadKey)
 	if err != nil {
 		return err
 	}
-	return m.Apply(head.Revision, head.Value)
+	err = m.Apply(head.Revision, head.Value)
+	m.confirmRead(head.Revision, asked)
+	return err
 }
 
 // askPeers fetches from all peers that have a higher revision than this VM at
@@ -65,6 +68,7 @@
 func (m *Manager) Fetch(ctx context.Context, peer string) {
 	ctx, cancel := context.WithTimeout(ctx, bootCallTimeout)
 	defer cancel()
+	asked := m.config.Now()
 	reply, err := m.config.Peers.Settings(ctx, peer, m.Current().Revision)
 	if err != nil {
 		m.config.Logger.Log(eventPeerFailed, eventlog.Fields{"peer": peer, "error": err.Error()})
@@ -73,6 +77,7 @@
 	if len(reply.Document) > 0 {
 		_ = m.Apply(reply.Revision, reply.Document) // a fault is kept in Current
 	}
+	m.confirmByPeer(reply, asked)
 }
 
 // Learn tells Run that a peer has a higher revision. It does not block; a
--- /dev/null
+++ b/pkg/coordination/config/confirm_test.go
@@ -0,0 +1,53 @@
+package config
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against settings that look fresh while nobody can reach the platform,
+// or old on a VM that holds no watch while a peer confirms them.
+func TestAgeCountsFromTheLastConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, watcher := started(t)
+		peers := &fakePeers{managers: map[string]*Manager{"a": watcher}, names: []string{"a"}}
+		other := newManager(newFakeStore(), peers) // its clock and its store differ
+		other.config.Now = func() time.Time { return time.Now().Add(-time.Hour) }
+		_, known := other.Age()
+		assert.Assert(t, !known)
+		time.Sleep(20 * time.Second)
+		other.Fetch(t.Context(), "a")
+		age, _ := other.Age()
+		assert.Equal(t, age.Truncate(time.Second), 20*time.Second)
+
+		store.next = func(string) fault { return down }
+		assert.Assert(t, watcher.Refresh(t.Context()) != nil)
+		time.Sleep(40 * time.Second)
+		other.Fetch(t.Context(), "a")
+		age, _ = other.Age()
+		assert.Equal(t, age.Truncate(time.Second), time.Minute)
+
+		store.next = func(string) fault { return works }
+		assert.NilError(t, watcher.Refresh(t.Context()))
+		other.Fetch(t.Context(), "a")
+		age, _ = other.Age()
+		assert.Assert(t, age < time.Second, "age %s", age)
+	})
+}
+
+// Guards against a read of an old head that counts as a confirmation.
+func TestStaleReadConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, m := started(t)
+		_, err := m.Propose(t.Context(), weight("new", 0, 20))
+		assert.NilError(t, err)
+		time.Sleep(time.Minute)
+		store.next = func(string) fault { return stale }
+		_ = m.Refresh(t.Context())
+		age, _ := m.Age()
+		assert.Equal(t, age, time.Minute)
+	})
+}
--- a/pkg/coordination/config/events.go
+++ b/pkg/coordination/config/events.go
@@ -8,7 +8,7 @@
 
 var (
 	eventApplied = eventlog.Define(1200, "settings_applied", logrus.InfoLevel,
-		"A higher revision of the settings is in force on this VM.")
+		"A higher revision of the settings is in force on this VM; the field paths lists what differs from the one before.")
 	eventInvalid = eventlog.Define(1201, "settings_invalid", logrus.ErrorLevel,
 		"A revision was kept out because it is not valid; the last valid one stays in force. Write a corrected tree.")
 	eventUnattributed = eventlog.Define(1202, "settings_unattributed", logrus.WarnLevel,
--- a/pkg/coordination/config/manager.go
+++ b/pkg/coordination/config/manager.go
@@ -52,6 +52,10 @@
 	// Rand spreads the intervals of polls and retries. It is used under a
 	// lock. nil means a generator with a random seed.
 	Rand *rand.Rand
+	// Caused is called with the time at which the author of a revision wrote
+	// it, before the revision is logged, so that the time line puts it after
+	// its cause. nil means nobody is told.
+	Caused func(at time.Time)
 	// Logger receives the events 1200 to 1299.
 	Logger *eventlog.Logger
 }
@@ -80,6 +84,8 @@
 type Manager struct {
 	config  Config
 	current atomic.Pointer[Snapshot]
+	// confirmed is the time of the last confirmation by the platform.
+	confirmed atomic.Pointer[time.Time]
 
 	mu          sync.Mutex // serialises apply; guards the fields below
 	subscribers []chan struct{}
@@ -143,7 +149,7 @@
 func (m *Manager) Settings(have int64) protocol.SettingsReply {
 	s := m.Current()
 	if s.Tree == nil || s.Revision <= have {
-		return protocol.SettingsReply{Revision: s.Revision}
+		return m.addAge(protocol.SettingsReply{Revision: s.Revision})
 	}
-	return protocol.SettingsReply{Revision: s.Revision, Document: s.Raw}
+	return m.addAge(protocol.SettingsReply{Revision: s.Revision, Document: s.Raw})
 }
--- a/pkg/coordination/config/propose.go
+++ b/pkg/coordination/config/propose.go
@@ -111,6 +111,7 @@
 
 // readHead returns the head and applies it. A missing head is a zero entry.
 func (m *Manager) readHead(ctx context.Context) (platform.Entry, error) {
+	asked := m.config.Now()
 	head, err := m.config.Store.Get(ctx, HeadKey)
 	if errors.Is(err, platform.ErrNotFound) {
 		return platform.Entry{}, nil
@@ -119,6 +120,7 @@
 		return platform.Entry{}, err
 	}
 	_ = m.Apply(head.Revision, head.Value) // an invalid head may be replaced
+	m.confirmRead(head.Revision, asked)
 	return head, nil
 }
 
@@ -237,9 +239,12 @@
 // attempts take effect.
 func (m *Manager) writeHead(ctx context.Context, p *proposal) (int64, error) {
 	for {
+		asked := m.config.Now()
 		revision, err := m.config.Store.CompareAndSwap(ctx, HeadKey, p.value, p.head.Revision, 0)
 		if err == nil {
-			return m.acceptedAt(p, revision), nil
+			m.acceptedAt(p, revision)
+			m.confirmRead(revision, asked)
+			return revision, nil
 		}
 		if definite(err) && !p.lost {
 			return 0, &PlatformError{"writing the settings", err}
--- a/pkg/coordination/config/run.go
+++ b/pkg/coordination/config/run.go
@@ -82,11 +82,13 @@
 	if err != nil {
 		return err
 	}
+	answered := m.config.Now()
 	for _, e := range entries {
 		if e.Key == HeadKey {
 			_ = m.Apply(e.Revision, e.Value) // a fault is kept in Current
 		}
 	}
+	m.confirm(answered)
 	return nil
 }
 
--- a/pkg/entry/calls.go
+++ b/pkg/entry/calls.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/state/settings"
@@ -77,6 +78,7 @@
 	if problem != nil {
 		return nil, problem
 	}
+	v.traffic.add(r.Service, answer.Target, time.Now())
 	return &callerhttp.Answer{
 		Status: answer.Status, Header: answer.Header, ContentLength: contentLength(answer.Header),
 		Body: answer.Body, Target: answer.Target, Revision: view.revision,
@@ -93,6 +95,7 @@
 	if reply.Outcome != protocol.OutcomeAnswered {
 		return nil, reply.Problem
 	}
+	v.traffic.add(r.Service, reply.Target, time.Now())
 	return &callerhttp.Answer{
 		Status: reply.Status, Header: reply.Header, ContentLength: int64(len(reply.Body)),
 		Body: io.NopCloser(bytes.NewReader(reply.Body)), Target: reply.Target, Revision: revision,
--- a/pkg/entry/edits.go
+++ b/pkg/entry/edits.go
@@ -20,27 +20,67 @@
 	if err != nil {
 		return operatorhttp.EditReply{}, err
 	}
-	before := b.vm.config.Current().Tree
+	var before, after *settings.Tree
+	observed := func(t *settings.Tree) (*settings.Tree, error) {
+		var err error
+		before = t.Clone()
+		after, err = mutate(t)
+		return after, err
+	}
 	revision, err := b.vm.config.Propose(ctx, config.Edit{
-		Author: author, Reason: e.Reason, RequestID: e.RequestID, Base: e.Base, Mutate: mutate,
+		Author: author, Reason: e.Reason, RequestID: e.RequestID, Base: e.Base, Mutate: observed,
 	})
 	if err != nil {
 		return operatorhttp.EditReply{}, editProblem(err)
 	}
 	reply := operatorhttp.EditReply{Revision: revision}
-	if after := b.vm.config.Current(); after.Revision == revision {
-		reply.Changes = changes(before, after.Tree)
+	if after != nil { // nil when the change was accepted by an earlier request
+		reply.Changes = changes(before, after)
+		reply.Replaced, reply.Kept = earlierOverrides(before, after, e)
 	}
 	return reply, nil
 }
 
+// earlierOverrides returns the rules of overrides that a set or drain found at
+// the paths that it changed: those that it replaced and those that it kept.
+func earlierOverrides(before, after *settings.Tree, e operatorhttp.EditRequest) (replaced, kept []operatorhttp.Override) {
+	if e.Op != operatorhttp.OpSet && e.Op != operatorhttp.OpDrain {
+		return nil, nil
+	}
+	paths, err := drainPaths(before, e.Path)
+	if err != nil {
+		return nil, nil
+	}
+	touched := map[string]bool{}
+	for _, p := range paths {
+		touched[p.String()] = true
+	}
+	now := time.Now()
+	left := map[settings.OverrideRule]bool{}
+	for _, o := range after.OverrideRules(now) {
+		left[o] = true
+	}
+	for _, o := range before.OverrideRules(now) {
+		if !touched[o.Path] {
+			continue
+		}
+		text := overrides([]settings.OverrideRule{o})
+		if left[o] {
+			kept = append(kept, text...)
+		} else {
+			replaced = append(replaced, text...)
+		}
+	}
+	return replaced, kept
+}
+
 type mutateFunc = func(*settings.Tree) (*settings.Tree, error)
 
 // mutation returns the change of the tree that e asks for.
 func (b operatorBackend) mutation(ctx context.Context, author string, e operatorhttp.EditRequest) (mutateFunc, error) {
 	switch e.Op {
 	case operatorhttp.OpApply:
-		return replaceTree(e.Tree)
+		return applyTree(e)
 	case operatorhttp.OpRoll:
 		text, err := b.RevisionText(ctx, e.Revision)
 		if err != nil {
@@ -70,6 +110,23 @@
 	}
 }
 
+// applyTree replaces the whole tree. Without the revision that the author has
+// edited, an apply would undo whatever colleagues changed since.
+func applyTree(e operatorhttp.EditRequest) (mutateFunc, error) {
+	replace, err := replaceTree(e.Tree)
+	if err != nil || e.Base != 0 {
+		return replace, err
+	}
+	return func(t *settings.Tree) (*settings.Tree, error) {
+		if len(t.Regions) > 0 {
+			return nil, protocol.NewProblem(http.StatusBadRequest, protocol.CodeBadRequest, "",
+				"the tree names no revision that it is based on, and applying it may undo the changes of others",
+				"edit the output of hickoryroute show, whose first line names the revision, or pass --base")
+		}
+		return replace(t)
+	}, nil
+}
+
 func replaceTree(text string) (mutateFunc, error) {
 	tree, err := settings.Parse([]byte(text))
 	if err != nil {
--- a/pkg/entry/events.go
+++ b/pkg/entry/events.go
@@ -34,4 +34,10 @@
 		"A port stopped accepting connections; restart the VM.")
 	eventVMList = eventlog.Define(1012, "vm_list_unreadable", logrus.WarnLevel,
 		"Leaving VMs are learnt by other signs until the platform answers again.")
+	eventDrainInForce = eventlog.Define(1020, "drain_in_force", logrus.InfoLevel,
+		"A drain began or ended at the owner of the target; the fields from, author and reason tell why.")
+	eventWeightInForce = eventlog.Define(1021, "weight_in_force", logrus.InfoLevel,
+		"The weight of a service in a region changed at an owner of its targets.")
+	eventTraffic = eventlog.Define(1022, "requests_moved", logrus.InfoLevel,
+		"The share of a region in the answers of a service through this VM moved by more than 10 percentage points, or was counted for the first time. Written once in 10 s at most, over 20 requests or more.")
 )
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -22,10 +22,7 @@
 // Tree implements operatorhttp.Backend.
 func (b operatorBackend) Tree() operatorhttp.TreeReply {
 	s := b.vm.config.Current()
-	reply := operatorhttp.TreeReply{Revision: s.Revision, Unattributed: unattributed(s)}
-	if s.Fault != nil {
-		reply.Fault = s.Fault.Err.Error()
-	}
+	reply := operatorhttp.TreeReply{Revision: s.Revision, Unattributed: unattributed(s), Fault: faultText(s)}
 	if s.Tree == nil {
 		return reply
 	}
@@ -34,6 +31,25 @@
 	return reply
 }
 
+// faultText tells why a newer revision is not in force.
+func faultText(s *config.Snapshot) string {
+	if s.Fault == nil {
+		return ""
+	}
+	return s.Fault.Err.Error()
+}
+
+func overrides(rules []settings.OverrideRule) []operatorhttp.Override {
+	var list []operatorhttp.Override
+	for _, r := range rules {
+		list = append(list, operatorhttp.Override{
+			Path: r.Path, Key: r.Key, Value: r.Value, Author: r.Author, Reason: r.Reason,
+			SetAt: timeOrNil(r.SetAt), Expires: timeOrNil(r.Expires), Expired: r.Expired,
+		})
+	}
+	return list
+}
+
 func unattributed(s *config.Snapshot) []operatorhttp.Unattributed {
 	var list []operatorhttp.Unattributed
 	for _, u := range s.Unattributed {
@@ -52,7 +68,8 @@
 	if err != nil {
 		return operatorhttp.ExplainReply{}, editProblem(err)
 	}
-	found, err := s.Tree.Explain(path, time.Now())
+	now := time.Now()
+	found, err := s.Tree.Explain(path, now)
 	if err != nil {
 		return operatorhttp.ExplainReply{}, editProblem(err)
 	}
@@ -63,6 +80,11 @@
 			Reason: f.Reason, SetAt: timeOrNil(f.SetAt), Expires: timeOrNil(f.Expires),
 		})
 	}
+	for _, o := range overrides(s.Tree.OverrideRulesAbove(path, now)) {
+		if o.Expired {
+			reply.Expired = append(reply.Expired, o)
+		}
+	}
 	return reply, nil
 }
 
@@ -144,11 +166,8 @@
 
 // SettingsAge implements operatorhttp.Backend.
 func (b operatorBackend) SettingsAge() time.Duration {
-	s := b.vm.config.Current()
-	if s.Tree == nil {
-		return 0
-	}
-	return time.Since(s.AppliedAt)
+	age, _ := b.vm.config.Age()
+	return age
 }
 
 // WriteMetrics implements operatorhttp.Backend.
@@ -170,7 +189,10 @@
 	problem := func(status int, code protocol.Code, remedy string) error {
 		return protocol.NewProblem(status, code, "", err.Error(), remedy)
 	}
+	var known *protocol.Problem
 	switch {
+	case errors.As(err, &known):
+		return known
 	case errors.As(err, &conflict):
 		return problem(http.StatusConflict, protocol.CodeConflict, "look at the other change with hickoryroute history, then repeat yours")
 	case errors.As(err, &outage):
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -56,7 +56,9 @@
 
 // Settings implements peer.Handler.
 func (h handler) Settings(_ context.Context, req *protocol.SettingsRequest, reply *protocol.SettingsReply) error {
+	h.vm.clock.Observe(req.Time)
 	*reply = h.vm.config.Settings(req.Have)
+	reply.Time = h.vm.clock.Now()
 	var newer []seat.Table
 	for _, t := range h.vm.seats.Tables() {
 		if t.Revision > req.Tables[t.Region] {
@@ -78,7 +80,7 @@
 func (p configPeers) Settings(ctx context.Context, address string, have int64) (protocol.SettingsReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTime)
 	defer cancel()
-	req := &protocol.SettingsRequest{Have: have, Tables: map[string]int64{}}
+	req := &protocol.SettingsRequest{Have: have, Tables: map[string]int64{}, Time: p.vm.clock.Now()}
 	for _, t := range p.vm.seats.Tables() {
 		req.Tables[t.Region] = t.Revision
 	}
@@ -86,6 +88,7 @@
 	if err := p.vm.peers.Call(ctx, address, protocol.MethodSettings, req, &reply); err != nil {
 		return reply, err
 	}
+	p.vm.clock.Observe(reply.Time)
 	p.vm.mergeTables(reply.Tables)
 	return reply, nil
 }
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -15,11 +15,15 @@
 func (b operatorBackend) Status() operatorhttp.StatusReply {
 	v := b.vm
 	s := v.config.Current()
-	reply := operatorhttp.StatusReply{VM: v.cfg.PeerAddress, Revision: s.Revision}
+	reply := operatorhttp.StatusReply{
+		VM: v.cfg.PeerAddress, Revision: s.Revision, SettingsAgeSeconds: b.SettingsAge().Seconds(),
+		Fault: faultText(s), Unattributed: unattributed(s), Overrides: []operatorhttp.Override{},
+	}
 	members := v.members.Members()
 	if s.Tree != nil {
 		reply.Regions = v.regionStatus(s.Tree, members)
 		reply.Links = v.linkStatus(s.Tree)
+		reply.Overrides = append(reply.Overrides, overrides(s.Tree.OverrideRules(time.Now()))...)
 	}
 	for _, t := range v.owner.Status() {
 		reply.Targets = append(reply.Targets, operatorhttp.TargetStatus{
@@ -29,7 +33,7 @@
 	seats := v.seatsByHolder()
 	for _, m := range members {
 		reply.Members = append(reply.Members, operatorhttp.MemberStatus{
-			Address: m.PeerAddress, Zone: m.Zone, State: stateName(m.State),
+			Address: m.PeerAddress, Operator: m.OperatorAddress, Zone: m.Zone, State: stateName(m.State),
 			Ready: m.Ready, Leaving: m.Leaving, Revision: m.Revision, Seats: seats[m.PeerAddress],
 		})
 	}
--- a/pkg/entry/targets.go
+++ b/pkg/entry/targets.go
@@ -29,6 +29,7 @@
 	// healthy is called when a health answer shows that a target works.
 	healthy func(name string)
 	leaving *leavingTargets
+	effects effectLog
 
 	mu     sync.Mutex
 	probes map[string]*probe
@@ -41,7 +42,7 @@
 }
 
 // update applies the settings and the seats now held.
-func (k *targetKeeper) update(ctx context.Context, tree *settings.Tree) {
+func (k *targetKeeper) update(ctx context.Context, tree *settings.Tree, revision int64) {
 	var owned []settings.TargetInfo
 	slots := map[string]int{}
 	for _, t := range tree.Targets() {
@@ -63,6 +64,11 @@
 		specs = append(specs, k.spec(tree, t, parts[t.Name]))
 	}
 	k.owner.SetTargets(specs)
+	refs := make([]protocol.TargetRef, 0, len(owned))
+	for _, t := range owned {
+		refs = append(refs, t.TargetRef)
+	}
+	k.effects.take(tree, revision, refs, k.now())
 	for _, name := range k.leaving.names() {
 		k.owner.Leaving(name, true)
 	}
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -66,9 +66,10 @@
 	old := v.view.Load()
 	v.memberIndex.Store(v.indexMembers())
 	v.view.Store(v.buildView(snapshot, old))
-	v.keeper.update(ctx, snapshot.Tree)
+	v.keeper.update(ctx, snapshot.Tree, snapshot.Revision)
 	v.updateShares(snapshot.Tree)
 	v.publishSelf(snapshot.Revision)
+	v.announceFreeSeats()
 	if old == nil {
 		v.log.Log(eventReady, map[string]any{"revision": snapshot.Revision})
 	}
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -60,6 +60,7 @@
 	callers    *callerhttp.Server
 	servers    []*managedServer
 
+	traffic      trafficLog
 	view         atomic.Pointer[view]
 	memberIndex  atomic.Pointer[map[string]protocol.Member]
 	shares       atomic.Pointer[map[linkcap.Link]float64]
@@ -68,6 +69,8 @@
 	noticeNumber atomic.Uint64
 	stopping     atomic.Bool
 
+	announcedTable int64 // revision of the seat table told last; used by refresh alone
+
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 }
@@ -129,6 +132,7 @@
 	})
 	v.config = config.New(config.Config{
 		Store: v.cfg.Store, Peers: configPeers{v}, Logger: v.log, Watcher: v.watchesSettings,
+		Caused: func(at time.Time) { v.clock.Observe(protocol.Timestamp{WallMs: at.UnixMilli()}) },
 	})
 	if err := v.buildTickets(); err != nil {
 		return err
@@ -138,9 +142,13 @@
 		region: v.cfg.Region, seats: v.seats, owner: v.owner,
 		prober: &target.Prober{Client: v.targets, LocalRegion: v.cfg.Region, Timeout: targetProbeTime},
 		period: v.cfg.Timing.ProbeTargets, now: time.Now,
-		leave: v.targetLeaving, healthy: v.targetHealthy, leaving: &v.leaving,
+		leave: v.targetLeaving, healthy: v.targetHealthy, leaving: &v.leaving, effects: effectLog{log: v.log},
 	}
 	v.buildRouter()
+	v.traffic.log = v.log
+	v.metrics.NewGauge("hickory_settings_age_seconds", func() float64 {
+		return operatorBackend{v}.SettingsAge().Seconds()
+	})
 	return nil
 }
 
@@ -208,6 +216,7 @@
 	v.goRun(func() { v.refresh(ctx) })
 	v.goRun(func() { v.followVMList(ctx) })
 	v.goRun(func() { v.compareTables(ctx) })
+	v.goRun(func() { v.traffic.run(ctx) })
 }
 
 func (v *VM) goRun(f func()) {
--- a/pkg/protocol/peer.go
+++ b/pkg/protocol/peer.go
@@ -55,6 +55,8 @@
 	NoticeRevision
 	// NoticeTargetBack revokes NoticeTargetLeaving.
 	NoticeTargetBack
+	// NoticeSeatsFree tells that seats of a region have no holder.
+	NoticeSeatsFree
 )
 
 // Notice is a short-lived fact that every entry VM needs at once.
@@ -208,6 +210,7 @@
 type SettingsRequest struct {
 	Have   int64
 	Tables map[string]int64
+	Time   Timestamp // clock reading of the sender
 }
 
 // SettingsReply carries the document, or none if the peer has nothing newer.
@@ -215,4 +218,9 @@
 	Revision int64
 	Document []byte
 	Tables   []byte // JSON list of seat tables
+	// Confirmed tells that AgeMs is set: the time since the platform last
+	// confirmed the sender's settings.
+	Confirmed bool
+	AgeMs     int64
+	Time      Timestamp // clock reading of the sender
 }
--- a/pkg/transport/operatorhttp/api.go
+++ b/pkg/transport/operatorhttp/api.go
@@ -62,6 +62,7 @@
 	Path         string         `json:"path"`
 	Revision     int64          `json:"revision"`
 	Settings     []Setting      `json:"settings"`
+	Expired      []Override     `json:"expired,omitempty"` // overrides that no longer count
 	Unattributed []Unattributed `json:"unattributed,omitempty"`
 }
 
@@ -77,13 +78,25 @@
 	Expires  *time.Time `json:"expires,omitempty"`
 }
 
+// Override is one rule that an override sets.
+type Override struct {
+	Path    string     `json:"path"`
+	Key     string     `json:"key"`
+	Value   string     `json:"value"`
+	Author  string     `json:"author"`
+	Reason  string     `json:"reason"`
+	SetAt   *time.Time `json:"set_at,omitempty"`
+	Expires *time.Time `json:"expires,omitempty"`
+	Expired bool       `json:"expired,omitempty"`
+}
+
 // Operations of an EditRequest.
 const (
 	OpSet     = "set"     // set or replace the override of Path with Rules
 	OpRemove  = "remove"  // remove the override of Path
 	OpDrain   = "drain"   // set drain: true in the override of Path
 	OpRestore = "restore" // remove drain from the override of Path
-	OpApply   = "apply"   // replace the whole tree by Tree
+	OpApply   = "apply"   // replace the whole tree by Tree; needs Base once there is a tree
 	OpRoll    = "roll"    // accept the content of Revision as a new revision
 )
 
@@ -106,6 +119,10 @@
 type EditReply struct {
 	Revision int64    `json:"revision"`
 	Changes  []Change `json:"changes,omitempty"`
+	// Replaced and Kept are the rules of earlier overrides of the same path
+	// that a set or drain replaced or left in place.
+	Replaced []Override `json:"replaced,omitempty"`
+	Kept     []Override `json:"kept,omitempty"`
 }
 
 // Change is one accepted edit or one line of a comparison.
@@ -134,12 +151,17 @@
 
 // StatusReply describes the system as one entry VM sees it.
 type StatusReply struct {
-	VM       string         `json:"vm"`
-	Revision int64          `json:"revision"`
-	Regions  []RegionStatus `json:"regions"`
-	Links    []LinkStatus   `json:"links"`
-	Targets  []TargetStatus `json:"targets"`
-	Members  []MemberStatus `json:"members"`
+	VM       string `json:"vm"`
+	Revision int64  `json:"revision"`
+	// SettingsAgeSeconds is the time since the platform confirmed the settings.
+	SettingsAgeSeconds float64        `json:"settings_age_seconds"`
+	Fault              string         `json:"fault,omitempty"` // why a newer revision is not in force
+	Unattributed       []Unattributed `json:"unattributed,omitempty"`
+	Overrides          []Override     `json:"overrides"` // in force and expired
+	Regions            []RegionStatus `json:"regions"`
+	Links              []LinkStatus   `json:"links"`
+	Targets            []TargetStatus `json:"targets"`
+	Members            []MemberStatus `json:"members"`
 }
 
 // RegionStatus sums up a region.
@@ -170,6 +192,7 @@
 // MemberStatus describes one entry VM.
 type MemberStatus struct {
 	Address  string `json:"address"`
+	Operator string `json:"operator_address"`
 	Zone     string `json:"zone"`
 	State    string `json:"state"`
 	Ready    bool   `json:"ready"`
--- a/pkg/transport/operatorhttp/server.go
+++ b/pkg/transport/operatorhttp/server.go
@@ -20,8 +20,10 @@
 const maxEditBytes = 4 << 20
 
 // maxSettingsAge is the age of the settings above which /readyz reports them
-// as old. The VM stays ready, as the settings in force are still valid.
-const maxSettingsAge = 30 * time.Second
+// as old. A watch without news confirms them every 30 s, and one lost watch may
+// add its time limit of 60 s. The VM stays ready, as the settings in force are
+// still valid.
+const maxSettingsAge = 90 * time.Second
 
 // Tokens maps operator names to their bearer tokens. An empty map lets
 // everyone in as "anonymous".
