--- a/test/scenario/system_test.go
+++ b/test/scenario/system_test.go
@@ -13,8 +13,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -26,6 +28,7 @@
 	targets   []string // addresses
 	processes map[string]*process
 	pending   map[string]chan string
+	storms    map[string]*storm
 	logDir    string
 }
 
@@ -55,7 +58,7 @@
 }
 
 func setup(env *testscript.Env) error {
-	s := &system{processes: map[string]*process{}, pending: map[string]chan string{}, logDir: env.WorkDir}
+	s := &system{processes: map[string]*process{}, pending: map[string]chan string{}, storms: map[string]*storm{}, logDir: env.WorkDir}
 	env.Values[systemKey{}] = s
 	env.Setenv("PATH", binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
 	env.Defer(s.close)
@@ -97,18 +100,34 @@
 	return strings.TrimSpace(line), err
 }
 
+// Ports for the VMs lie below the range that the system gives to outgoing
+// connections; one of those had taken a port that was free a moment before.
+const (
+	firstPort = 12000
+	lastPort  = 31000
+)
+
+var nextPort atomic.Int64
+
+// portsEach separates the ports of test processes that run at the same time.
+const portsEach = 512
+
 // freePorts returns addresses that were free a moment ago.
 func freePorts(n int) ([]string, error) {
 	var list []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		if len(list) == n {
+			return list, nil
+		}
+		number := int64(os.Getpid())*portsEach + nextPort.Add(1)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+number%(lastPort-firstPort)))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer l.Close()
 		list = append(list, l.Addr().String())
+		_ = l.Close()
 	}
-	return list, nil
+	return nil, errors.Errorf("no %d free ports from %d to %d", n, firstPort, lastPort)
 }
 
 var client = &http.Client{
