--- a/cmd/hickoryd/settings.go
+++ b/cmd/hickoryd/settings.go
@@ -119,16 +119,27 @@
 		return "(hidden)"
 	}
 	return logrus.Fields{
-		"zone": s.Zone, "region": s.Region, "platform": s.Platform, "peers": s.Peers,
+		"zone": s.Zone, "region": s.Region, "platform": withoutPassword(s.Platform), "peers": s.Peers,
 		"caller_address": s.CallerAddress, "peer_address": s.PeerAddress,
 		"operator_address": s.OperatorAddr, "metrics_address": s.MetricsAddress,
 		"seat_count": s.SeatCount, "peer_key": hide(s.PeerKey),
-		"operator_tokens": hide(s.OperatorTokens),
-		"caller_cert":     s.CallerCert, "operator_cert": s.OperatorCert,
-		"log_format": s.LogFormat, "log_level": s.LogLevel,
+		"operator_tokens":  hide(s.OperatorTokens),
+		"caller_cert_file": s.CallerCert, "caller_key_file": s.CallerKey,
+		"operator_cert_file": s.OperatorCert, "operator_key_file": s.OperatorKey,
+		"operator_client_ca_file": s.OperatorCA,
+		"log_format":              s.LogFormat, "log_level": s.LogLevel,
 	}
 }
 
+// withoutPassword hides the password of a URL.
+func withoutPassword(text string) string {
+	u, err := url.Parse(text)
+	if err != nil {
+		return "(hidden)"
+	}
+	return u.Redacted()
+}
+
 func (s settings) logger(out io.Writer) (*logrus.Logger, error) {
 	log := logrus.New()
 	log.SetOutput(out)
--- a/cmd/hickoryroute/view.go
+++ b/cmd/hickoryroute/view.go
@@ -107,6 +107,17 @@
 	return t.Format(time.RFC3339)
 }
 
+// maxShownPaths keeps the columns of the history readable; the JSON output
+// lists all paths.
+const maxShownPaths = 4
+
+func pathsText(paths []string) string {
+	if more := len(paths) - maxShownPaths; more > 0 {
+		return fmt.Sprintf("%s and %d more", strings.Join(paths[:maxShownPaths], " "), more)
+	}
+	return strings.Join(paths, " ")
+}
+
 type historyCommand struct{}
 
 func (c *historyCommand) run(ctx context.Context, e *environment) error {
@@ -119,7 +130,7 @@
 	}
 	rows := [][]string{{"REVISION", "AT", "BY", "PATHS", "REASON"}}
 	for _, h := range changes {
-		rows = append(rows, []string{strconv.FormatInt(h.Revision, 10), h.At.Format(time.RFC3339), h.Author, strings.Join(h.Paths, " "), oneLine(h.Reason)})
+		rows = append(rows, []string{strconv.FormatInt(h.Revision, 10), h.At.Format(time.RFC3339), h.Author, pathsText(h.Paths), oneLine(h.Reason)})
 	}
 	e.table(rows...)
 	return nil
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -29,6 +29,7 @@
 	regionRules  string   // YAML of the rules of each region
 	linkCap      string   // default 400Mbit/s
 	serviceTime  time.Duration
+	adjust       func(*Config) // changes the process settings, may be nil
 }
 
 // fleet is a running system.
@@ -163,7 +164,7 @@
 	}
 	var mu sync.Mutex
 	address := ""
-	vm, err := Start(context.Background(), Config{
+	config := Config{
 		Region: region, Zone: region + "-a",
 		CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
 		Store: f.store, VMList: f.store, Peers: peers, SeatCount: 24, Timing: timing,
@@ -172,7 +173,11 @@
 			defer mu.Unlock()
 			return address
 		}),
-	})
+	}
+	if f.adjust != nil {
+		f.adjust(&config)
+	}
+	vm, err := Start(context.Background(), config)
 	assert.NilError(t, err)
 	mu.Lock()
 	address = vm.PeerAddress()
--- /dev/null
+++ b/pkg/entry/operator_test.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/protocol"
+	standinplatform "hickoryroute/pkg/standin/platform"
+	"hickoryroute/pkg/transport/operatorhttp"
+	"hickoryroute/pkg/transport/platform"
+)
+
+// Guards against two operators who both believe that their edit is in force,
+// and against a loser who does not learn to whom.
+func TestRacingOperatorsGetOneAcceptedEdit(t *testing.T) {
+	names := []string{"alice", "bob"}
+	f := newFleet(t, fleetConfig{vms: 2, targets: 1, adjust: func(c *Config) {
+		c.OperatorTokens = operatorhttp.Tokens{"alice": "token-of-alice", "bob": "token-of-bob"}
+	}})
+	f.waitServing(t)
+	const rounds = 5
+	for round := range rounds {
+		base := max(f.vms[0].config.Current().Revision, f.vms[1].config.Current().Revision)
+		results := make([]error, len(names))
+		done := make(chan int)
+		for i, name := range names {
+			go func() {
+				client := operatorhttp.NewClient(f.vms[i].OperatorAddress(), "token-of-"+name, http.DefaultClient)
+				_, results[i] = client.Edit(t.Context(), operatorhttp.EditRequest{
+					RequestID: fmt.Sprintf("%s-%d", name, round), Op: operatorhttp.OpSet, Base: base,
+					Path: "sask/cluebook", Rules: fmt.Sprintf("queue_limit: %d", 10*round+i+3), Reason: "reason of " + name,
+				})
+				done <- i
+			}()
+		}
+		<-done
+		<-done
+		loser := slices.IndexFunc(results, func(err error) bool { return err != nil })
+		assert.Assert(t, loser >= 0, "both edits were accepted")
+		winner := 1 - loser
+		assert.NilError(t, results[winner])
+		var problem *protocol.Problem
+		assert.Assert(t, errors.As(results[loser], &problem))
+		assert.Equal(t, problem.Code, protocol.CodeConflict)
+		for _, part := range []string{names[winner], "reason of " + names[winner], "sask/cluebook"} {
+			assert.Assert(t, strings.Contains(problem.Detail, part), problem.Detail)
+		}
+	}
+}
+
+var metricName = regexp.MustCompile("hickory_[a-z_]+")
+
+// overHTTP puts the HTTP adapter between a VM and the stand-in of the platform.
+func overHTTP(t *testing.T) func(*Config) {
+	return func(c *Config) {
+		server := httptest.NewServer(c.Store.(*standinplatform.Server).Handler())
+		t.Cleanup(server.Close)
+		client, err := platform.NewHTTP(platform.HTTPConfig{BaseURL: server.URL})
+		assert.NilError(t, err)
+		c.Store, c.VMList = client, client
+	}
+}
+
+// Guards against metrics that the page does not explain, and against entries
+// of the page that no VM has.
+func TestMetricsPageMatchesTheCode(t *testing.T) {
+	f := newFleet(t, fleetConfig{vms: 1, targets: 1, adjust: overHTTP(t)})
+	f.waitServing(t)
+	var out bytes.Buffer
+	operatorBackend{f.vms[0]}.WriteMetrics(&out)
+	running := map[string]bool{}
+	for _, line := range strings.Split(out.String(), "\n") {
+		name := metricName.FindString(line)
+		for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+			name = strings.TrimSuffix(name, suffix)
+		}
+		if name != "" {
+			running[name] = true
+		}
+	}
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	assert.NilError(t, err)
+	explained := map[string]bool{}
+	for _, name := range metricName.FindAllString(string(page), -1) {
+		explained[name] = true
+	}
+	assert.DeepEqual(t, sortedNames(running), sortedNames(explained))
+}
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -316,6 +316,9 @@
 // OperatorAddress returns the address for operators.
 func (v *VM) OperatorAddress() string { return v.cfg.OperatorAddress }
 
+// MetricsAddress returns the address for metrics and health alone, or "".
+func (v *VM) MetricsAddress() string { return v.cfg.MetricsAddress }
+
 // listeners are the bound ports of a VM.
 type listeners struct{ caller, peer, operator, metrics net.Listener }
 
@@ -347,6 +350,9 @@
 	c.PeerAddress = l.peer.Addr().String()
 	c.CallerAddress = l.caller.Addr().String()
 	c.OperatorAddress = l.operator.Addr().String()
+	if l.metrics != nil {
+		c.MetricsAddress = l.metrics.Addr().String()
+	}
 }
 
 func (l *listeners) close() {
