--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -67,10 +67,8 @@
 	headLeft int64   // bytes left for the head of the answer; negative for no limit
 	head     []byte  // bytes read while the head of the answer is limited
 	deadline time.Time
-	readErr  error      // last error of the socket or the limiter while reading
-	idle     *idleWatch // nil until the connection is watched
-	// idleSince is the time when the connection became idle.
-	idleSince time.Time
+	readErr  error // last error of the socket or the limiter while reading
+	idle     *idleWatch
 
 	writeMu  sync.Mutex // held during each write
 	written  int64      // bytes of the current request accepted by the socket
--- a/pkg/transport/target/pool.go
+++ b/pkg/transport/target/pool.go
@@ -8,13 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	poolShards = 16
-	// watchDelay is the time after which an idle connection is watched. Busy
-	// connections are taken again sooner and need no watch, which costs a
-	// goroutine and two wake-ups.
-	watchDelay = 50 * time.Millisecond
-)
+const poolShards = 16
 
 // pool keeps the connections of all targets, sharded by address.
 type pool struct {
@@ -26,7 +20,6 @@
 	mu      sync.Mutex
 	closed  bool
 	targets map[string]*targetPool
-	sweeps  bool // a sweep is due
 }
 
 // targetPool holds the connections of one target. A connection is dialed only
@@ -104,7 +97,9 @@
 		if c == nil {
 			return nil
 		}
-		if c.stillClean() && c.SetDeadline(time.Time{}) == nil {
+		_ = c.SetReadDeadline(aLongTimeAgo)
+		<-c.idle.done
+		if c.idle.clean && c.SetDeadline(time.Time{}) == nil {
 			c.idle = nil
 			c.reused = true
 			return c
@@ -113,17 +108,6 @@
 	}
 }
 
-// stillClean ends the watch of an idle connection, or looks at the socket of
-// one that is not watched yet.
-func (c *conn) stillClean() bool {
-	if c.idle == nil {
-		return quiet(c.Conn)
-	}
-	_ = c.SetReadDeadline(aLongTimeAgo)
-	<-c.idle.done
-	return c.idle.clean
-}
-
 func (s *poolShard) popIdle(address string) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -146,9 +130,10 @@
 	t := s.targets[address]
 	if c != nil && reusable && !s.closed && len(t.idle) < p.cfg.MaxIdlePerTarget {
 		c.charge = nil
-		c.idleSince = time.Now()
-		if p.keep(s, t, c) {
+		c.idle = &idleWatch{done: make(chan struct{})}
+		if c.SetDeadline(time.Now().Add(p.cfg.IdleTimeout)) == nil {
 			t.idle = append(t.idle, c)
+			go p.watch(s, t, c, c.idle)
 			c = nil
 		}
 	}
@@ -159,51 +144,6 @@
 	s.leave(address, t, true)
 }
 
-// keep prepares a connection for the idle list. It reports whether the
-// connection is sound. The lock of s is held.
-func (p *pool) keep(s *poolShard, t *targetPool, c *conn) bool {
-	if !canPeek(c.Conn) {
-		return p.startWatch(s, t, c)
-	}
-	if !s.sweeps {
-		s.sweeps = true
-		time.AfterFunc(watchDelay, func() { p.sweep(s) })
-	}
-	return true
-}
-
-// startWatch starts the watch of an idle connection. The lock of s is held.
-func (p *pool) startWatch(s *poolShard, t *targetPool, c *conn) bool {
-	if c.SetDeadline(c.idleSince.Add(p.cfg.IdleTimeout)) != nil {
-		return false
-	}
-	c.idle = &idleWatch{done: make(chan struct{})}
-	go p.watch(s, t, c, c.idle)
-	return true
-}
-
-// sweep starts the watches of connections that have been idle for watchDelay.
-func (p *pool) sweep(s *poolShard) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sweeps = false
-	now := time.Now()
-	for _, t := range s.targets {
-		for _, c := range t.idle {
-			switch {
-			case c.idle != nil:
-			case now.Sub(c.idleSince) >= watchDelay:
-				p.startWatch(s, t, c)
-			default:
-				s.sweeps = true
-			}
-		}
-	}
-	if s.sweeps {
-		time.AfterFunc(watchDelay, func() { p.sweep(s) })
-	}
-}
-
 // watch reads from an idle connection. Anything but a stop by takeIdle means
 // that the connection cannot be reused: a late answer, its end or its idle
 // time-out.
