--- a/test/scenario/counters_test.go
+++ b/test/scenario/counters_test.go
@@ -10,22 +10,25 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// counts reads the request counters of a target.
-func counts(ts *testscript.TestScript, address string) (runs, crashes int) {
+// targetCounts are the request counters of a target.
+type targetCounts struct{ Runs, Shed, Crashes int }
+
+// readCounts reads the request counters of a target.
+func readCounts(ts *testscript.TestScript, address string) targetCounts {
 	resp, err := client.Get("http://" + address + "/control/runs")
 	ts.Check(err)
 	defer resp.Body.Close()
 	var document struct {
-		Counts struct{ Runs, Crashes int }
+		Counts targetCounts
 	}
 	ts.Check(json.NewDecoder(resp.Body).Decode(&document))
-	return document.Counts.Runs, document.Counts.Crashes
+	return document.Counts
 }
 
 // cmdCountRuns stores the number of runs of a target: countruns VARIABLE N.
 func cmdCountRuns(ts *testscript.TestScript, _ bool, args []string) {
-	runs, _ := counts(ts, systemOf(ts).targets[number(ts, args[1])-1])
-	ts.Setenv(args[0], strconv.Itoa(runs))
+	now := readCounts(ts, systemOf(ts).targets[number(ts, args[1])-1])
+	ts.Setenv(args[0], strconv.Itoa(now.Runs))
 }
 
 // cmdSame compares two variables: same A B.
@@ -35,11 +38,12 @@
 	}
 }
 
-// cmdLoad sends requests to entry VMs in turn: load N CALLER...
+// cmdLoad sends requests to entry VMs in turn: load N CALLER... The path must not
+// be /load, which targets answer without a run.
 func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
 	for i := range number(ts, args[0]) {
 		address := args[1+i%(len(args)-1)]
-		got := send("GET", "http://"+address+"/v1/services/desk/load", "", "", "")
+		got := send("GET", "http://"+address+"/v1/services/desk/clue", "", "", "")
 		if !strings.Contains(got, "outcome: answered") {
 			ts.Fatalf("request %d: %s", i, got)
 		}
@@ -51,8 +55,7 @@
 func cmdCrashes(ts *testscript.TestScript, _ bool, args []string) {
 	total := 0
 	for _, address := range systemOf(ts).targets {
-		_, crashes := counts(ts, address)
-		total += crashes
+		total += readCounts(ts, address).Crashes
 	}
 	if total < 1 || total > number(ts, args[0]) {
 		ts.Fatalf("the targets crashed %d times, want 1 to %s", total, args[0])
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -62,6 +62,14 @@
 			"load":       cmdLoad,
 			"crashes":    cmdCrashes,
 			"leavevm":    cmdLeaveVM,
+			"page":       cmdPage,
+			"pagetree":   cmdPageTree,
+			"storm":      cmdStorm,
+			"progress":   cmdProgress,
+			"calm":       cmdCalm,
+			"gets":       cmdGets,
+			"quiet":      cmdQuiet,
+			"sheds":      cmdSheds,
 		},
 	})
 }
