Avoid timers that are due at once in the fakes of the steering tests

Cause: TestBudgetsHold ended now and then, only with the race detector, in a crash of the Go runtime: ThreadSanitizer CHECK slot_locked, or SIGSEGV in timer.maybeRunChan and timer.modify. The stack shows a timer with delay 0 in a synctest bubble, which go1.26.8 runs on the goroutine that creates it. Conclusion: the fakes answer at once for a delay of 0; no assertion changed.

--- a/pkg/steering/fakes_test.go
+++ b/pkg/steering/fakes_test.go
@@ -62,7 +62,7 @@
 func (f *fakeReserver) Reserve(ctx context.Context, owner string, req *protocol.ReserveRequest) (*protocol.ReserveReply, error) {
 	step, id := f.next(req)
 	select {
-	case <-time.After(step.delay):
+	case <-after(step.delay):
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -166,7 +166,7 @@
 		cancelled = nil
 	}
 	select {
-	case <-time.After(step.delay):
+	case <-after(step.delay):
 	case <-cancelled:
 		return nil, &SendFailure{Kind: FailCancelled, Written: ran, Err: ctx.Err()}
 	}
@@ -207,7 +207,7 @@
 func (b *fakeBody) Read(p []byte) (int, error) {
 	if b.step.stream > 0 {
 		select {
-		case <-time.After(b.step.stream):
+		case <-after(b.step.stream):
 			b.step.stream = 0
 		case <-b.ctx.Done():
 			return 0, b.ctx.Err()
@@ -239,3 +239,16 @@
 	}
 	return New(cfg)
 }
+
+// after is time.After without a timer for a delay of 0. In a synctest bubble
+// with the race detector, go1.26.8 crashes inside the runtime (timer.modify or
+// timer.maybeRunChan) now and then when it runs a timer that is due at once.
+func after(d time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	if d <= 0 {
+		close(done)
+		return done
+	}
+	time.AfterFunc(d, func() { close(done) })
+	return done
+}
