Show the targets of all owners in status

status listed only the targets that the asked VM owns, so that an operator who drained a target saw its requests in flight only by chance.

The test of racing operators also sends a later edit on the old base: with the base check off, the race alone was decided by the compare-and-swap and passed.

--- a/cmd/hickoryroute/status.go
+++ b/cmd/hickoryroute/status.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,13 +12,26 @@
 	"hickoryroute/pkg/transport/operatorhttp"
 )
 
-type statusCommand struct{}
+type statusCommand struct {
+	Only bool `arg:"--only" help:"list the targets of the VM at --address alone"`
+}
 
 func (c *statusCommand) run(ctx context.Context, e *environment) error {
 	s, err := e.client.Status(ctx)
 	if err != nil {
 		return err
 	}
+	if !c.Only {
+		others := gather(e, otherAddresses(s, nil), func(vm *operatorhttp.Client) (operatorhttp.StatusReply, error) {
+			return vm.Status(ctx)
+		})
+		for _, other := range others {
+			s.Targets = append(s.Targets, other.Targets...)
+		}
+		slices.SortFunc(s.Targets, func(a, b operatorhttp.TargetStatus) int {
+			return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Owner, b.Owner))
+		})
+	}
 	if e.Output == "json" {
 		return e.printJSON(s)
 	}
@@ -73,9 +88,9 @@
 }
 
 func targetRows(list []operatorhttp.TargetStatus) [][]string {
-	rows := [][]string{{"TARGET OF THIS VM", "STATE", "IN FLIGHT", "USABLE", "SLOTS"}}
+	rows := [][]string{{"TARGET", "OWNER", "STATE", "IN FLIGHT", "USABLE", "SLOTS"}}
 	for _, t := range list {
-		rows = append(rows, []string{t.Target, t.State, fmt.Sprint(t.InFlight), fmt.Sprint(t.Usable), fmt.Sprint(t.Slots)})
+		rows = append(rows, []string{t.Target, t.Owner, t.State, fmt.Sprint(t.InFlight), fmt.Sprint(t.Usable), fmt.Sprint(t.Slots)})
 	}
 	return rows
 }
--- a/pkg/entry/operator_test.go
+++ b/pkg/entry/operator_test.go
@@ -55,6 +55,13 @@
 		for _, part := range []string{names[winner], "reason of " + names[winner], "sask/cluebook"} {
 			assert.Assert(t, strings.Contains(problem.Detail, part), problem.Detail)
 		}
+		// A later edit on the same base is refused too, through either VM.
+		client := operatorhttp.NewClient(f.vms[winner].OperatorAddress(), "token-of-alice", http.DefaultClient)
+		_, err := client.Edit(t.Context(), operatorhttp.EditRequest{
+			RequestID: fmt.Sprintf("late-%d", round), Op: operatorhttp.OpRemove, Base: base, Path: "sask/cluebook", Reason: "late",
+		})
+		assert.Assert(t, errors.As(err, &problem), "accepted on an old base: %v", err)
+		assert.Equal(t, problem.Code, protocol.CodeConflict)
 	}
 }
 
--- a/pkg/entry/status.go
+++ b/pkg/entry/status.go
@@ -27,7 +27,7 @@
 	}
 	for _, t := range v.owner.Status() {
 		reply.Targets = append(reply.Targets, operatorhttp.TargetStatus{
-			Target: t.Target, Slots: t.Slots, Usable: t.Usable, InFlight: t.InFlight, State: t.State,
+			Target: t.Target, Owner: v.cfg.PeerAddress, Slots: t.Slots, Usable: t.Usable, InFlight: t.InFlight, State: t.State,
 		})
 	}
 	seats := v.seatsByHolder()
--- a/pkg/transport/operatorhttp/api.go
+++ b/pkg/transport/operatorhttp/api.go
@@ -183,6 +183,7 @@
 // TargetStatus describes a target that this VM owns.
 type TargetStatus struct {
 	Target   string `json:"target"`
+	Owner    string `json:"owner"` // peer address of the VM
 	Slots    int    `json:"slots"`
 	Usable   int    `json:"usable"`
 	InFlight int    `json:"in_flight"`
