--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -29,7 +29,9 @@
 	regionRules  string   // YAML of the rules of each region
 	linkCap      string   // default 400Mbit/s
 	serviceTime  time.Duration
-	adjust       func(*Config) // changes the process settings, may be nil
+	// productTiming keeps the intervals of the daemon.
+	productTiming bool
+	adjust        func(*Config) // changes the process settings, may be nil
 }
 
 // fleet is a running system.
@@ -156,8 +158,10 @@
 func (f *fleet) startVM(t testing.TB, region string) *VM {
 	t.Helper()
 	timing := DefaultTiming()
-	timing.ReadVMList = 200 * time.Millisecond
-	timing.ProbeTargets = 100 * time.Millisecond
+	if !f.productTiming {
+		timing.ReadVMList = 200 * time.Millisecond
+		timing.ProbeTargets = 100 * time.Millisecond
+	}
 	var peers []string
 	for _, v := range f.vms {
 		peers = append(peers, v.PeerAddress())
