Track the slots of remote owners that this VM takes and returns

Cause: with a region full, requests were refused as no_room while another region had 6 free slots. An owner that answered 0 free slots looked full until the next gossip, and then all waiting requests asked it at once. Ruled out: the cap of the link (562,500 bytes free), missing owners, the rule of 20% headroom alone.

--- a/pkg/coordination/linkcap/borrow.go
+++ b/pkg/coordination/linkcap/borrow.go
@@ -46,7 +46,7 @@
 		return s.full(ctx, b)
 	}
 	defer func() { <-b.turn }()
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(LoanTime)
 	defer timer.Stop()
 	for {
 		pause, ok := s.takeOrAsk(b, n)
--- a/pkg/steering/owners.go
+++ b/pkg/steering/owners.go
@@ -45,6 +45,31 @@
 	v.views[owner] = ownerView{free: free, peak: peak, at: now}
 }
 
+// take lowers the known free count of an owner that is about to be asked, so
+// that requests that come before its reply do not all count on the same slots.
+func (v *freeView) take(owner string, known int, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	view := v.views[owner]
+	view.peak = max(view.peak, known)
+	view.free = max(known-1, 0)
+	view.at = now
+	v.views[owner] = view
+}
+
+// give raises the known free count of an owner whose slot this VM returns.
+// Without it an owner that was full once looked full until the next gossip.
+func (v *freeView) give(owner string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	view, known := v.views[owner]
+	if !known {
+		return
+	}
+	view.free = min(view.free+1, view.peak)
+	v.views[owner] = view
+}
+
 // lose notes that an owner did not answer.
 func (v *freeView) lose(owner string, now time.Time) {
 	v.mu.Lock()
--- a/pkg/steering/reserve.go
+++ b/pkg/steering/reserve.go
@@ -36,6 +36,7 @@
 // grant is a reservation held by this VM.
 type grant struct {
 	owner    string
+	view     *freeView // told when the slot is returned
 	region   string
 	class    string
 	reply    *protocol.ReserveReply
@@ -48,6 +49,7 @@
 	if !g.released.CompareAndSwap(false, true) {
 		return
 	}
+	g.view.give(g.owner)
 	r.cfg.Reserver.Release(g.owner, &protocol.ReleaseRequest{
 		ReservationID: g.reply.ReservationID,
 		Result:        result,
@@ -189,6 +191,7 @@
 		if !ok || ctx.Err() != nil {
 			return nil
 		}
+		c.state.free.take(o.address, o.free, r.cfg.Now())
 		if g, _ := r.ask(ctx, c, o.address, region, exclude, 0); g != nil {
 			return g
 		}
@@ -254,7 +257,7 @@
 
 // accept takes a grant, or returns it when the request has ended meanwhile.
 func (r *Router) accept(ctx context.Context, c *call, owner, region string, reply *protocol.ReserveReply, asked time.Time) (*grant, bool) {
-	g := &grant{owner: owner, region: region, class: c.class, reply: reply}
+	g := &grant{owner: owner, view: c.state.free, region: region, class: c.class, reply: reply}
 	if reply.HoldMs > 0 {
 		// Counting from the request instead of the reply never overstates the
 		// time that the owner grants.
