--- /dev/null
+++ b/pkg/entry/outage_test.go
@@ -0,0 +1,189 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/coordination/config"
+	"hickoryroute/pkg/coordination/seat"
+	"hickoryroute/pkg/protocol"
+	standinplatform "hickoryroute/pkg/standin/platform"
+	"hickoryroute/pkg/transport/platform"
+)
+
+// outageNode is a process of which only seats and settings are real.
+type outageNode struct {
+	address string
+	seats   *seat.Manager
+	config  *config.Manager
+	fleet   *outageFleet
+	rng     *rand.Rand
+}
+
+// outageFleet connects nodes without a network.
+type outageFleet struct {
+	store *standinplatform.Server
+	nodes []*outageNode
+	end   []context.CancelFunc
+}
+
+func (f *outageFleet) start(t *testing.T) *outageNode {
+	number := uint64(len(f.nodes))
+	n := &outageNode{address: fmt.Sprintf("10.0.0.%d:1", number), fleet: f, rng: rand.New(rand.NewPCG(number, 1))}
+	n.seats = seat.New(seat.Config{
+		Store: f.store, VMs: f.store.VMs, Self: n.address, Incarnation: number + 1, Region: "sask", Zone: "sask-a",
+		Rand: rand.New(rand.NewPCG(number, 2)), Idle: func(int) bool { return true },
+	})
+	n.config = config.New(config.Config{
+		Store: f.store, Peers: n, Rand: rand.New(rand.NewPCG(number, 3)), Watcher: func() bool { return number < 2 },
+	})
+	f.store.PutVM(platform.VM{Address: n.address, Zone: "sask-a", State: platform.VMLive})
+	ctx, cancel := context.WithCancel(t.Context())
+	f.end = append(f.end, cancel)
+	f.nodes = append(f.nodes, n)
+	go n.seats.Run(ctx)
+	go func() {
+		for n.config.Boot(ctx) != nil && ctx.Err() == nil {
+			time.Sleep(time.Second)
+		}
+		n.config.Run(ctx)
+	}()
+	return n
+}
+
+func (f *outageFleet) node(address string) *outageNode {
+	i := slices.IndexFunc(f.nodes, func(n *outageNode) bool { return n.address == address })
+	return f.nodes[i]
+}
+
+// Settings implements config.Peers.
+func (n *outageNode) Settings(_ context.Context, address string, have int64) (protocol.SettingsReply, error) {
+	time.Sleep(time.Millisecond)
+	return n.fleet.node(address).config.Settings(have), nil
+}
+
+// Random implements config.Peers.
+func (n *outageNode) Random(count int) []string {
+	all := n.All()
+	n.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(count, len(all))]
+}
+
+// All implements config.Peers.
+func (n *outageNode) All() []string {
+	var all []string
+	for _, other := range n.fleet.nodes {
+		if other != n {
+			all = append(all, other.address)
+		}
+	}
+	return all
+}
+
+// Announce implements config.Peers.
+func (n *outageNode) Announce(revision int64) {
+	for _, address := range n.All()[:3] {
+		go n.fleet.node(address).config.Learn(n.address, revision)
+	}
+}
+
+// callRate is the highest number of platform calls in a second, sampled.
+type callRate struct{ reads, writes, busy int64 }
+
+// sampleStep is the resolution of callRate.
+const sampleStep = 100 * time.Millisecond
+
+// sample counts calls for a minute.
+func sample(s *standinplatform.Server) callRate {
+	count := func() (reads, writes int64) {
+		for op, n := range s.Calls() {
+			if slices.Contains([]string{"get", "list", "watch", "vms"}, op) {
+				reads += n
+			} else {
+				writes += n
+			}
+		}
+		return reads, writes
+	}
+	var rate callRate
+	var reads, writes []int64
+	for range int(time.Minute / sampleStep) {
+		r, w := count()
+		reads, writes = append(reads, r), append(writes, w)
+		if n := len(reads); n > 10 {
+			rate.reads = max(rate.reads, r-reads[n-11])
+			rate.writes = max(rate.writes, w-writes[n-11])
+		}
+		if n := len(writes); n > 1 && w > writes[n-2] {
+			rate.busy++
+		}
+		time.Sleep(sampleStep)
+	}
+	return rate
+}
+
+// Guards against an hour without the platform that takes seats or settings
+// from a process or keeps a new one from starting, and against a return of the
+// platform that is met by all calls at once.
+func TestOneHourWithoutThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const processes = 12
+		f := &outageFleet{store: standinplatform.New(standinplatform.Config{})}
+		_, err := f.store.CompareAndSwap(t.Context(), config.HeadKey, []byte("regions: {sask: {zones: [sask-a]}}\n"), 0, 0)
+		assert.NilError(t, err)
+		for range processes {
+			f.start(t)
+		}
+		time.Sleep(5 * time.Minute)
+		revision := f.nodes[0].config.Current().Revision
+		held := func() (list []string) {
+			for _, n := range f.nodes {
+				list = append(list, fmt.Sprint(n.address, n.seats.Held()))
+			}
+			return list
+		}
+		before := held()
+		for _, n := range f.nodes {
+			assert.Equal(t, len(n.seats.Held()), seat.DefaultSeatCount/processes)
+		}
+		f.store.UpdateFaults(func(o *standinplatform.Faults) { o.Outage = true })
+		for range 60 {
+			time.Sleep(time.Minute)
+			assert.DeepEqual(t, held(), before)
+			for _, n := range f.nodes {
+				assert.Equal(t, n.config.Current().Revision, revision)
+			}
+		}
+		late := f.start(t)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, late.config.Current().Revision, revision)
+		assert.Equal(t, len(late.seats.Held()), 0)
+
+		f.store.UpdateFaults(func(o *standinplatform.Faults) { o.Outage = false })
+		rate := sample(f.store)
+		t.Logf("highest second after the return: %d reads, %d writes; writes in %d slices of %s",
+			rate.reads, rate.writes, rate.busy, sampleStep)
+		assert.Assert(t, rate.reads <= standinplatform.DefaultReadsPerSecond)
+		assert.Assert(t, rate.writes <= standinplatform.DefaultWritesPerSecond)
+		// The renewals of each process fall in slices of their own unless they
+		// meet by chance; without jitter all share the same ones.
+		assert.Assert(t, rate.busy >= 3*processes, "calls fall into %d slices", rate.busy)
+		// The new process got its share by now, and no earlier one lost all.
+		for _, n := range f.nodes {
+			assert.Assert(t, len(n.seats.Held()) >= 1)
+			assert.Equal(t, n.config.Current().Revision, revision)
+		}
+		for _, end := range f.end {
+			end()
+		}
+		synctest.Wait()
+		time.Sleep(time.Minute)
+	})
+}
