--- a/cmd/hickoryd/main.go
+++ b/cmd/hickoryd/main.go
@@ -60,9 +60,6 @@
 		return 1
 	}
 	vm.LogSettings(effective)
-	pacing, stopPacing := context.WithCancel(context.Background())
-	defer stopPacing()
-	go entry.PaceCollector(pacing)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	<-signals
