Retry one copy at a time after copies of a request crashed together

A request sent through three VMs at once crashed 6 targets (pair_poison_all_vms); the bound is 2 plus one for each further copy in flight, 4. Each copy crashed at level 0, which raises the level once by design, and each was then retried at level 1. Counting each crash instead was ruled out: the loss of a target would quarantine popular requests (TestConcurrentCrashesCountOnce).

--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -216,7 +216,8 @@
 		TTLMs:    quarantineTime.Milliseconds(),
 		Revision: int64(level),
 	}
-	level = r.poison.raise(n.Subject, level, quarantineTime, r.cfg.Now())
+	level = r.poison.report(n, level, r.cfg.Now())
+	c.crashID.Store(&n.ID)
 	r.cfg.Logger.Log(eventTargetCrash, eventlog.Fields{
 		"target": a.grant.reply.Target.Name, "fingerprint": n.Subject, "level": level, "request_id": c.req.RequestID,
 	})
--- a/pkg/steering/poison.go
+++ b/pkg/steering/poison.go
@@ -44,6 +44,7 @@
 type poisonEntry struct {
 	level int
 	until time.Time
+	first string // lowest id of the crash notices of this level
 }
 
 func newPoisonTable(limit int) *poisonTable {
@@ -55,19 +56,49 @@
 func (t *poisonTable) raise(fingerprint string, level int, ttl time.Duration, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	e, _ := t.raiseLocked(fingerprint, level, ttl, now)
+	return e.level
+}
+
+// raiseLocked also reports whether the level was lower before.
+func (t *poisonTable) raiseLocked(fingerprint string, level int, ttl time.Duration, now time.Time) (*poisonEntry, bool) {
 	e := t.live(fingerprint, now)
 	if e == nil {
 		t.makeRoom(now)
 		e = &poisonEntry{}
 		t.entries[fingerprint] = e
 	}
-	if level > e.level {
-		e.level = level
-		e.until = now.Add(min(ttl, quarantineTime))
+	if level <= e.level {
+		return e, false
+	}
+	e.level = level
+	e.until = now.Add(min(ttl, quarantineTime))
+	return e, true
+}
+
+// report takes a crash notice, one's own or another member's, and returns the
+// level of its fingerprint.
+func (t *poisonTable) report(n protocol.Notice, level int, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, raised := t.raiseLocked(n.Subject, level, time.Duration(n.TTLMs)*time.Millisecond, now)
+	if raised || level == e.level && n.ID < e.first {
+		e.first = n.ID
 	}
 	return e.level
 }
 
+// firstOf returns the lowest notice id of a fingerprint's level, "" if no crash
+// of it is known.
+func (t *poisonTable) firstOf(fingerprint string, now time.Time) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.live(fingerprint, now); e != nil {
+		return e.first
+	}
+	return ""
+}
+
 // clear forgets a fingerprint that is not quarantined, after a target has
 // answered a copy that was sent after the crash was known.
 func (t *poisonTable) clear(fingerprint string) {
@@ -142,5 +173,5 @@
 		return
 	}
 	level := max(1, int(n.Revision))
-	r.poison.raise(n.Subject, level, time.Duration(n.TTLMs)*time.Millisecond, r.cfg.Now())
+	r.poison.report(n, level, r.cfg.Now())
 }
--- a/pkg/steering/retry.go
+++ b/pkg/steering/retry.go
@@ -60,7 +60,7 @@
 	if !c.req.Idempotent || c.rules.RetryPercent == 0 || c.retries >= maxRetries {
 		return false
 	}
-	if !c.state.retries.take() {
+	if !c.state.retries.take() || !r.awaitTurn(ctx, c) {
 		return false
 	}
 	c.retries++
--- a/pkg/steering/router.go
+++ b/pkg/steering/router.go
@@ -208,7 +208,8 @@
 	moves      int // attempts after one that certainly did not run
 	retries    int // attempts after one that may have run
 	last       *SendFailure
-	crashes    atomic.Int32 // attempts that broke their connections
+	crashes    atomic.Int32           // attempts that broke their connections
+	crashID    atomic.Pointer[string] // id of the latest crash notice of this call
 }
 
 func (c *call) fingerprint() string {
