--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,7 @@
 // outageFleet connects nodes without a network.
 type outageFleet struct {
 	store *standinplatform.Server
+	mu    sync.Mutex // guards nodes and their rng
 	nodes []*outageNode
 	end   []context.CancelFunc
 }
@@ -47,7 +49,9 @@
 	f.store.PutVM(platform.VM{Address: n.address, Zone: "sask-a", State: platform.VMLive})
 	ctx, cancel := context.WithCancel(t.Context())
 	f.end = append(f.end, cancel)
+	f.mu.Lock()
 	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
 	go n.seats.Run(ctx)
 	go func() {
 		for n.config.Boot(ctx) != nil && ctx.Err() == nil {
@@ -59,6 +63,8 @@
 }
 
 func (f *outageFleet) node(address string) *outageNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	i := slices.IndexFunc(f.nodes, func(n *outageNode) bool { return n.address == address })
 	return f.nodes[i]
 }
@@ -72,12 +78,16 @@
 // Random implements config.Peers.
 func (n *outageNode) Random(count int) []string {
 	all := n.All()
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
 	n.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(count, len(all))]
 }
 
 // All implements config.Peers.
 func (n *outageNode) All() []string {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
 	var all []string
 	for _, other := range n.fleet.nodes {
 		if other != n {
