--- a/pkg/standin/target/server.go
+++ b/pkg/standin/target/server.go
@@ -32,6 +32,8 @@
 	Silent bool `json:"silent"`
 	// Draining reports the state "draining" and marks answers.
 	Draining bool `json:"draining"`
+	// DrainingHealth reports the state "draining" and leaves answers unmarked.
+	DrainingHealth bool `json:"draining_health"`
 }
 
 // Load is the load report.
@@ -113,7 +115,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.switches.Draining:
+	case s.switches.Draining || s.switches.DrainingHealth:
 		return StateDraining
 	case s.cfg.Clock.Now().Before(s.started.Add(s.cfg.StartTime)):
 		return StateStarting
