Run the scripts again when the programs change, test the order of revisions

The programs under test are built by a process of their own, so go test did not see changes of cmd and answered from its cache: two trials with a mechanism switched off passed with "(cached)". TestScripts now looks at all sources.

--- a/pkg/coordination/config/confirm_test.go
+++ b/pkg/coordination/config/confirm_test.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/eventlog"
+	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/state/timeline"
 )
 
 // Guards against settings that look fresh while nobody can reach the platform,
@@ -51,3 +55,27 @@
 		assert.Equal(t, age, time.Minute)
 	})
 }
+
+// Guards against a time line that shows a revision in force before its author
+// wrote it, when the clock of the reading VM is behind.
+func TestAppliedRevisionComesAfterItsAuthor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, author := started(t)
+		clock := timeline.NewClock(func() time.Time { return time.Now().Add(-time.Hour) })
+		ring := timeline.NewRing("reader", clock)
+		reader := New(Config{
+			Store: store, Peers: &fakePeers{}, Logger: eventlog.New(nil, ring),
+			Caused: func(at time.Time) { clock.Observe(protocol.Timestamp{WallMs: at.UnixMilli()}) },
+		})
+		assert.NilError(t, reader.Refresh(t.Context()))
+		_, err := author.Propose(t.Context(), weight("second", 0, 20))
+		assert.NilError(t, err)
+		assert.NilError(t, reader.Refresh(t.Context()))
+		events := ring.Events()
+		last := events[len(events)-1]
+		assert.Equal(t, last.Number, eventApplied.Number)
+		assert.Equal(t, last.Fields["paths"], "sask")
+		written := protocol.Timestamp{WallMs: author.Current().Document.At.UnixMilli()}
+		assert.Assert(t, timeline.Compare(written, last.Time) < 0)
+	})
+}
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -35,6 +35,7 @@
 // Guards the promises of the system against kills, freezes and platform
 // outages; each script names the failure it injects.
 func TestScripts(t *testing.T) {
+	trackSources(t)
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/scripts",
 		RequireExplicitExec: true,
