--- a/pkg/steering/reserve.go
+++ b/pkg/steering/reserve.go
@@ -101,8 +101,7 @@
 	if g = r.askFree(ctx, c, local, fast); g != nil {
 		return g, true
 	}
-	g, queued = r.askQueuesAndRemote(ctx, c, local, remote, fast, r.waitSlice(c, round))
-	if g != nil {
+	if g, queued = r.askQueues(ctx, c, local, fast, r.waitSlice(c, round)); g != nil {
 		return g, true
 	}
 	if len(fast) > len(c.tried) {
@@ -110,55 +109,17 @@
 			return g, true
 		}
 	}
+	for _, region := range remote {
+		if g = r.askFree(ctx, c, region, fast); g != nil {
+			return g, true
+		}
+	}
 	if !queued && len(fast) > len(c.tried) {
 		return r.askQueues(ctx, c, local, c.tried, r.waitSlice(c, round))
 	}
 	return nil, queued
 }
 
-// askResult is the end of one of two concurrent asks.
-type askResult struct {
-	grant  *grant
-	queued bool
-}
-
-// askQueuesAndRemote waits in a local queue while it asks the other regions
-// for a free slot, so that the round trip between regions overlaps the wait.
-// The first slot is used and the other one returned.
-func (r *Router) askQueuesAndRemote(ctx context.Context, c *call, local string, remote, exclude []string, wait time.Duration) (*grant, bool) {
-	if len(remote) == 0 {
-		return r.askQueues(ctx, c, local, exclude, wait)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	results := make(chan askResult, 2)
-	go func() {
-		g, queued := r.askQueues(ctx, c, local, exclude, wait)
-		results <- askResult{g, queued}
-	}()
-	go func() {
-		for _, region := range remote {
-			if g := r.askFree(ctx, c, region, exclude); g != nil {
-				results <- askResult{g, true}
-				return
-			}
-		}
-		results <- askResult{}
-	}()
-	first := <-results
-	if first.grant == nil {
-		second := <-results
-		cancel()
-		return second.grant, first.queued || second.queued
-	}
-	cancel()
-	go func() {
-		if second := <-results; second.grant != nil {
-			second.grant.release(r, protocol.ReleaseUnused, 0, false)
-		}
-	}()
-	return first.grant, true
-}
-
 // waitSlice returns the stay in one owner's queue: about the time in which a
 // slot comes free, then twice as long in each round. An owner whose targets
 // are slow is thus left soon, and the number of asks stays low in overload.
