Read the state of a target connection before it returns to the pool

After a refusal the connection is in the pool again and another request may take it, while the first one still read its reused flag. The flag is now read before the exchange. The verdict could not have been wrong, because a refused request has written bytes.

--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -50,11 +50,12 @@
 			return nil, err
 		}
 		x.cancel = cancel
+		reused := x.conn.reused // after a refusal, another request may use the connection
 		resp, failure := x.run(hr)
 		if failure == nil {
 			return resp, nil
 		}
-		stale := x.conn.reused && failure.Written == 0 && failure.Kind == KindReset
+		stale := reused && failure.Written == 0 && failure.Kind == KindReset
 		if !stale || !x.rewind() {
 			return nil, failure
 		}
