--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -58,6 +58,7 @@
 func (h handler) Settings(_ context.Context, req *protocol.SettingsRequest, reply *protocol.SettingsReply) error {
 	h.vm.clock.Observe(req.Time)
 	*reply = h.vm.config.Settings(req.Have)
+	reply.Document = h.vm.packed.get(reply.Revision, reply.Document)
 	reply.Time = h.vm.clock.Now()
 	var newer []seat.Table
 	for _, t := range h.vm.seats.Tables() {
@@ -90,7 +91,9 @@
 	}
 	p.vm.clock.Observe(reply.Time)
 	p.vm.mergeTables(reply.Tables)
-	return reply, nil
+	document, err := unpack(reply.Document)
+	reply.Document = document
+	return reply, err
 }
 
 // Random implements config.Peers.
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -67,6 +67,7 @@
 	seatsChanged chan struct{}
 	leaving      leavingTargets
 	alive        aliveMembers
+	packed       packedDocument
 	noticeNumber atomic.Uint64
 	stopping     atomic.Bool
 
