--- a/pkg/steering/hedge.go
+++ b/pkg/steering/hedge.go
@@ -8,10 +8,6 @@
 const (
 	// hedgeQuantile is the latency after which an attempt counts as slow.
 	hedgeQuantile = 0.95
-	// hedgeMedians bounds the delay in medians. While one target in seven is
-	// slow, the 95th percentile is the latency of the slow ones, and hedges at
-	// that point come too late; the median hardly moves.
-	hedgeMedians = 2
 	// minHedgeDelay keeps hedges away from fast services, where a second
 	// request costs more than it saves.
 	minHedgeDelay = 10 * time.Millisecond
@@ -84,11 +80,7 @@
 	if !c.req.Idempotent || c.rules.HedgePercent == 0 {
 		return 0, false
 	}
-	now := r.cfg.Now()
-	p95, ok := c.state.latency.quantile(c.class, hedgeQuantile, now)
-	if median, known := c.state.latency.quantile(c.class, 0.5, now); known {
-		p95 = min(p95, hedgeMedians*median)
-	}
+	p95, ok := c.state.latency.quantile(c.class, hedgeQuantile, r.cfg.Now())
 	return max(p95, minHedgeDelay), ok
 }
 
