Refuse listening addresses that name all interfaces

Cause: the peer address identifies the holder of a seat and is told to other VMs; 0.0.0.0 would be the same on all of them.

--- a/cmd/hickoryd/settings.go
+++ b/cmd/hickoryd/settings.go
@@ -176,8 +176,14 @@
 
 func checkAddress(flag, s string) error {
 	host, _, err := net.SplitHostPort(s)
-	if err != nil || net.ParseIP(host) == nil {
+	ip := net.ParseIP(host)
+	if err != nil || ip == nil {
 		return fmt.Errorf("%s %q must be an IP number and a port such as 127.0.0.1:7101", flag, s)
 	}
+	// The addresses are told to other VMs and callers, and the peer address
+	// identifies the holder of a seat.
+	if ip.IsUnspecified() {
+		return fmt.Errorf("%s %q must be an address that others can reach, not all interfaces", flag, s)
+	}
 	return nil
 }
