--- a/pkg/entry/operator_test.go
+++ b/pkg/entry/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
@@ -103,3 +105,53 @@
 	}
 	assert.DeepEqual(t, sortedNames(running), sortedNames(explained))
 }
+
+// Guards against an age of the settings that does not reach the VMs that hold
+// no watch, or that hides an outage of the platform.
+func TestSettingsAgeIsTheSameStoryOnAllVMs(t *testing.T) {
+	f := newFleet(t, fleetConfig{vms: 3, targets: 1}) // two of the three hold a watch
+	f.waitServing(t)
+	age := func(v *VM) time.Duration {
+		resp, err := http.Get("http://" + v.OperatorAddress() + "/readyz")
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		var answer struct {
+			Seconds float64 `json:"settings_age_seconds"`
+		}
+		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&answer))
+		return time.Duration(answer.Seconds * float64(time.Second))
+	}
+	reply, err := operatorBackend{f.vms[0]}.Edit(t.Context(), "ann", operatorhttp.EditRequest{
+		RequestID: "one", Op: operatorhttp.OpSet, Path: "sask", Rules: "queue_limit: 3", Reason: "test",
+	})
+	assert.NilError(t, err)
+	for _, v := range f.vms { // the edit also ends the watches that began before the members knew each other
+		waitFor(t, func() error {
+			if got := v.config.Current().Revision; got < reply.Revision {
+				return fmt.Errorf("%s is at revision %d", v.PeerAddress(), got)
+			}
+			return nil
+		})
+	}
+	time.Sleep(compareTime)
+	start := time.Now()
+	_, err = operatorBackend{f.vms[0]}.History(t.Context()) // reads the head
+	assert.NilError(t, err)
+	for _, v := range f.vms {
+		waitFor(t, func() error {
+			if old := age(v); old > time.Since(start)+compareTime/2 { // each hop rounds up
+				return fmt.Errorf("%s: the settings are %s old, the read %s", v.PeerAddress(), old, time.Since(start))
+			}
+			return nil
+		})
+	}
+	f.store.SetFaults(standinplatform.Faults{Outage: true})
+	cut := time.Now()
+	time.Sleep(2 * compareTime)
+	for _, v := range f.vms {
+		assert.Assert(t, age(v) >= time.Since(cut)-compareTime, "%s looks confirmed during an outage", v.PeerAddress())
+	}
+}
+
+// compareTime is the time in which each VM compares its settings with a peer.
+const compareTime = time.Second
