Record the proofs over the wired system, and send tickets beside a silent target

The link test read the list of VMs while one joined, which the race detector found; its workers now use the two first VMs.

--- a/pkg/entry/linkcap_test.go
+++ b/pkg/entry/linkcap_test.go
@@ -117,6 +117,7 @@
 	var served atomic.Int64
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
+	callers := []*VM{f.vms[0], f.vms[2]}
 	for i := range 24 {
 		wg.Go(func() {
 			for {
@@ -125,7 +126,7 @@
 					return
 				default:
 				}
-				if get(f.vms[i%2*2], "/clue?bytes=150000") == protocol.OutcomeAnswered {
+				if get(callers[i%2], "/clue?bytes=150000") == protocol.OutcomeAnswered {
 					served.Add(1)
 				}
 			}
--- a/test/scenario/load_test.go
+++ b/test/scenario/load_test.go
@@ -109,6 +109,18 @@
 		s.answered.Load(), s.refused.Load(), s.other.Load(), s.wrong.Load(), s.wrongText)
 }
 
+// cmdAnswered sends ticketed requests one after another, each of which must be
+// answered: answered N CALLER.
+func cmdAnswered(ts *testscript.TestScript, _ bool, args []string) {
+	for i := range number(ts, args[0]) {
+		cmdTicket(ts, false, []string{"ANSWERED", args[1]})
+		got := send("POST", "http://"+args[1]+"/v1/services/desk/answers", ts.Getenv("ANSWERED"), "hello", "2000")
+		if !strings.Contains(got, "outcome: answered") {
+			ts.Fatalf("request %d: %s", i, got)
+		}
+	}
+}
+
 // waitUntil polls until check succeeds.
 func waitUntil(ts *testscript.TestScript, limit string, check func() (bool, string)) {
 	d, err := time.ParseDuration(limit)
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -68,6 +68,7 @@
 			"storm":      cmdStorm,
 			"progress":   cmdProgress,
 			"calm":       cmdCalm,
+			"answered":   cmdAnswered,
 			"gets":       cmdGets,
 			"quiet":      cmdQuiet,
 			"sheds":      cmdSheds,
