--- a/pkg/coordination/config/apply.go
+++ b/pkg/coordination/config/apply.go
@@ -37,7 +37,7 @@
 	}
 	d, tree, err := read(document)
 	if err != nil {
-		m.keepOut(old, revision, d, err)
+		m.keepOut(old, revision, document, d, err)
 		return false, err
 	}
 	next := m.snapshot(old, revision, d, tree, document)
@@ -77,12 +77,12 @@
 }
 
 // keepOut records the fault of a revision and leaves the tree in force.
-func (m *Manager) keepOut(old *Snapshot, revision int64, d *settings.Document, err error) {
+func (m *Manager) keepOut(old *Snapshot, revision int64, raw []byte, d *settings.Document, err error) {
 	if old.Fault != nil && old.Fault.Revision >= revision {
 		return
 	}
 	next := *old
-	next.Fault = &Fault{Revision: revision, Err: err, At: m.config.Now()}
+	next.Fault = &Fault{Revision: revision, Err: err, At: m.config.Now(), raw: raw}
 	if d != nil {
 		next.Fault.Author = d.Author
 	}
--- a/pkg/coordination/config/boot.go
+++ b/pkg/coordination/config/boot.go
@@ -69,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(ctx, bootCallTimeout)
 	defer cancel()
 	asked := m.config.Now()
-	reply, err := m.config.Peers.Settings(ctx, peer, m.Current().Revision)
+	reply, err := m.config.Peers.Settings(ctx, peer, m.Current().Revision, m.seen())
 	if err != nil {
 		m.config.Logger.Log(eventPeerFailed, eventlog.Fields{"peer": peer, "error": err.Error()})
 		return
@@ -77,6 +77,9 @@
 	if len(reply.Document) > 0 {
 		_ = m.Apply(reply.Revision, reply.Document) // a fault is kept in Current
 	}
+	if len(reply.Rejected) > 0 {
+		_ = m.Apply(reply.RejectedRevision, reply.Rejected) // kept out here too, and shown
+	}
 	m.confirmByPeer(reply, asked)
 }
 
--- a/pkg/coordination/config/fakes_test.go
+++ b/pkg/coordination/config/fakes_test.go
@@ -178,11 +178,11 @@
 	cut      bool
 }
 
-func (p *fakePeers) Settings(_ context.Context, name string, have int64) (protocol.SettingsReply, error) {
+func (p *fakePeers) Settings(_ context.Context, name string, have, rejected int64) (protocol.SettingsReply, error) {
 	if p.cut || p.managers[name] == nil {
 		return protocol.SettingsReply{}, errors.New("peer is unreachable")
 	}
-	return p.managers[name].Settings(have), nil
+	return p.managers[name].Settings(have, rejected), nil
 }
 
 func (p *fakePeers) All() []string { return p.names }
--- a/pkg/coordination/config/manager.go
+++ b/pkg/coordination/config/manager.go
@@ -28,8 +28,9 @@
 
 // Peers reaches the other entry VMs.
 type Peers interface {
-	// Settings asks the peer for its document if it is newer than have.
-	Settings(ctx context.Context, peerAddr string, have int64) (protocol.SettingsReply, error)
+	// Settings asks the peer for its document if it is newer than have, and for
+	// a document that is not valid if it is newer than rejected.
+	Settings(ctx context.Context, peerAddr string, have, rejected int64) (protocol.SettingsReply, error)
 	// Random returns the addresses of up to n random live peers.
 	Random(n int) []string
 	// All returns the addresses of all known peers.
@@ -78,6 +79,7 @@
 	Author   string
 	Err      error
 	At       time.Time
+	raw      []byte // document as stored, for peers
 }
 
 // Manager holds the settings in force on this VM.
@@ -145,11 +147,16 @@
 	m.subscribers = slices.DeleteFunc(m.subscribers, func(c chan struct{}) bool { return c == ch })
 }
 
-// Settings answers a peer that has revision have.
-func (m *Manager) Settings(have int64) protocol.SettingsReply {
+// Settings answers a peer that has revision have and knows that rejected is
+// not valid.
+func (m *Manager) Settings(have, rejected int64) protocol.SettingsReply {
 	s := m.Current()
-	if s.Tree == nil || s.Revision <= have {
-		return m.addAge(protocol.SettingsReply{Revision: s.Revision})
+	reply := protocol.SettingsReply{Revision: s.Revision}
+	if s.Tree != nil && s.Revision > have {
+		reply.Document = s.Raw
 	}
-	return m.addAge(protocol.SettingsReply{Revision: s.Revision, Document: s.Raw})
+	if s.Fault != nil && s.Fault.Revision > max(rejected, s.Revision) {
+		reply.Rejected, reply.RejectedRevision = s.Fault.raw, s.Fault.Revision
+	}
+	return m.addAge(reply)
 }
--- a/pkg/coordination/config/manager_test.go
+++ b/pkg/coordination/config/manager_test.go
@@ -28,7 +28,7 @@
 	assert.Equal(t, s.Revision, first.Revision)
 	assert.Equal(t, s.Tree, first.Tree)
 	assert.Equal(t, s.Fault.Revision, bad)
-	assert.Equal(t, m.Settings(0).Revision, first.Revision)
+	assert.Equal(t, m.Settings(0, 0).Revision, first.Revision)
 	revision, err := m.Propose(t.Context(), weight("repair", first.Revision, 20))
 	assert.NilError(t, err)
 	assert.Equal(t, m.Current().Revision, revision)
@@ -250,3 +250,21 @@
 		assert.Assert(t, watches < 20, "an invalid head keeps the watch busy: %d calls a minute", watches)
 	})
 }
+
+// Guards against a fault that only the VMs with a watch show: the others learn
+// of a revision that is not valid from their peers, once, and keep the last
+// valid one.
+func TestPeersPassOnRejectedRevisions(t *testing.T) {
+	peers := &fakePeers{managers: map[string]*Manager{}, names: []string{"watcher"}}
+	watcher := newManager(newFakeStore(), &fakePeers{})
+	peers.managers["watcher"] = watcher
+	other := newManager(newFakeStore(), peers)
+	assert.NilError(t, watcher.Apply(5, []byte(tree)))
+	assert.Assert(t, watcher.Apply(6, []byte("regions: [")) != nil)
+	other.Fetch(t.Context(), "watcher")
+	s := other.Current()
+	assert.Equal(t, s.Revision, int64(5))
+	assert.Assert(t, s.Fault != nil)
+	assert.Equal(t, s.Fault.Revision, int64(6))
+	assert.Equal(t, len(watcher.Settings(s.Revision, s.Fault.Revision).Rejected), 0)
+}
--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -70,9 +70,9 @@
 }
 
 // Settings implements config.Peers.
-func (n *outageNode) Settings(_ context.Context, address string, have int64) (protocol.SettingsReply, error) {
+func (n *outageNode) Settings(_ context.Context, address string, have, rejected int64) (protocol.SettingsReply, error) {
 	time.Sleep(time.Millisecond)
-	return n.fleet.node(address).config.Settings(have), nil
+	return n.fleet.node(address).config.Settings(have, rejected), nil
 }
 
 // Random implements config.Peers.
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"time"
 
 	"hickoryroute/pkg/coordination/seat"
@@ -57,7 +58,7 @@
 // Settings implements peer.Handler.
 func (h handler) Settings(_ context.Context, req *protocol.SettingsRequest, reply *protocol.SettingsReply) error {
 	h.vm.clock.Observe(req.Time)
-	*reply = h.vm.config.Settings(req.Have)
+	*reply = h.vm.config.Settings(req.Have, req.Rejected)
 	reply.Document = h.vm.packed.get(reply.Revision, reply.Document)
 	reply.Time = h.vm.clock.Now()
 	var newer []seat.Table
@@ -78,10 +79,10 @@
 type configPeers struct{ vm *VM }
 
 // Settings implements config.Peers. It also takes over newer seat tables.
-func (p configPeers) Settings(ctx context.Context, address string, have int64) (protocol.SettingsReply, error) {
+func (p configPeers) Settings(ctx context.Context, address string, have, rejected int64) (protocol.SettingsReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTime)
 	defer cancel()
-	req := &protocol.SettingsRequest{Have: have, Tables: map[string]int64{}, Time: p.vm.clock.Now()}
+	req := &protocol.SettingsRequest{Have: have, Rejected: rejected, Tables: map[string]int64{}, Time: p.vm.clock.Now()}
 	for _, t := range p.vm.seats.Tables() {
 		req.Tables[t.Region] = t.Revision
 	}
@@ -154,7 +155,8 @@
 		case <-ticker.C:
 		}
 		for _, m := range v.members.Random(1) {
-			_, _ = configPeers{v}.Settings(ctx, m.PeerAddress, v.config.Current().Revision)
+			// Only the seat tables are wanted; the settings are compared elsewhere.
+			_, _ = configPeers{v}.Settings(ctx, m.PeerAddress, math.MaxInt64, math.MaxInt64)
 		}
 	}
 }
--- a/pkg/protocol/peer.go
+++ b/pkg/protocol/peer.go
@@ -208,7 +208,8 @@
 // SettingsRequest asks for the settings document if it is newer than Have, and
 // for the seat tables that are newer than the given revisions by region.
 type SettingsRequest struct {
-	Have   int64
+	Have     int64
+	Rejected int64 // highest revision known not to be valid
 	Tables map[string]int64
 	Time   Timestamp // clock reading of the sender
 }
@@ -218,6 +219,10 @@
 	Revision int64
 	Document []byte
 	Tables   []byte // JSON list of seat tables
+	// Rejected is the document of a higher revision that is not valid, so that
+	// every VM can show the fault. It is not packed.
+	Rejected         []byte
+	RejectedRevision int64
 	// Confirmed tells that AgeMs is set: the time since the platform last
 	// confirmed the sender's settings.
 	Confirmed bool
