Wait until a frozen process has stopped

Cause: ticket_issuer_frozen saw one run on a busy machine: SIGSTOP had been sent, but threads of the entry VM still ran. Conclusion: the command returns when every thread is in state T; the script's bounds are unchanged.

--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
@@ -141,11 +142,39 @@
 	}
 	p := systemOf(ts).processes[args[0]]
 	ts.Check(p.cmd.Process.Signal(signals[args[1]]))
+	if args[1] == "STOP" {
+		waitStopped(ts, p.cmd.Process.Pid)
+	}
 	if args[1] == "KILL" {
 		<-p.done
 	}
 }
 
+// waitStopped waits until every thread of a process has stopped. On a busy
+// machine some of them run on for a while after the signal.
+func waitStopped(ts *testscript.TestScript, pid int) {
+	deadline := time.Now().Add(readyTime)
+	for {
+		states, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+		ts.Check(err)
+		running := 0
+		for _, name := range states {
+			stat, err := os.ReadFile(name)
+			// The state follows the name of the program in parentheses.
+			if err == nil && !strings.Contains(string(stat), ") T ") {
+				running++
+			}
+		}
+		if running == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("process %d did not stop", pid)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // cmdAwait waits for a process to end: await NAME DURATION. It fails unless
 // the exit code is 0; ! await wants another code.
 func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
