--- a/pkg/transport/callerhttp/handler.go
+++ b/pkg/transport/callerhttp/handler.go
@@ -117,10 +117,9 @@
 	if s.cfg.KnownService != nil && !s.cfg.KnownService(x.service) {
 		x.service = ""
 	}
-	s.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf(
-		"hickory_requests_total{service=%q,outcome=%q,code=%q}", x.service, outcome, code)).Inc()
-	s.cfg.Metrics.GetOrCreateHistogram(fmt.Sprintf(
-		"hickory_request_duration_seconds{service=%q}", x.service)).UpdateDuration(start)
+	m := s.instruments.get(s.cfg.Metrics, requestLabels{x.service, string(outcome), code})
+	m.requests.Inc()
+	m.duration.UpdateDuration(start)
 }
 
 // writeProblem sends p. A problem without an outcome comes from a fault, so
--- a/pkg/transport/callerhttp/server.go
+++ b/pkg/transport/callerhttp/server.go
@@ -97,6 +97,8 @@
 	http    *http.Server
 	leaving atomic.Bool
 	active  tracker
+
+	instruments instruments
 }
 
 // New returns a Server.
