Use one context for a first attempt

A first attempt had a context to be cancelled and another that ends with the reservation, derived from it. One serves both; a hedge still has two, since it reserves first. go test ./pkg/entry -run '^$' -bench Request/proxied -cpu 1: 234 allocations before, 229 after, 19,596 and 19,109 bytes. Processor time was 168 us and 110 us at different load, which shows nothing by itself.

--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -32,7 +32,8 @@
 // start sends the call to the target of g.
 func (ra *race) start(ctx context.Context, g *grant) *attempt {
 	a := &attempt{race: ra, grant: g, sentAt: ra.router.cfg.Now()}
-	ctx, a.cancel = context.WithCancel(ctx)
+	ctx, a.cancel = a.expiring(ctx)
+	a.stop = a.cancel
 	go a.run(ctx)
 	return a
 }
@@ -58,9 +59,16 @@
 	}
 	a.grant, a.skipped = g, false
 	r.metrics.hedges.Inc()
+	ctx, a.stop = a.expiring(ctx)
 	a.run(ctx)
 }
 
+// expiring returns a context that ends with the reservation.
+func (a *attempt) expiring(ctx context.Context) (context.Context, context.CancelFunc) {
+	left := a.grant.endBefore(a.race.call.deadline).Sub(a.race.router.cfg.Now())
+	return context.WithTimeout(ctx, left)
+}
+
 // reserve obtains the slot of a hedge. A panic there costs only the hedge,
 // since nothing was granted yet and no caller's goroutine could recover it.
 func (a *attempt) reserve(ctx context.Context, region string, exclude []string) *grant {
@@ -82,8 +90,6 @@
 
 // run sends the attempt and ends it: as winner, failure or loser.
 func (a *attempt) run(ctx context.Context) {
-	left := a.grant.endBefore(a.race.call.deadline).Sub(a.race.router.cfg.Now())
-	ctx, a.stop = context.WithTimeout(ctx, left)
 	a.level, _ = a.race.router.poison.levelOf(a.race.call.req, a.sentAt)
 	resp, err := a.send(ctx)
 	if err != nil {
