Use the context of a request that already ends at its deadline

The router derived a context with the deadline that the caller's context already had. go test ./pkg/entry -run '^$' -bench Request/proxied -cpu 1 -benchtime 10000x: 229 allocations before, 224 after, 19,110 and 18,654 bytes. A run with fewer iterations counted 243, since work in the background is shared by fewer requests.

--- a/pkg/steering/deadline.go
+++ b/pkg/steering/deadline.go
@@ -23,8 +23,13 @@
 	return asked
 }
 
-// deadlineContext ends at the deadline as judged by the router's clock.
+// deadlineContext ends at the deadline as judged by the router's clock. A
+// context that ends by then already is used as it is, because each attempt has
+// one of its own to be cancelled.
 func (r *Router) deadlineContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if end, ok := ctx.Deadline(); ok && !end.After(deadline) {
+		return ctx, func() {}
+	}
 	return context.WithTimeout(ctx, deadline.Sub(r.cfg.Now()))
 }
 
