Ask the peers before the platform at boot

The new process applied the old head of a platform with stale reads and showed it until the peers answered. Conclusion: the peers are asked first; the unit test sees every applied revision and fails with the old order. peer.go is only formatted.

--- a/pkg/coordination/config/boot.go
+++ b/pkg/coordination/config/boot.go
@@ -14,12 +14,14 @@
 	bootWorkers     = 16
 )
 
-// Boot asks the platform and all peers once and applies the highest revision.
+// Boot asks all peers and the platform once and applies the highest revision.
 // It returns *NoTreeError if none of them has a valid tree; the caller then
 // tries again.
 func (m *Manager) Boot(ctx context.Context) error {
-	err := m.Refresh(ctx)
+	// The peers come first: a platform that answers from an old state would
+	// otherwise put that in force until the peers have answered.
 	m.askPeers(ctx, m.config.Peers.All())
+	err := m.Refresh(ctx)
 	s := m.Current()
 	if s.Tree != nil {
 		m.config.Logger.Log(eventBooted, eventlog.Fields{"revision": s.Revision})
--- a/pkg/coordination/config/confirm_test.go
+++ b/pkg/coordination/config/confirm_test.go
@@ -56,6 +56,24 @@
 	})
 }
 
+// Guards against a new process that puts an old revision in force for a moment,
+// because the platform answers from an old state before the peers do.
+func TestBootNeverShowsAnOlderRevision(t *testing.T) {
+	store, ahead := started(t)
+	_, err := ahead.Propose(t.Context(), weight("second", 0, 20))
+	assert.NilError(t, err)
+	store.next = func(string) fault { return stale }
+	ring := timeline.NewRing("new", timeline.NewClock(nil))
+	m := New(Config{
+		Store: store, Logger: eventlog.New(nil, ring),
+		Peers: &fakePeers{managers: map[string]*Manager{"a": ahead}, names: []string{"a"}},
+	})
+	assert.NilError(t, m.Boot(t.Context()))
+	for _, e := range ring.Events() {
+		assert.Equal(t, e.Fields["revision"], ahead.Current().Revision, e.Name)
+	}
+}
+
 // Guards against a time line that shows a revision in force before its author
 // wrote it, when the clock of the reading VM is behind.
 func TestAppliedRevisionComesAfterItsAuthor(t *testing.T) {
--- a/pkg/protocol/peer.go
+++ b/pkg/protocol/peer.go
@@ -210,8 +210,8 @@
 type SettingsRequest struct {
 	Have     int64
 	Rejected int64 // highest revision known not to be valid
-	Tables map[string]int64
-	Time   Timestamp // clock reading of the sender
+	Tables   map[string]int64
+	Time     Timestamp // clock reading of the sender
 }
 
 // SettingsReply carries the document, or none if the peer has nothing newer.
