Do not queue for targets that take no work, ask the recovery wait at each grant

Cause: an owner let requests wait for targets that were silent or not ready, while other owners had targets; in the worst case a request lost its deadline there. A seat lost and regained between two refreshes could be granted before its recovery wait was known to the owner. Ruled out: draining and leaving targets, which were left out before. Conclusion: only targets that take work now make room in a queue.

--- a/pkg/coordination/slot/owner_test.go
+++ b/pkg/coordination/slot/owner_test.go
@@ -309,3 +309,17 @@
 		release(o, o.Reserve(background, req), protocol.ReleaseOK, time.Millisecond)
 	}
 }
+
+// Guards against requests that wait in the queue of an owner whose targets are
+// all silent, while another owner could serve them.
+func TestNoQueueForSilentTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner()
+		warm(o, spec("a", 1))
+		o.SetHealth("a", Health{}, time.Now())
+		start := time.Now()
+		r := o.Reserve(background, request("k", 1000))
+		assert.Assert(t, !r.Granted)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+	})
+}
--- a/pkg/coordination/slot/queue.go
+++ b/pkg/coordination/slot/queue.go
@@ -67,11 +67,14 @@
 }
 
 // admit reports whether w may join the queue. A request that doesn't wait
-// always may, since it leaves again at once.
+// always may, since it leaves again at once. Only targets that take work now
+// make room: a request that waits for a silent target loses the time in which
+// another owner could serve it.
 func (s *shard) admit(w *waiter) bool {
+	now := s.now()
 	room, usable := 0, false
 	for _, t := range s.list {
-		if t.spec.Draining || t.leaving || t.health.Draining {
+		if !t.open(now) {
 			continue
 		}
 		room += t.spec.QueueLimit * t.spec.Slots
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -128,7 +128,7 @@
 	v.members = members
 	v.members.Subscribe(v.takeNotice)
 	v.seats = seat.New(v.seatConfig())
-	v.owner = slot.New(slot.Config{Logger: v.log, MayGrant: v.seats.Owns})
+	v.owner = slot.New(slot.Config{Logger: v.log, MayGrant: v.mayGrant})
 	v.links = linkcap.New(linkcap.Config{
 		Peers: v.linkPeers, Borrow: v.borrow, Valid: v.seats.Valid, Logger: v.log,
 	})
@@ -264,6 +264,17 @@
 	return v.keeper.idle(v.config.Current().Tree, number)
 }
 
+// mayGrant implements slot.Config.MayGrant. The recovery wait is asked here
+// too, because a seat may be lost and regained between two refreshes of the
+// targets.
+func (v *VM) mayGrant(target string) bool {
+	if !v.seats.Owns(target) {
+		return false
+	}
+	_, wait := v.seats.RecoveryWait(seat.SeatOf(target, v.seats.SeatCount(v.cfg.Region)))
+	return !wait
+}
+
 // probeIncarnation implements seat.Config.Probe.
 func (v *VM) probeIncarnation(ctx context.Context, address string) (uint64, error) {
 	var reply protocol.ExchangeReply
