Do not count connections broken by a target that has just crashed

Ruled out: the crash level; the harmless request was sent once and broke on two targets in turn, which is what a poison request does. Conclusion: crash notices carry the target; a target that another request has crashed within 3 s and that has not answered since does not count.

--- a/pkg/protocol/peer.go
+++ b/pkg/protocol/peer.go
@@ -64,6 +64,7 @@
 	Kind     NoticeKind
 	ID       string // unique; notices with a known ID are ignored
 	Subject  string // target name, request fingerprint or revision
+	Target   string // target whose connection broke, for NoticeCrash
 	Origin   string // peer address of the VM that saw it first
 	TTLMs    int64  // remaining life time in milliseconds
 	Revision int64  // revision for NoticeRevision
--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -102,6 +102,7 @@
 		return
 	}
 	a.response = resp
+	a.race.router.aftermath.answered(a.grant.reply.Target.Name)
 	if a.level > 0 {
 		a.race.router.poison.clear(a.race.call.fingerprint())
 	}
@@ -180,7 +181,7 @@
 func (a *attempt) fail(ctx context.Context, f *SendFailure) {
 	a.failure = f
 	r := a.race.router
-	if f.crashed() {
+	if f.crashed() && !r.aftermath.covers(a.grant.reply.Target.Name, a.race.call.fingerprint(), r.cfg.Now()) {
 		r.tellCrash(ctx, a)
 	}
 	r.countAttempt(a, f.Kind.String())
@@ -211,6 +212,8 @@
 func (r *Router) tellCrash(ctx context.Context, a *attempt) {
 	defer a.logPanic("telling of a crash", func(any) {})
 	c := a.race.call
+	target := a.grant.reply.Target.Name
+	r.aftermath.note(target, c.fingerprint(), r.cfg.Now())
 	// A second crash within one call counts even if hedges were in flight
 	// together, since the call alone has then crashed two targets.
 	level := max(a.level, int(c.crashes.Add(1))-1) + 1
@@ -218,6 +221,7 @@
 		Kind:     protocol.NoticeCrash,
 		ID:       r.noticeID(a),
 		Subject:  c.fingerprint(),
+		Target:   target,
 		Origin:   r.cfg.Self,
 		TTLMs:    quarantineTime.Milliseconds(),
 		Revision: int64(level),
@@ -225,7 +229,7 @@
 	level = r.poison.report(n, level, r.cfg.Now())
 	c.crashID.Store(&n.ID)
 	r.cfg.Logger.Log(eventTargetCrash, eventlog.Fields{
-		"target": a.grant.reply.Target.Name, "fingerprint": n.Subject, "level": level, "request_id": c.req.RequestID,
+		"target": target, "fingerprint": n.Subject, "level": level, "request_id": c.req.RequestID,
 	})
 	if r.cfg.CrashTeller == nil {
 		return
--- a/pkg/steering/poison.go
+++ b/pkg/steering/poison.go
@@ -172,6 +172,7 @@
 	if n.Kind != protocol.NoticeCrash {
 		return
 	}
+	r.aftermath.note(n.Target, n.Subject, r.cfg.Now())
 	level := max(1, int(n.Revision))
 	r.poison.report(n, level, r.cfg.Now())
 }
--- a/pkg/steering/router.go
+++ b/pkg/steering/router.go
@@ -132,6 +132,8 @@
 	cfg     Config
 	metrics *meters
 	poison  *poisonTable
+	// aftermath knows the targets that have just crashed.
+	aftermath *aftermath
 
 	mu       sync.RWMutex
 	services map[string]*serviceState
@@ -161,10 +163,11 @@
 		cfg.Metrics = metrics.NewSet()
 	}
 	return &Router{
-		cfg:      cfg,
-		metrics:  newMeters(cfg.Metrics),
-		poison:   newPoisonTable(maxFingerprints),
-		services: map[string]*serviceState{},
+		cfg:       cfg,
+		metrics:   newMeters(cfg.Metrics),
+		poison:    newPoisonTable(maxFingerprints),
+		aftermath: newAftermath(),
+		services:  map[string]*serviceState{},
 	}
 }
 
