Give each VM of the scripted tests a loopback address of its own

The test process had listened on it to try it, and a program that another script started at that moment held the socket until it was executed. Ruled out: outgoing connections (range 32768 to 60999); equal ports of two scripts (one counter). Conclusion: no port is tried any more; the IP numbers differ.

--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -50,8 +50,7 @@
 	if !bare {
 		ts.Check(s.putHead(tree(regions, s.targets, 4), 0))
 	}
-	addresses, err := freePorts(3 * vms)
-	ts.Check(err)
+	addresses := freeAddresses(3 * vms)
 	for i := range vms {
 		ts.Setenv(fmt.Sprintf("caller%d", i+1), addresses[3*i])
 		ts.Setenv(fmt.Sprintf("peer%d", i+1), addresses[3*i+1])
--- a/test/scenario/system_test.go
+++ b/test/scenario/system_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -100,34 +98,22 @@
 	return strings.TrimSpace(line), err
 }
 
-// Ports for the VMs lie below the range that the system gives to outgoing
-// connections; one of those had taken a port that was free a moment before.
-const (
-	firstPort = 12000
-	lastPort  = 31000
-)
-
-var nextPort atomic.Int64
+// vmPort is the port of all VM addresses; the IP numbers differ.
+const vmPort = 7000
 
-// portsEach separates the ports of test processes that run at the same time.
-const portsEach = 512
+var nextAddress atomic.Int64
 
-// freePorts returns addresses that were free a moment ago.
-func freePorts(n int) ([]string, error) {
-	var list []string
-	for range lastPort - firstPort {
-		if len(list) == n {
-			return list, nil
-		}
-		number := int64(os.Getpid())*portsEach + nextPort.Add(1)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+number%(lastPort-firstPort)))
-		if err != nil {
-			continue
-		}
-		list = append(list, l.Addr().String())
-		_ = l.Close()
+// freeAddresses returns loopback addresses of their own for a VM. Listening on
+// a port to see whether it is free does not work here: a program that another
+// script starts at that moment holds the socket until it has been executed, and
+// the VM then finds its port in use. Outgoing connections use 127.0.0.1.
+func freeAddresses(n int) []string {
+	list := make([]string, 0, n)
+	for range n {
+		number := nextAddress.Add(1)
+		list = append(list, fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%250, number/250, 1+number%250, vmPort))
 	}
-	return nil, errors.Errorf("no %d free ports from %d to %d", n, firstPort, lastPort)
+	return list
 }
 
 var client = &http.Client{
