Share one type between the edits that need only a path

Cause: remove, drain and restore repeated the same fields and steps. Ruled out: merging set and apply into it; they carry rules or a tree. Conclusion: behaviour is the same.

--- a/cmd/hickoryroute/edit.go
+++ b/cmd/hickoryroute/edit.go
@@ -49,37 +49,34 @@
 	return e.edit(ctx, r, c.Wait)
 }
 
-type removeCommand struct {
-	Path string `arg:"positional,required"`
+// pathEdit is an edit that needs no more than a path.
+type pathEdit struct {
+	Path string `arg:"positional,required" help:"region, region/service or region/service/target; drain and restore also take an availability zone"`
 	editOptions
 }
 
-func (c *removeCommand) run(ctx context.Context, e *environment) error {
-	r := c.request(operatorhttp.OpRemove)
+func (c *pathEdit) send(ctx context.Context, e *environment, op string) error {
+	r := c.request(op)
 	r.Path = c.Path
 	return e.edit(ctx, r, c.Wait)
 }
 
-type drainCommand struct {
-	Path string `arg:"positional,required" help:"region, region/service, region/service/target or availability zone"`
-	editOptions
+type removeCommand struct{ pathEdit }
+
+func (c *removeCommand) run(ctx context.Context, e *environment) error {
+	return c.send(ctx, e, operatorhttp.OpRemove)
 }
 
+type drainCommand struct{ pathEdit }
+
 func (c *drainCommand) run(ctx context.Context, e *environment) error {
-	r := c.request(operatorhttp.OpDrain)
-	r.Path = c.Path
-	return e.edit(ctx, r, c.Wait)
+	return c.send(ctx, e, operatorhttp.OpDrain)
 }
 
-type restoreCommand struct {
-	Path string `arg:"positional,required"`
-	editOptions
-}
+type restoreCommand struct{ pathEdit }
 
 func (c *restoreCommand) run(ctx context.Context, e *environment) error {
-	r := c.request(operatorhttp.OpRestore)
-	r.Path = c.Path
-	return e.edit(ctx, r, c.Wait)
+	return c.send(ctx, e, operatorhttp.OpRestore)
 }
 
 type applyCommand struct {
