Let diff and validate share their steps

Cause: both read a tree, compared it and printed the changes. Conclusion: validate now also warns when the file was made from an older revision.

--- a/cmd/hickoryroute/edit.go
+++ b/cmd/hickoryroute/edit.go
@@ -130,23 +130,7 @@
 }
 
 func (c *diffCommand) run(ctx context.Context, e *environment) error {
-	text, err := readFile(c.File)
-	if err != nil {
-		return err
-	}
-	reply, err := e.client.Validate(ctx, text)
-	if err != nil {
-		return err
-	}
-	if base := baseRevision(text); base != 0 && base != reply.Revision {
-		fmt.Fprintf(e.errOut, "the file was made from revision %d; changes accepted since then show as undone\n", base)
-	}
-	if e.Output == "json" {
-		return e.printJSON(reply)
-	}
-	fmt.Fprintf(e.out, "%d changes against revision %d\n", len(reply.Changes), reply.Revision)
-	e.printChanges(reply.Changes)
-	return nil
+	return e.compare(ctx, c.File, "")
 }
 
 type validateCommand struct {
@@ -154,7 +138,12 @@
 }
 
 func (c *validateCommand) run(ctx context.Context, e *environment) error {
-	text, err := readFile(c.File)
+	return e.compare(ctx, c.File, "valid; ")
+}
+
+// compare checks the tree in a file and prints the changes it would make.
+func (e *environment) compare(ctx context.Context, file, verdict string) error {
+	text, err := readFile(file)
 	if err != nil {
 		return err
 	}
@@ -162,10 +151,13 @@
 	if err != nil {
 		return err
 	}
+	if base := baseRevision(text); base != 0 && base != reply.Revision {
+		fmt.Fprintf(e.errOut, "the file was made from revision %d; changes accepted since then show as undone\n", base)
+	}
 	if e.Output == "json" {
 		return e.printJSON(reply)
 	}
-	fmt.Fprintf(e.out, "valid; %d changes against revision %d\n", len(reply.Changes), reply.Revision)
+	fmt.Fprintf(e.out, "%s%d changes against revision %d\n", verdict, len(reply.Changes), reply.Revision)
 	e.printChanges(reply.Changes)
 	return nil
 }
