Add mutual TLS between entry VMs and TLS on the metrics port

Cause: traffic between entry VMs was authenticated by the shared key at most and never encrypted; the metrics port had no TLS. Ruled out: one certificate for all ports, since operators' and callers' authorities differ from that of the VMs. Conclusion: off by default; certificates follow their files on each port.

--- a/cmd/hickoryd/settings.go
+++ b/cmd/hickoryd/settings.go
@@ -35,6 +35,11 @@
 	OperatorCert   string   `arg:"--operator-cert-file,env:HICKORY_OPERATOR_CERT_FILE" help:"certificate for operators; empty serves plain HTTP"`
 	OperatorKey    string   `arg:"--operator-key-file,env:HICKORY_OPERATOR_KEY_FILE"`
 	OperatorCA     string   `arg:"--operator-client-ca-file,env:HICKORY_OPERATOR_CLIENT_CA_FILE" help:"CA of operators' client certificates"`
+	MetricsCert    string   `arg:"--metrics-cert-file,env:HICKORY_METRICS_CERT_FILE" help:"certificate of the metrics port; empty serves plain HTTP"`
+	MetricsKey     string   `arg:"--metrics-key-file,env:HICKORY_METRICS_KEY_FILE"`
+	PeerCert       string   `arg:"--peer-cert-file,env:HICKORY_PEER_CERT_FILE" help:"certificate for mutual TLS between entry VMs, naming the IP number of the peer address; empty uses plain TCP"`
+	PeerCertKey    string   `arg:"--peer-cert-key-file,env:HICKORY_PEER_CERT_KEY_FILE"`
+	PeerCA         string   `arg:"--peer-ca-file,env:HICKORY_PEER_CA_FILE" help:"certificate authority of the entry VMs"`
 	LogFormat      string   `arg:"--log-format,env:HICKORY_LOG_FORMAT" default:"text" help:"text or json"`
 	LogLevel       string   `arg:"--log-level,env:HICKORY_LOG_LEVEL" default:"info" help:"debug, info, warning or error"`
 }
@@ -78,6 +83,10 @@
 	fault(wrapped(err, "--caller-cert-file and --caller-key-file"))
 	operatorTLS, err := loadTLS(s.OperatorCert, s.OperatorKey, s.OperatorCA)
 	fault(wrapped(err, "--operator-cert-file, --operator-key-file and --operator-client-ca-file"))
+	metricsTLS, err := loadTLS(s.MetricsCert, s.MetricsKey, "")
+	fault(wrapped(err, "--metrics-cert-file and --metrics-key-file"))
+	peerTLS, err := loadPeerTLS(s.PeerCert, s.PeerCertKey, s.PeerCA)
+	fault(wrapped(err, "--peer-cert-file, --peer-cert-key-file and --peer-ca-file"))
 	if len(faults) > 0 {
 		return log, entry.Config{}, faults
 	}
@@ -91,7 +100,8 @@
 		OperatorAddress: s.OperatorAddr, MetricsAddress: s.MetricsAddress,
 		Store: client, VMList: client, Peers: s.Peers,
 		SeatCount: s.SeatCount, PeerKey: s.PeerKey, OperatorTokens: tokens,
-		CallerTLS: callerTLS, OperatorTLS: operatorTLS, Log: log,
+		CallerTLS: callerTLS, OperatorTLS: operatorTLS,
+		MetricsTLS: metricsTLS, PeerTLS: peerTLS, Log: log,
 	}, nil
 }
 
@@ -110,6 +120,13 @@
 	return tlsfiles.Load(cert, key, clientCA)
 }
 
+func loadPeerTLS(cert, key, ca string) (*tlsfiles.Mutual, error) {
+	if cert == "" && key == "" && ca == "" {
+		return nil, nil
+	}
+	return tlsfiles.LoadMutual(cert, key, ca)
+}
+
 // redacted returns the settings for the log with secrets hidden.
 func (s settings) redacted() logrus.Fields {
 	hide := func(secret string) string {
@@ -125,6 +142,8 @@
 		"seat_count": s.SeatCount, "peer_key": hide(s.PeerKey),
 		"operator_tokens":  hide(s.OperatorTokens),
 		"caller_cert_file": s.CallerCert, "caller_key_file": s.CallerKey,
+		"metrics_cert_file": s.MetricsCert, "metrics_key_file": s.MetricsKey,
+		"peer_cert_file": s.PeerCert, "peer_cert_key_file": s.PeerCertKey, "peer_ca_file": s.PeerCA,
 		"operator_cert_file": s.OperatorCert, "operator_key_file": s.OperatorKey,
 		"operator_client_ca_file": s.OperatorCA,
 		"log_format":              s.LogFormat, "log_level": s.LogLevel,
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -12,6 +12,7 @@
 
 	"hickoryroute/pkg/transport/operatorhttp"
 	"hickoryroute/pkg/transport/platform"
+	"hickoryroute/pkg/transport/tlsfiles"
 )
 
 // Config holds the process settings and the collaborators of an entry VM.
@@ -38,6 +39,10 @@
 	OperatorTokens operatorhttp.Tokens
 	// CallerTLS and OperatorTLS enable TLS on these ports; nil means plain HTTP.
 	CallerTLS, OperatorTLS *tls.Config
+	// MetricsTLS enables TLS on the metrics port; nil means plain HTTP.
+	MetricsTLS *tls.Config
+	// PeerTLS enables mutual TLS between entry VMs; nil means plain TCP.
+	PeerTLS *tlsfiles.Mutual
 	// Dial opens connections to targets; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialPeer opens connections to other entry VMs; nil means TCP.
@@ -81,3 +86,20 @@
 	}
 	return t
 }
+
+// peerDialer returns the function that connects to other entry VMs.
+func (c Config) peerDialer() func(context.Context, string) (net.Conn, error) {
+	if c.PeerTLS == nil {
+		return c.DialPeer
+	}
+	dial := c.DialPeer
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return c.PeerTLS.Dial(ctx, address, dial)
+	}
+}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -27,7 +27,7 @@
 // serve accepts connections on all ports.
 func (v *VM) serve(l *listeners) {
 	v.goServe("peer", func() error {
-		if err := v.peerServer.Serve(l.peer, handler{v}); !errors.Is(err, peer.ErrClosed) {
+		if err := v.peerServer.Serve(withTLS(l.peer, v.cfg.peerServerTLS()), handler{v}); !errors.Is(err, peer.ErrClosed) {
 			return err
 		}
 		return nil
@@ -35,10 +35,17 @@
 	v.goServe("caller", func() error { return v.callers.Serve(withTLS(l.caller, v.cfg.CallerTLS)) })
 	v.goHTTP("operator", withTLS(l.operator, v.cfg.OperatorTLS), operatorhttp.Handler(operatorBackend{v}, v.cfg.OperatorTokens))
 	if l.metrics != nil {
-		v.goHTTP("metrics", l.metrics, operatorhttp.MetricsHandler(operatorBackend{v}))
+		v.goHTTP("metrics", withTLS(l.metrics, v.cfg.MetricsTLS), operatorhttp.MetricsHandler(operatorBackend{v}))
 	}
 }
 
+func (c Config) peerServerTLS() *tls.Config {
+	if c.PeerTLS == nil {
+		return nil
+	}
+	return c.PeerTLS.Server
+}
+
 func withTLS(l net.Listener, config *tls.Config) net.Listener {
 	if config == nil {
 		return l
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -119,7 +119,7 @@
 // build creates the parts in the order of their dependencies.
 func (v *VM) build() error {
 	key := []byte(v.cfg.PeerKey)
-	v.peers = peer.NewClient(peer.ClientConfig{Key: key, Dial: v.cfg.DialPeer})
+	v.peers = peer.NewClient(peer.ClientConfig{Key: key, Dial: v.cfg.peerDialer()})
 	v.peerServer = peer.NewServer(peer.ServerConfig{Key: key, Logger: v.log})
 	members, err := member.New(v.memberConfig())
 	if err != nil {
--- a/pkg/transport/tlsfiles/tlsfiles.go
+++ b/pkg/transport/tlsfiles/tlsfiles.go
@@ -3,8 +3,10 @@
 package tlsfiles
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -43,18 +45,76 @@
 	if clientCA == "" {
 		return config, nil
 	}
-	pem, err := os.ReadFile(clientCA)
+	pool, err := loadPool(clientCA)
 	if err != nil {
-		return nil, errors.Wrap(err, "read the CA of client certificates")
-	}
-	config.ClientCAs = x509.NewCertPool()
-	if !config.ClientCAs.AppendCertsFromPEM(pem) {
-		return nil, errors.Errorf("%s holds no PEM certificate", clientCA)
+		return nil, err
 	}
+	config.ClientCAs = pool
 	config.ClientAuth = tls.VerifyClientCertIfGiven
 	return config, nil
 }
 
+// Mutual holds both sides of connections whose ends prove themselves by
+// certificates of one authority.
+type Mutual struct {
+	Server *tls.Config
+	client *tls.Config
+}
+
+// LoadMutual returns configurations that use the certificate in the files, also
+// as client, and accept only certificates signed by the authority in caFile.
+func LoadMutual(certFile, keyFile, caFile string) (*Mutual, error) {
+	if caFile == "" {
+		return nil, errors.New("mutual TLS needs the file of the certificate authority")
+	}
+	server, err := Load(certFile, keyFile, caFile)
+	if err != nil {
+		return nil, err
+	}
+	server.ClientAuth = tls.RequireAndVerifyClientCert
+	client := &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		RootCAs:    server.ClientCAs,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return server.GetCertificate(nil)
+		},
+	}
+	return &Mutual{Server: server, client: client}, nil
+}
+
+// Dial opens a connection by dial and proves both ends. The certificate of the
+// other end must name the IP number of address.
+func (m *Mutual) Dial(ctx context.Context, address string, dial func(context.Context, string) (net.Conn, error)) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer address")
+	}
+	raw, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	config := m.client.Clone()
+	config.ServerName = host
+	conn := tls.Client(raw, config)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrap(err, "TLS handshake; give both VMs certificates of one authority that name their IP numbers")
+	}
+	return conn, nil
+}
+
+func loadPool(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the certificate authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("%s holds no PEM certificate", file)
+	}
+	return pool, nil
+}
+
 func (p *keyPair) load() error {
 	info, err := os.Stat(p.certFile)
 	if err != nil {
