Limit connections by the library's listener, on the operator ports too

Cause: the caller port had a limiting listener of its own making, and the operator and metrics ports had no limit of connections. Ruled out: one limit for all ports; callers need thousands, operators few. Conclusion: golang.org/x/net/netutil serves all three; the tests of the caller port pass unchanged.

--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/net/netutil"
 
 	"hickoryroute/pkg/transport/operatorhttp"
 	"hickoryroute/pkg/transport/peer"
@@ -19,6 +20,9 @@
 	operatorHeaderTime  = 5 * time.Second
 	operatorRequestTime = 60 * time.Second
 	operatorHeaderBytes = 16 << 10
+	// operatorConns leaves room for all operators and a few scrapers. Further
+	// connections wait in the listen queue.
+	operatorConns = 128
 )
 
 // managedServer is an HTTP server of the operator or metrics port.
@@ -64,7 +68,7 @@
 	}
 	v.servers = append(v.servers, &managedServer{s})
 	v.goServe(name, func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(netutil.LimitListener(l, operatorConns)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/pkg/transport/callerhttp/limit.go
+++ b/pkg/transport/callerhttp/limit.go
@@ -2,55 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"sort"
 	"sync"
 )
 
-// limitListener accepts a connection only while fewer than the limit are open.
-type limitListener struct {
-	net.Listener
-	slots  chan struct{}
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newLimitListener(l net.Listener, limit int) *limitListener {
-	return &limitListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
-}
-
-// Accept implements net.Listener.
-func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limitConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
-}
-
-// Close implements net.Listener.
-func (l *limitListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
-type limitConn struct {
-	net.Conn
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitConn) Close() error {
-	defer c.release()
-	return c.Conn.Close()
-}
-
 // tracker knows the requests in progress.
 type tracker struct {
 	mu     sync.Mutex
--- a/pkg/transport/callerhttp/server.go
+++ b/pkg/transport/callerhttp/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/net/netutil"
 
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
@@ -117,7 +118,7 @@
 // Serve accepts connections from l until Shutdown or Close. It returns nil
 // after a shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(newLimitListener(l, s.cfg.MaxConns))
+	err := s.http.Serve(netutil.LimitListener(l, s.cfg.MaxConns))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
