--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -37,9 +37,9 @@
 		return nil
 	})
 	v.goServe("caller", func() error { return v.callers.Serve(withTLS(l.caller, v.cfg.CallerTLS)) })
-	v.goHTTP("operator", withTLS(l.operator, v.cfg.OperatorTLS), operatorhttp.Handler(operatorBackend{v}, v.cfg.OperatorTokens))
+	v.goHTTP("operator", operatorListener(l.operator, v.cfg.OperatorTLS), operatorhttp.Handler(operatorBackend{v}, v.cfg.OperatorTokens))
 	if l.metrics != nil {
-		v.goHTTP("metrics", withTLS(l.metrics, v.cfg.MetricsTLS), operatorhttp.MetricsHandler(operatorBackend{v}))
+		v.goHTTP("metrics", operatorListener(l.metrics, v.cfg.MetricsTLS), operatorhttp.MetricsHandler(operatorBackend{v}))
 	}
 }
 
@@ -50,6 +50,12 @@
 	return c.PeerTLS.Server
 }
 
+// operatorListener limits the connections below TLS, because net/http
+// recognises a TLS connection by its type and would lose client certificates.
+func operatorListener(l net.Listener, config *tls.Config) net.Listener {
+	return withTLS(netutil.LimitListener(l, operatorConns), config)
+}
+
 func withTLS(l net.Listener, config *tls.Config) net.Listener {
 	if config == nil {
 		return l
@@ -68,7 +74,7 @@
 	}
 	v.servers = append(v.servers, &managedServer{s})
 	v.goServe(name, func() error {
-		if err := s.Serve(netutil.LimitListener(l, operatorConns)); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
