Read the targets of the VM list once, share the handling of leaving targets

Cause: each read of the VM list built two maps of all targets, one for leaving targets and one for members; a sign of leaving seen here and one told by a member repeated the same three steps. Ruled out: merging the notices themselves; only a first-hand sign is broadcast. Conclusion: behaviour is the same; target_drain, path and the tests of the entry VM pass unchanged.

--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -72,12 +72,20 @@
 
 // targetLeaving handles a sign of leaving that this VM saw first-hand.
 func (v *VM) targetLeaving(name string) {
+	if v.noteLeaving(name, map[string]any{"target": name}) {
+		v.members.Broadcast(v.notice(protocol.NoticeTargetLeaving, name, 0, noticeLife))
+	}
+}
+
+// noteLeaving stops grants on a target and reports whether the sign is the
+// first.
+func (v *VM) noteLeaving(name string, fields map[string]any) bool {
 	if !v.leaving.add(name, time.Now()) {
-		return
+		return false
 	}
 	v.owner.Leaving(name, true)
-	v.log.Log(eventTargetLeaving, map[string]any{"target": name})
-	v.members.Broadcast(v.notice(protocol.NoticeTargetLeaving, name, 0, noticeLife))
+	v.log.Log(eventTargetLeaving, fields)
+	return true
 }
 
 // targetHealthy handles a health answer of a target that does not leave. The
@@ -90,12 +98,19 @@
 
 // targetBack handles the end of a sign of leaving.
 func (v *VM) targetBack(name string) {
+	if v.noteBack(name, map[string]any{"target": name}) {
+		v.members.Broadcast(v.notice(protocol.NoticeTargetBack, name, 0, noticeLife))
+	}
+}
+
+// noteBack allows grants on a target again and reports whether it was leaving.
+func (v *VM) noteBack(name string, fields map[string]any) bool {
 	if !v.leaving.remove(name) {
-		return
+		return false
 	}
 	v.owner.Leaving(name, false)
-	v.log.Log(eventTargetBack, map[string]any{"target": name})
-	v.members.Broadcast(v.notice(protocol.NoticeTargetBack, name, 0, noticeLife))
+	v.log.Log(eventTargetBack, fields)
+	return true
 }
 
 func (v *VM) notice(kind protocol.NoticeKind, subject string, revision int64, life time.Duration) protocol.Notice {
@@ -112,15 +127,9 @@
 	v.clock.Observe(n.Time)
 	switch n.Kind {
 	case protocol.NoticeTargetLeaving:
-		if v.leaving.add(n.Subject, time.Now()) {
-			v.owner.Leaving(n.Subject, true)
-			v.log.Log(eventTargetLeaving, map[string]any{"target": n.Subject, "told_by": n.Origin})
-		}
+		v.noteLeaving(n.Subject, map[string]any{"target": n.Subject, "told_by": n.Origin})
 	case protocol.NoticeTargetBack:
-		if v.leaving.remove(n.Subject) {
-			v.owner.Leaving(n.Subject, false)
-			v.log.Log(eventTargetBack, map[string]any{"target": n.Subject, "told_by": n.Origin})
-		}
+		v.noteBack(n.Subject, map[string]any{"target": n.Subject, "told_by": n.Origin})
 	case protocol.NoticeCrash:
 		v.router.LearnCrash(n)
 	case protocol.NoticeSeatsFree:
@@ -142,38 +151,26 @@
 }
 
 // takeVMs learns members and leaving targets from the VM list. The list names
-// entry VMs by peer address and target VMs by target address.
+// entry VMs by peer address and target VMs by target address; without settings
+// they cannot be told apart.
 func (v *VM) takeVMs(vms []platform.VM) {
-	targets := map[string]string{}
-	if view := v.view.Load(); view != nil {
-		for _, t := range view.tree.Targets() {
-			targets[t.Address] = t.Name
-		}
-	}
-	for _, vm := range vms {
-		if name, ok := targets[vm.Address]; ok && vm.State == platform.VMLeaving {
-			v.targetLeaving(name)
-		}
-	}
-	v.seed(vms)
-}
-
-// seed adds the live entry VMs of the list to the membership. It waits for
-// settings, without which targets cannot be told from entry VMs.
-func (v *VM) seed(vms []platform.VM) {
 	view := v.view.Load()
 	if view == nil {
 		return
 	}
-	targets := map[string]bool{}
+	targets := map[string]string{}
 	for _, t := range view.tree.Targets() {
-		targets[t.Address] = true
+		targets[t.Address] = t.Name
 	}
-	var addresses []string
+	var seeds []string
 	for _, vm := range vms {
-		if vm.State == platform.VMLive && !targets[vm.Address] {
-			addresses = append(addresses, vm.Address)
+		name, isTarget := targets[vm.Address]
+		switch {
+		case isTarget && vm.State == platform.VMLeaving:
+			v.targetLeaving(name)
+		case !isTarget && vm.State == platform.VMLive:
+			seeds = append(seeds, vm.Address)
 		}
 	}
-	v.members.Seed(addresses)
+	v.members.Seed(seeds)
 }
