Follow the store by one shared watch instead of reading it at an interval

Ruled out: that heartbeats wake a watch.

Change: the followers of the operators, the targets and the VMs are one mechanism and wait in one watch on all entries (feed.SharedWatch). On large sites the list of VMs comes from the region's readers like the other entries, and a copy older than 1.6 s is not relied on. The lease of a VM lives 4 s and is renewed each 1.3 s.

--- a/pkg/coordination/feed/feed.go
+++ b/pkg/coordination/feed/feed.go
@@ -24,6 +24,8 @@
 
 // Layout tells where the platform keeps its entries and how they read.
 type Layout struct {
+	// CommonPrefix begins all prefixes below.
+	CommonPrefix string
 	// OperatorPrefix is the prefix of everything that operators write.
 	OperatorPrefix string
 	// TargetPrefix is the prefix of the targets' own records.
@@ -38,19 +40,16 @@
 
 // Timing holds the intervals of the loops.
 type Timing struct {
-	// OperatorWait is the longest wait of one watch on the operators' entries.
-	// It bounds the time after which a silent connection is given up; a longer
-	// wait costs fewer calls.
-	OperatorWait time.Duration
-	// TargetInterval is the time between two readings of the targets' records.
-	// It delays the news that a target leaves and costs one call each.
-	TargetInterval time.Duration
-	// SharedInterval takes the place of TargetInterval on a VM that reads for
-	// others, whose news is delayed once more by PullInterval.
-	SharedInterval time.Duration
-	// VMInterval is the time between two lease renewals and between two cheap
-	// readings of the list of VMs.
-	VMInterval time.Duration
+	// WatchWait is the longest wait of one watch. It bounds the time after which
+	// a silent connection is given up; a longer wait costs fewer calls.
+	WatchWait time.Duration
+	// SharedWait takes the place of WatchWait on a VM that reads for others,
+	// which notice after CopyAge that it has lost the store.
+	SharedWait time.Duration
+	// CopyAge is the age of a reader's entries up to which a VM relies on them.
+	CopyAge time.Duration
+	// RenewInterval is the time between two renewals of the lease.
+	RenewInterval time.Duration
 	// LeaseTime is the time after which a silent VM leaves the list.
 	LeaseTime time.Duration
 	// CallTimeout bounds one call besides its wait.
@@ -63,13 +62,13 @@
 // DefaultTiming suits bounds of about two seconds for changes to take effect.
 func DefaultTiming() Timing {
 	return Timing{
-		OperatorWait:   2 * time.Second,
-		TargetInterval: 1100 * time.Millisecond,
-		SharedInterval: 700 * time.Millisecond,
-		VMInterval:     1000 * time.Millisecond,
-		LeaseTime:      2800 * time.Millisecond,
-		CallTimeout:    900 * time.Millisecond,
-		PullInterval:   450 * time.Millisecond,
+		WatchWait:     2 * time.Second,
+		SharedWait:    time.Second,
+		CopyAge:       1600 * time.Millisecond,
+		RenewInterval: 1300 * time.Millisecond,
+		LeaseTime:     4 * time.Second,
+		CallTimeout:   900 * time.Millisecond,
+		PullInterval:  450 * time.Millisecond,
 	}
 }
 
@@ -77,18 +76,17 @@
 type PeerFunc func(ctx context.Context, after int64) []Delta
 
 // ReaderFunc asks a VM that reads the store for what has changed after a
-// revision. It returns false if this VM should read the store itself.
-type ReaderFunc func(ctx context.Context, after int64) (Delta, bool)
+// revision. It returns false if this VM should read the store itself, because
+// it is a reader or none answers with entries confirmed within maxAge.
+type ReaderFunc func(ctx context.Context, after int64, maxAge time.Duration) (Delta, bool)
 
 // askReader returns what another VM has read. It returns false if this VM has
-// to read the store itself: it is a reader, or no reader answers with entries
-// that the store has confirmed within the time maxAge.
+// to read the store itself.
 func askReader(ctx context.Context, reader ReaderFunc, after int64, maxAge time.Duration) (Delta, bool) {
 	if reader == nil {
 		return Delta{}, false
 	}
-	d, ok := reader(ctx, after)
-	return d, ok && d.Age <= maxAge
+	return reader(ctx, after, maxAge)
 }
 
 // retryPause is the base of the pause after a failed call. A store that fails
--- a/pkg/coordination/feed/mirror.go
+++ b/pkg/coordination/feed/mirror.go
@@ -63,6 +63,15 @@
 	return true
 }
 
+// newest returns the revision of the newest entry.
+func (m *mirror) newest() int64 {
+	newest := int64(0)
+	for _, e := range m.entries {
+		newest = max(newest, e.Revision)
+	}
+	return newest
+}
+
 func (m *mirror) forget(key string, revision int64) {
 	m.deletions = append(m.deletions, deletion{key, revision})
 	if excess := len(m.deletions) - maxDeletions; excess > 0 {
--- /dev/null
+++ b/pkg/coordination/feed/sharedwatch_test.go
@@ -0,0 +1,169 @@
+package feed
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/transport/platform"
+)
+
+// countingFeed counts the watches that wait on a fake store of several
+// prefixes.
+type countingFeed struct {
+	mu      sync.Mutex
+	calls   int
+	open    int
+	written []platform.Change
+	silent  bool
+}
+
+func (c *countingFeed) write(key string, revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written = append(c.written, platform.Change{Entry: platform.Entry{Key: key, Revision: revision}})
+}
+
+func (c *countingFeed) count() (calls, open int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls, c.open
+}
+
+func (c *countingFeed) Snapshot(context.Context, string, platform.Freshness) (platform.Snapshot, error) {
+	return platform.Snapshot{}, nil
+}
+
+func (c *countingFeed) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Changes, error) {
+	c.mu.Lock()
+	c.calls++
+	c.open++
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.open--
+	}()
+	for end := time.Now().Add(wait); time.Now().Before(end) || c.silent; time.Sleep(time.Millisecond) {
+		if ctx.Err() != nil {
+			return platform.Changes{}, ctx.Err()
+		}
+		if found := c.since(prefix, after); len(found.Changes) > 0 && !c.silent {
+			return found, nil
+		}
+	}
+	return platform.Changes{Revision: after}, nil
+}
+
+func (c *countingFeed) since(prefix string, after int64) platform.Changes {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := platform.Changes{Revision: after}
+	for _, w := range c.written {
+		if w.Entry.Revision > after && strings.HasPrefix(w.Entry.Key, prefix) {
+			found.Changes = append(found.Changes, w)
+			found.Revision = w.Entry.Revision
+		}
+	}
+	return found
+}
+
+// Guards against one watch for each kind of entry, which multiplied the counted
+// calls of a site, and against changes that reach the wrong follower.
+func TestFollowersShareOneWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &countingFeed{}
+		s := &SharedWatch{Feed: c, CallTimeout: time.Second}
+		ctx, cancel := context.WithCancel(t.Context())
+		seen := map[string][]string{}
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for _, prefix := range []string{"a/", "b/"} {
+			wg.Go(func() {
+				after := int64(0)
+				for ctx.Err() == nil {
+					changes, err := s.Changes(ctx, prefix, after, 2*time.Second)
+					if err != nil {
+						return
+					}
+					after = changes.Revision
+					mu.Lock()
+					for _, change := range changes.Changes {
+						seen[prefix] = append(seen[prefix], change.Entry.Key)
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(10*time.Second + time.Millisecond)
+		calls, _ := c.count()
+		assert.Assert(t, calls <= 7, "%d watches in 10 s for two followers", calls)
+		c.write("a/1", 5)
+		c.write("b/1", 6)
+		time.Sleep(5 * time.Millisecond)
+		c.write("b/2", 7)
+		time.Sleep(batchPause + 5*time.Millisecond)
+		mu.Lock()
+		assert.DeepEqual(t, seen, map[string][]string{"a/": {"a/1"}, "b/": {"b/1", "b/2"}})
+		mu.Unlock()
+		cancel()
+		wg.Wait()
+		synctest.Wait()
+		time.Sleep(10 * time.Millisecond)
+		_, open := c.count()
+		assert.Equal(t, open, 0, "a watch for which nobody waits ends")
+	})
+}
+
+// A follower that lies behind must not miss what came before the running watch,
+// and one that gives up must not end the watch of the other.
+func TestSharedWatchServesAFollowerThatLiesBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &countingFeed{}
+		c.write("b/1", 3)
+		s := &SharedWatch{Feed: c, CallTimeout: time.Second}
+		done := make(chan error, 1)
+		go func() {
+			_, err := s.Changes(t.Context(), "a/", 5, 2*time.Second)
+			done <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		changes, err := s.Changes(t.Context(), "b/", 1, 2*time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, len(changes.Changes), 1)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err = s.Changes(ctx, "b/", 5, 2*time.Second)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.NilError(t, <-done)
+	})
+}
+
+// Guards against a call for each target of a site that starts: 46 targets cost
+// each of 12 VMs 46 calls in a second (lantern-hunt).
+func TestBurstOfChangesCostsFewWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &countingFeed{}
+		s := &SharedWatch{Feed: c, CallTimeout: time.Second}
+		go func() {
+			for revision := int64(1); revision <= 46; revision++ {
+				c.write("a/1", revision)
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+		after := int64(0)
+		for after < 46 {
+			changes, err := s.Changes(t.Context(), "a/", after, 2*time.Second)
+			assert.NilError(t, err)
+			after = changes.Revision
+		}
+		time.Sleep(time.Second) // the writer ends
+		calls, _ := c.count()
+		assert.Assert(t, calls <= 6, "%d calls for a burst of one second", calls)
+	})
+}
--- a/pkg/coordination/feed/targets.go
+++ b/pkg/coordination/feed/targets.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"context"
 	"sort"
 	"strings"
 	"time"
@@ -32,9 +31,8 @@
 	Shared func() bool
 }
 
-// Targets reads the records of the targets at a steady interval. Current reads
-// at an interval cost less than a watch, which every heartbeat would end, and
-// show no older state than the last read, as a watch behind a compaction may.
+// Targets follows the records of the targets. Heartbeats do not change a
+// record, so a watch waits in vain while no target joins, leaves or turns cold.
 type Targets struct {
 	cfg TargetsConfig
 	follower
@@ -45,74 +43,20 @@
 
 // NewTargets returns a follower that has read nothing.
 func NewTargets(cfg TargetsConfig) *Targets {
-	return &Targets{cfg: cfg, follower: newFollower(cfg.Now, cfg.Peers)}
+	t := &Targets{cfg: cfg}
+	t.follower = newFollower(followConfig{
+		name: "store: target records", prefix: cfg.Layout.TargetPrefix, feed: cfg.Feed, timing: cfg.Timing,
+		logger: cfg.Logger, now: cfg.Now, peers: cfg.Peers, reader: cfg.Reader, shared: cfg.Shared,
+		publish: t.publish, confirm: t.confirm,
+		regained: func() { cfg.Set.ContactRegained(cfg.Now()) },
+	})
+	return t
 }
 
-// Run reads until ctx ends.
-func (t *Targets) Run(ctx context.Context) {
-	state := contact{name: "store: target records", logger: t.cfg.Logger}
-	for ctx.Err() == nil {
-		if d, ok := askReader(ctx, t.cfg.Reader, t.Revision(), t.maxAge()); ok {
-			t.noteContact(&state, nil)
-			t.merge(d)
-			pause(ctx, t.cfg.Timing.PullInterval)
-			continue
-		}
-		err := t.read(ctx, &state)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			t.askPeers(ctx, t.merge)
-			pause(ctx, retryPause)
-			continue
-		}
-		pause(ctx, t.interval())
-	}
-}
-
-// interval returns the time between two readings of the store.
-func (t *Targets) interval() time.Duration {
-	if t.cfg.Shared != nil && t.cfg.Shared() {
-		return t.cfg.Timing.SharedInterval
-	}
-	return t.cfg.Timing.TargetInterval
-}
-
-// maxAge is the age of a reader's entries up to which this VM relies on them:
-// one reading may be lost.
-func (t *Targets) maxAge() time.Duration { return 2 * t.cfg.Timing.SharedInterval }
-
-func (t *Targets) read(ctx context.Context, state *contact) error {
-	ctx, cancel := context.WithTimeout(ctx, t.cfg.Timing.CallTimeout)
-	defer cancel()
-	snapshot, err := t.cfg.Feed.Snapshot(ctx, t.cfg.Layout.TargetPrefix, platform.Current)
-	t.noteContact(state, err)
-	if err != nil {
-		return err
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.mirror.confirmed = t.cfg.Now()
-	if t.mirror.replace(snapshot.Entries, snapshot.Revision) {
-		t.publish()
-	}
-	return nil
-}
-
-// noteContact notes the result of a read, of one's own or of a reader.
-func (t *Targets) noteContact(state *contact, err error) {
-	if state.note(err, t.cfg.Now()) {
-		t.cfg.Set.ContactRegained(t.cfg.Now())
-	}
-}
-
-// merge takes what another VM knows.
-func (t *Targets) merge(d Delta) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.mirror.confirm(t.cfg.Now().Add(-d.Age))
-	if t.mirror.merge(d) {
+// confirm lets the set drop targets that were kept though their records were
+// missing. It runs under the lock.
+func (t *Targets) confirm() {
+	if t.cfg.Set.KeepsMissing() {
 		t.publish()
 	}
 }
--- a/pkg/coordination/feed/vms.go
+++ b/pkg/coordination/feed/vms.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"slices"
 	"sort"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +24,9 @@
 	PeerAddress string `json:"peer_address"`
 	Zone        string `json:"zone"`
 	Region      string `json:"region"`
+	// Cores is the processor time that the VM has, in cores; 0 if it is not
+	// known.
+	Cores float64 `json:"cores"`
 	// LinkMbps is the bandwidth of the VM's link in megabits a second; 0 if it
 	// is not known.
 	LinkMbps float64 `json:"link_mbps"`
@@ -39,6 +41,12 @@
 	Self   VM
 	Logger *eventlog.Logger
 	Now    func() time.Time
+	// Peers and Reader ask other VMs, as for an Operator; nil asks nobody.
+	Peers  PeerFunc
+	Reader ReaderFunc
+	// Shared reports whether other VMs rely on what this one reads; nil means
+	// that none does.
+	Shared func() bool
 }
 
 // VMs keeps this VM in the list of entry VMs, by a lease, and follows the
@@ -46,21 +54,27 @@
 // list stays in use, and for a short time after its return no VM is dropped,
 // because leases may have lapsed meanwhile.
 type VMs struct {
-	cfg  VMsConfig
+	cfg VMsConfig
+	follower
 	list atomic.Pointer[[]VM]
 
-	mu        sync.Mutex
-	lease     platform.LeaseID
-	stopped   bool
-	known     map[string]VM
-	keepUntil time.Time
-	// listed is the last time at which this VM stood in the list or registered.
-	listed time.Time
+	// The fields below are under the lock of the follower.
+
+	lease      platform.LeaseID
+	registered time.Time // when the record was last written
+	stopped    bool
+	known      map[string]VM
+	keepUntil  time.Time
 }
 
 // NewVMs returns a registry that lists this VM alone.
 func NewVMs(cfg VMsConfig) *VMs {
 	v := &VMs{cfg: cfg, known: map[string]VM{}}
+	v.follower = newFollower(followConfig{
+		name: "store: VM list", prefix: cfg.Layout.OwnPrefix + "vm/", feed: cfg.Feed, timing: cfg.Timing,
+		logger: cfg.Logger, now: cfg.Now, peers: cfg.Peers, reader: cfg.Reader, shared: cfg.Shared,
+		publish: v.update, confirm: v.update, regained: v.keepMissing,
+	})
 	v.publish([]VM{cfg.Self})
 	return v
 }
@@ -72,39 +86,42 @@
 
 // Run keeps the registration and follows the list until ctx ends.
 func (v *VMs) Run(ctx context.Context) {
-	state := contact{name: "store: VM list", logger: v.cfg.Logger}
+	go v.follower.Run(ctx)
+	state := contact{name: "store: registration", logger: v.cfg.Logger}
 	for ctx.Err() == nil {
 		err := v.renew(ctx)
-		if err == nil {
-			err = v.read(ctx)
-		}
 		if ctx.Err() != nil {
 			return
 		}
-		if state.note(err, v.cfg.Now()) {
-			v.mu.Lock()
-			v.keepUntil = v.cfg.Now().Add(returnTime)
-			v.mu.Unlock()
-		}
-		pause(ctx, v.cfg.Timing.VMInterval)
+		state.note(err, v.cfg.Now())
+		pause(ctx, v.cfg.Timing.RenewInterval)
 	}
 }
 
-// unlistedTime is the time after which a VM that does not stand in the list
-// registers anew, though its lease seems to live. Stale reads may be somewhat
-// older than the registration.
-const unlistedTime = 1500 * time.Millisecond
+// keepMissing keeps VMs that are missing for the time in which they register
+// again after an outage.
+func (v *VMs) keepMissing() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.keepUntil = v.cfg.Now().Add(returnTime)
+}
 
 // returnTime is the time after an outage in which VMs register again.
 const returnTime = 2 * time.Second
 
+// unlisted reports whether the store has confirmed that the record of this VM
+// is gone, though its lease seems to live. It runs under the lock.
+func (v *VMs) unlisted() bool {
+	_, listed := v.mirror.entries[v.key()]
+	return !listed && v.mirror.confirmed.Sub(v.registered) > v.cfg.Timing.CopyAge
+}
+
 // renew keeps the lease, or registers this VM under a new one.
 func (v *VMs) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, v.cfg.Timing.CallTimeout)
 	defer cancel()
 	v.mu.Lock()
-	lease, stopped := v.lease, v.stopped
-	unlisted := v.cfg.Now().Sub(v.listed) > unlistedTime
+	lease, stopped, unlisted := v.lease, v.stopped, v.unlisted()
 	v.mu.Unlock()
 	if stopped {
 		return nil
@@ -143,47 +160,29 @@
 		return err
 	}
 	v.mu.Lock()
-	v.lease, v.listed = lease, v.cfg.Now()
+	v.lease, v.registered = lease, v.cfg.Now()
 	v.mu.Unlock()
 	v.cfg.Logger.Log(EventRegistered, eventlog.Fields{"vm": v.cfg.Self.ID, "lease": int64(lease)})
 	return nil
 }
 
-func (v *VMs) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, v.cfg.Timing.CallTimeout)
-	defer cancel()
-	snapshot, err := v.cfg.Feed.Snapshot(ctx, v.cfg.Layout.OwnPrefix+"vm/", platform.Stale)
-	if err != nil {
-		return err
-	}
-	var list []VM
-	for _, e := range snapshot.Entries {
-		var vm VM
-		if err := json.Unmarshal(e.Value, &vm); err != nil {
-			v.cfg.Logger.Log(EventEntryUnreadable, eventlog.Fields{"key": e.Key, "error": err.Error()})
-			continue
-		}
-		list = append(list, vm)
-	}
-	v.merge(list)
-	return nil
-}
-
-// merge publishes the list. This VM is always listed while it runs, and no VM
-// is dropped in the time after an outage.
-func (v *VMs) merge(list []VM) {
-	v.mu.Lock()
+// update publishes the list of the mirror. This VM is always listed while it
+// runs, and no VM is dropped in the time after an outage. It runs under the
+// lock.
+func (v *VMs) update() {
 	next := map[string]VM{}
 	if v.cfg.Now().Before(v.keepUntil) {
 		for id, vm := range v.known {
 			next[id] = vm
 		}
 	}
-	for _, vm := range list {
-		next[vm.ID] = vm
-		if vm.ID == v.cfg.Self.ID {
-			v.listed = v.cfg.Now()
+	for _, e := range v.mirror.entries {
+		var vm VM
+		if err := json.Unmarshal(e.Value, &vm); err != nil {
+			v.cfg.Logger.Log(EventEntryUnreadable, eventlog.Fields{"key": e.Key, "error": err.Error()})
+			continue
 		}
+		next[vm.ID] = vm
 	}
 	if !v.stopped {
 		next[v.cfg.Self.ID] = v.cfg.Self
@@ -195,7 +194,6 @@
 		}
 	}
 	v.known = next
-	v.mu.Unlock()
 	if !changed {
 		return
 	}
--- a/pkg/coordination/seat/fake_test.go
+++ b/pkg/coordination/seat/fake_test.go
@@ -290,7 +290,7 @@
 		Self: n.address, Incarnation: inc, Region: "r", Zone: "z",
 		Rand: rand.New(rand.NewPCG(inc, 2)), Probe: w.probe, OnChange: w.check,
 		OnJoin: func() { w.joined(n) },
-		Idle: func(seat int) bool { w.mu.Lock(); defer w.mu.Unlock(); return !w.busy[seat] },
+		Idle:   func(seat int) bool { w.mu.Lock(); defer w.mu.Unlock(); return !w.busy[seat] },
 	})
 	n.mu.Lock()
 	n.manager, n.cancel = m, cancel
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -22,6 +22,8 @@
 		d = p.g.oper.Since(req.After)
 	case protocol.CopyTargets:
 		d = p.g.records.Since(req.After)
+	case protocol.CopyVMs:
+		d = p.g.vms.Since(req.After)
 	default:
 		return errors.Errorf("kind %d of copies is not known; use a newer version", req.Kind)
 	}
@@ -56,13 +58,13 @@
 
 // reader returns a function that asks a reader of this region.
 func (p *peers) reader(kind protocol.CopyKind) feed.ReaderFunc {
-	return func(ctx context.Context, after int64) (feed.Delta, bool) {
+	return func(ctx context.Context, after int64, maxAge time.Duration) (feed.Delta, bool) {
 		readers, own := p.readers()
 		if own {
 			return feed.Delta{}, false
 		}
 		for _, i := range rand.Perm(len(readers)) {
-			if d, ok := p.copy(ctx, readers[i], kind, after); ok {
+			if d, ok := p.copy(ctx, readers[i], kind, after); ok && d.Age <= maxAge {
 				return d, true
 			}
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -107,21 +107,7 @@
 		RegionOf: func(zone string) string { return cfg.Regions[zone] },
 		ColdTime: func(service string) time.Duration { return g.service(service).ColdTime },
 	})
-	g.vms = feed.NewVMs(feed.VMsConfig{
-		Store: cfg.Store, Feed: cfg.Feed, Layout: cfg.Layout, Timing: cfg.Timing, Self: cfg.Self,
-		Logger: cfg.Logger, Now: cfg.Now,
-	})
-	g.oper = feed.NewOperator(feed.OperatorConfig{
-		Feed: cfg.Feed, Layout: cfg.Layout, Timing: cfg.Timing, Routes: &g.routes, Set: g.set,
-		Logger: cfg.Logger, Now: cfg.Now, Peers: g.peers.copies(protocol.CopyOperator),
-		Reader: g.peers.reader(protocol.CopyOperator),
-	})
-	g.records = feed.NewTargets(feed.TargetsConfig{
-		Feed: cfg.Feed, Layout: cfg.Layout, Timing: cfg.Timing, Set: g.set, Logger: cfg.Logger, Now: cfg.Now,
-		Peers: g.peers.copies(protocol.CopyTargets), Reader: g.peers.reader(protocol.CopyTargets),
-		Left:   func(t targets.Target) { g.picker.Forget(t.Service, t.Key()) },
-		Shared: func() bool { return len(g.vms.List()) > allRead },
-	})
+	g.follow()
 	cfg.Resends.VMs = func() int { return len(g.vms.List()) }
 	g.resends = limit.NewResends(cfg.Resends)
 	g.picker = placement.New(placement.Config{
@@ -139,6 +125,29 @@
 	return g
 }
 
+// follow builds the followers of the store, which share one watch.
+func (g *Gateway) follow() {
+	cfg := g.cfg
+	watch := &feed.SharedWatch{Feed: cfg.Feed, Prefix: cfg.Layout.CommonPrefix, CallTimeout: cfg.Timing.CallTimeout}
+	shared := func() bool { return len(g.vms.List()) > allRead }
+	g.vms = feed.NewVMs(feed.VMsConfig{
+		Store: cfg.Store, Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Self: cfg.Self,
+		Logger: cfg.Logger, Now: cfg.Now, Shared: shared,
+		Peers: g.peers.copies(protocol.CopyVMs), Reader: g.peers.reader(protocol.CopyVMs),
+	})
+	g.oper = feed.NewOperator(feed.OperatorConfig{
+		Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Routes: &g.routes, Set: g.set,
+		Logger: cfg.Logger, Now: cfg.Now, Shared: shared,
+		Peers: g.peers.copies(protocol.CopyOperator), Reader: g.peers.reader(protocol.CopyOperator),
+	})
+	g.records = feed.NewTargets(feed.TargetsConfig{
+		Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Set: g.set, Logger: cfg.Logger, Now: cfg.Now,
+		Peers: g.peers.copies(protocol.CopyTargets), Reader: g.peers.reader(protocol.CopyTargets),
+		Left:   func(t targets.Target) { g.picker.Forget(t.Service, t.Key()) },
+		Shared: shared,
+	})
+}
+
 // Run follows the platform until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	go g.oper.Run(ctx)
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -56,6 +56,7 @@
 const (
 	CopyOperator CopyKind = iota + 1 // entries of the operators
 	CopyTargets                      // records of the targets
+	CopyVMs                          // records of the entry VMs
 )
 
 // CopyRequest asks for what has changed after a revision of the store.
--- a/pkg/state/targets/set.go
+++ b/pkg/state/targets/set.go
@@ -35,6 +35,7 @@
 	loaded   bool
 	// keepMissing is the end of the grace after an outage.
 	keepMissing time.Time
+	kept        bool // targets without a record are listed
 }
 
 // mark is a moment from which on targets may be cold. Records written up to
@@ -75,6 +76,14 @@
 	}
 }
 
+// KeepsMissing reports whether targets without a record may be listed until the
+// next Replace.
+func (s *Set) KeepsMissing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kept
+}
+
 // Replace takes a full listing. Records older than those already known are
 // passed over, because the listing of another VM may lie behind.
 func (s *Set) Replace(records []Record, revision int64, now time.Time) Difference {
@@ -98,6 +107,7 @@
 		}
 	}
 	lapsed := now.Before(s.keepMissing) && s.mostMissing(next)
+	s.kept = lapsed
 	for id, old := range s.all {
 		if next[id] != nil {
 			continue
@@ -111,7 +121,7 @@
 	}
 	s.all = next
 	s.loaded = true
-	s.publish(now)
+	s.publish()
 	return d
 }
 
@@ -171,7 +181,7 @@
 	}
 	m := mark{s.revision, now}
 	s.suspects[id] = m
-	s.replaceOne(t, func(t *Target) { s.applyMark(t, m) }, now)
+	s.replaceOne(t, func(t *Target) { s.applyMark(t, m) })
 }
 
 // MarkCold records that a target said itself that it is cold.
@@ -179,11 +189,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t := s.all[id]; t != nil && now.Add(left).After(t.ColdUntil) {
-		s.replaceOne(t, func(t *Target) { t.ColdUntil = now.Add(left) }, now)
+		s.replaceOne(t, func(t *Target) { t.ColdUntil = now.Add(left) })
 	}
 }
 
-func (s *Set) replaceOne(old *Target, change func(*Target), now time.Time) {
+func (s *Set) replaceOne(old *Target, change func(*Target)) {
 	t := *old
 	change(&t)
 	next := make(map[string]*Target, len(s.all))
@@ -192,7 +202,7 @@
 	}
 	next[t.ID] = &t
 	s.all = next
-	s.publish(now)
+	s.publish()
 }
 
 // Evacuate sets the zones whose targets get nothing. Targets of a zone that is
@@ -212,7 +222,7 @@
 		}
 	}
 	s.evacuated = next
-	s.publish(now)
+	s.publish()
 }
 
 // coolReturned marks the targets of a zone that was taken back as cold.
@@ -235,8 +245,8 @@
 	return s.evacuated[zone]
 }
 
-func (s *Set) publish(now time.Time) {
+func (s *Set) publish() {
 	if s.loaded {
-		s.view.Store(newView(s.all, s.evacuated, now))
+		s.view.Store(newView(s.all, s.evacuated))
 	}
 }
--- a/pkg/state/targets/targets.go
+++ b/pkg/state/targets/targets.go
@@ -49,8 +49,6 @@
 type View struct {
 	byService map[string][]*Target
 	all       map[string]*Target
-	// At is the time at which the set was last confirmed by the platform.
-	At time.Time
 }
 
 // Of returns the usable targets of a service in the order of their names.
@@ -77,8 +75,8 @@
 	return len(v.all)
 }
 
-func newView(all map[string]*Target, evacuated map[string]bool, at time.Time) *View {
-	v := &View{byService: map[string][]*Target{}, all: all, At: at}
+func newView(all map[string]*Target, evacuated map[string]bool) *View {
+	v := &View{byService: map[string][]*Target{}, all: all}
 	for _, t := range all {
 		if t.Leaving || evacuated[t.Zone] {
 			continue
