Name the strong VMs of a region in look-ups, which alone exchange loads often

Cause: callers share themselves evenly over the VMs that a look-up names. On the grown sites 20 VMs a region each sent to some hundred targets: 40% of the requests opened a connection, a VM knew its 19 partners' requests 0.2 s late, and 190 pairs a region exchanged loads five times a second. Change: pkg/steering/entries names the fewest strongest VMs that together carry nearly as much as any number (4 of 20 there, all where VMs are alike). VMs that carry nothing exchange loads once a second, for the silence of others, crashes and news. The part of VMs is also what other regions ask for their use.

--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -87,7 +87,7 @@
 		Self: feed.VM{
 			ID:            fmt.Sprintf("%s-%d", s.CallerAddress, time.Now().UnixNano()),
 			CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress, Zone: s.Zone, Region: s.Region,
-			LinkMbps: s.LinkMbps,
+			Cores: s.Cores, LinkMbps: s.LinkMbps,
 		},
 		Regions:    s.Regions,
 		Store:      store,
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -39,7 +39,7 @@
 // copies returns a function that asks some VMs for copies of one kind.
 func (p *peers) copies(kind protocol.CopyKind) feed.PeerFunc {
 	return func(ctx context.Context, after int64) []feed.Delta {
-		list := p.g.vms.List()
+		list := p.list()
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		var found []feed.Delta
 		asked := 0
@@ -75,7 +75,7 @@
 // readers returns the VMs that read the store for this region, and whether
 // this VM is one of them. On small sites every VM reads for itself.
 func (p *peers) readers() (readers []feed.VM, own bool) {
-	list := p.g.vms.List()
+	list := p.list()
 	if len(list) <= allRead {
 		return nil, true
 	}
--- a/pkg/gateway/directory.go
+++ b/pkg/gateway/directory.go
@@ -1,23 +1,26 @@
 package gateway
 
+import (
+	"hickoryroute/pkg/coordination/feed"
+	"hickoryroute/pkg/steering/entries"
+)
+
 // maxDirectory is the number of VMs that one look-up names.
 const maxDirectory = 64
 
 // Directory returns the caller addresses of the VMs that a client in a zone
 // should use for a host, without those that have fallen silent: those of its
 // own region, else those of regions that may run the host's requests, else all.
+// Of each region the VMs are named that carry the most together.
 func (g *Gateway) Directory(host, region, _ string) []string {
-	var near, home, all []string
 	homes := map[string]bool{}
 	if table := g.routes.Load(); table != nil {
 		for _, r := range table.Homes(host) {
 			homes[r] = true
 		}
 	}
-	for _, vm := range g.vms.List() {
-		if g.peers.silent(vm.ID) {
-			continue
-		}
+	var near, home, all []string
+	for _, vm := range g.peers.entryVMs() {
 		all = append(all, vm.CallerAddress)
 		if vm.Region == region {
 			near = append(near, vm.CallerAddress)
@@ -33,3 +36,28 @@
 	}
 	return nil
 }
+
+// entryVMs returns the VMs of all regions that callers should use, without
+// those of the own region that have fallen silent.
+func (p *peers) entryVMs() []feed.VM {
+	list := p.list()
+	candidates := map[string][]entries.VM{}
+	for _, vm := range list {
+		if !p.silent(vm.ID) {
+			candidates[vm.Region] = append(candidates[vm.Region], entries.VM{
+				ID: vm.ID, Zone: vm.Zone, Cores: vm.Cores, LinkMbps: vm.LinkMbps,
+			})
+		}
+	}
+	chosen := map[string]map[string]bool{}
+	for region, vms := range candidates {
+		chosen[region] = entries.Choose(vms)
+	}
+	var found []feed.VM
+	for _, vm := range list {
+		if chosen[vm.Region][vm.ID] {
+			found = append(found, vm)
+		}
+	}
+	return found
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -25,6 +25,9 @@
 	// regionTicks is the number of load intervals between two exchanges with
 	// each other region, whose use changes slowly.
 	regionTicks = 3
+	// idleTicks is the number of load intervals between two exchanges with VMs
+	// that carry no requests. Silence counts after two and a half of them.
+	idleTicks = 5
 	// peerTimeout bounds one call to a peer. It exceeds a round trip between
 	// regions.
 	peerTimeout = 300 * time.Millisecond
@@ -51,6 +54,8 @@
 	g      *Gateway
 	client *peer.Client
 	server *peer.Server
+	// list returns the listed VMs.
+	list func() []feed.VM
 
 	// packed holds the packed form of the newest large entry.
 	packed packed.Document
@@ -63,6 +68,7 @@
 	return &peers{
 		g:      g,
 		client: peer.NewClient(peer.ClientConfig{DialTimeout: peerTimeout, MaxBackoff: time.Second}),
+		list:   func() []feed.VM { return g.vms.List() },
 		server: peer.NewServer(peer.ServerConfig{Logger: g.cfg.Logger}),
 		heard:  map[string]time.Time{},
 	}
@@ -85,16 +91,44 @@
 			return
 		case <-ticker.C:
 		}
-		for _, vm := range p.partners() {
+		for _, vm := range p.due(tick) {
 			go p.exchange(ctx, vm)
 		}
 		if tick%regionTicks == 0 {
 			p.logSpills(logged)
-			for _, vm := range p.delegates() {
-				go p.exchange(ctx, vm)
+		}
+	}
+}
+
+// due returns the VMs to call at a tick: often those that carry requests, and
+// now and then the others, whose silence must be noticed.
+func (p *peers) due(tick int) []feed.VM {
+	entryVMs := p.entryVMs()
+	isEntry := map[string]bool{}
+	for _, vm := range entryVMs {
+		isEntry[vm.ID] = true
+	}
+	busy := isEntry[p.g.cfg.Self.ID] || len(p.g.picker.OwnLoad(p.g.cfg.Now())) > 0
+	var due []feed.VM
+	if busy {
+		due = p.partners(entryVMs, !isEntry[p.g.cfg.Self.ID])
+	}
+	if busy && tick%regionTicks == 0 || tick%idleTicks == 0 {
+		due = append(due, p.delegates(entryVMs)...)
+	}
+	if tick%idleTicks == 0 {
+		var others []feed.VM
+		if !busy {
+			others = entryVMs
+		}
+		for _, vm := range p.list() {
+			if !isEntry[vm.ID] {
+				others = append(others, vm)
 			}
 		}
+		due = append(due, p.partners(others, false)...)
 	}
+	return due
 }
 
 // minSpillChange is the smallest change of a share that is logged.
@@ -114,9 +148,9 @@
 }
 
 // delegates returns one random VM of each other region.
-func (p *peers) delegates() []feed.VM {
+func (p *peers) delegates(list []feed.VM) []feed.VM {
 	byRegion := map[string][]feed.VM{}
-	for _, vm := range p.g.vms.List() {
+	for _, vm := range list {
 		if vm.Region != p.g.cfg.Self.Region {
 			byRegion[vm.Region] = append(byRegion[vm.Region], vm)
 		}
@@ -128,13 +162,15 @@
 	return chosen
 }
 
-// partners returns the VMs of the region that this VM calls: of each pair the
-// one with the lower address calls, and both learn.
-func (p *peers) partners() []feed.VM {
+// partners returns the VMs of the region in a list that this VM calls: of each
+// pair the one with the lower address calls, and both learn. With all set this
+// VM calls each of them, because they do not call it.
+func (p *peers) partners(list []feed.VM, all bool) []feed.VM {
 	self := p.g.cfg.Self
 	var partners []feed.VM
-	for _, vm := range p.g.vms.List() {
-		if vm.Region == self.Region && vm.PeerAddress > self.PeerAddress && len(partners) < maxLoadPeers {
+	for _, vm := range list {
+		calls := all && vm.ID != self.ID || vm.PeerAddress > self.PeerAddress
+		if vm.Region == self.Region && calls && len(partners) < maxLoadPeers {
 			partners = append(partners, vm)
 		}
 	}
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"regexp"
 	"strings"
@@ -39,6 +40,56 @@
 	assert.DeepEqual(t, g.Directory("h", "r", "z"), []string{"10.0.0.1:80"})
 }
 
+// listVMs publishes VMs in the list of a gateway: strong and weak ones of the
+// region r, and one of another region.
+func listVMs(g *Gateway, strong, weak int) {
+	var vms []feed.VM
+	for i := range strong + weak {
+		vm := feed.VM{
+			ID: fmt.Sprintf("vm-%d", i), CallerAddress: fmt.Sprintf("10.0.1.%d:80", i),
+			PeerAddress: fmt.Sprintf("10.0.1.%d:81", i), Region: "r", Zone: fmt.Sprintf("z%d", i%2), Cores: 0.8, LinkMbps: 200,
+		}
+		if i >= strong {
+			vm.Cores, vm.LinkMbps = 0.16, 10
+		}
+		vms = append(vms, vm)
+	}
+	vms = append(vms, feed.VM{ID: "far", CallerAddress: "10.0.2.1:80", PeerAddress: "10.0.2.1:81", Region: "s", Cores: 1, LinkMbps: 100})
+	g.peers.list = func() []feed.VM { return vms }
+}
+
+// Guards against callers that are sent to weak VMs as often as to strong ones,
+// and against load figures that are exchanged with VMs that carry nothing.
+func TestStrongVMsAreNamedAndExchangeLoads(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	g.cfg.Self.ID, g.cfg.Self.Cores, g.cfg.Self.LinkMbps = "vm-0", 0.8, 200
+	g.cfg.Self.PeerAddress = "10.0.1.0:81"
+	listVMs(g, 4, 8)
+	assert.DeepEqual(t, g.Directory("h", "r", "z"), []string{"10.0.1.0:80", "10.0.1.1:80", "10.0.1.2:80", "10.0.1.3:80"})
+	assert.DeepEqual(t, ids(g.peers.due(1)), []string{"vm-1", "vm-2", "vm-3"})
+	assert.DeepEqual(t, ids(g.peers.due(regionTicks)), []string{"vm-1", "vm-2", "vm-3", "far"})
+	assert.Equal(t, len(g.peers.due(idleTicks)), 3+1+8, "all VMs are called now and then")
+
+	g.cfg.Self.ID, g.cfg.Self.PeerAddress = "vm-7", "10.0.1.7:81"
+	assert.Equal(t, len(g.peers.due(1)), 0, "a VM that carries nothing")
+	assert.DeepEqual(t, ids(g.peers.due(idleTicks)), []string{"far", "vm-8", "vm-9"})
+
+	for _, vm := range []string{"vm-0", "vm-1", "vm-2"} {
+		g.peers.note(vm, "r", nil, nil)
+	}
+	now = now.Add(2 * silentAfter)
+	assert.Equal(t, len(g.Directory("h", "r", "z")), 9, "one strong VM carries less than all")
+}
+
+func ids(vms []feed.VM) []string {
+	list := []string{}
+	for _, vm := range vms {
+		list = append(list, vm.ID)
+	}
+	return list
+}
+
 // A question of another VM must be answered with this VM's own state.
 func TestLoadsAreExchangedBothWays(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
