--- a/pkg/steering/placement/choice.go
+++ b/pkg/steering/placement/choice.go
@@ -120,6 +120,5 @@
 	if place == 0 {
 		return true
 	}
-	at, ok := s.warm[object][t.Key()]
-	return ok && q.Now.Sub(at) < warmMemory
+	return s.warm.knows(object, t.Key(), q.Now)
 }
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -24,11 +24,6 @@
 	// investmentUse is the use of the targets up to which the additional work
 	// counts in full.
 	investmentUse = 0.5
-	// warmMemory is the time for which a target is expected to remember an
-	// object.
-	warmMemory = 8 * time.Second
-	// maxWarm bounds the objects remembered for each service.
-	maxWarm = 8192
 	// grayFailures is the share of failed requests above which a target is
 	// passed over.
 	grayFailures = 0.35
@@ -80,7 +75,7 @@
 	mu     sync.Mutex
 	gauges map[targets.Key]*gauge
 	work   workTable
-	warm   map[string]map[targets.Key]time.Time
+	warm   warmTable
 	spill  spill
 	uses   map[string]regionUse
 }
@@ -105,7 +100,7 @@
 	if s = p.services[service]; s == nil {
 		s = &pool{
 			gauges: map[targets.Key]*gauge{}, work: workTable{routes: map[string]*work{}},
-			warm: map[string]map[targets.Key]time.Time{}, uses: map[string]regionUse{},
+			warm: newWarmTable(), uses: map[string]regionUse{},
 		}
 		p.services[service] = s
 	}
@@ -128,9 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.gauges, key)
-	for _, known := range s.warm {
-		delete(known, key)
-	}
+	s.warm.forget(key)
 }
 
 // Pick chooses a target and counts the request there until Done. It returns
@@ -227,13 +220,8 @@
 	if !c.route.Sticky {
 		return
 	}
-	known := s.warm[c.object]
-	if known == nil {
-		if len(s.warm) >= maxWarm {
-			s.warm = map[string]map[targets.Key]time.Time{}
-		}
-		known = map[targets.Key]time.Time{}
-		s.warm[c.object] = known
+	before := s.warm.note(c.object, c.Target.Key(), r.Now)
+	if c.Rank > 0 && r.Now.Sub(before) > retellTime {
+		s.warm.tell(WarmUse{Service: c.Target.Service, Object: c.object, Target: c.Target.Key()}, r.Now)
 	}
-	known[c.Target.Key()] = r.Now
 }
