--- a/pkg/emulator/policies.go
+++ b/pkg/emulator/policies.go
@@ -113,14 +113,13 @@
 func exchangeProduct(s *Site, placers []Placer, now time.Time) {
 	for i, a := range placers {
 		from := a.(*productPlacer)
-		own, uses := from.picker.OwnLoad(now), from.picker.WarmUses(now)
+		own := from.picker.OwnLoad(now)
 		for j, b := range placers {
 			to := b.(*productPlacer)
 			switch {
 			case i == j:
 			case from.vm.Region == to.vm.Region:
 				to.picker.NotePeer(from.vm.Name, own, now)
-				to.picker.NoteWarm(uses, now)
 			default:
 				from.tellUse(to, now)
 			}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -11,7 +11,6 @@
 	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
-	"hickoryroute/pkg/state/targets"
 	"hickoryroute/pkg/steering/crash"
 	"hickoryroute/pkg/steering/placement"
 	"hickoryroute/pkg/transport/packed"
@@ -184,7 +183,7 @@
 	self := p.g.cfg.Self
 	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.crashes(), Newest: p.g.oper.Newest()}
 	if vm.Region == self.Region {
-		req.Loads, req.Warm = p.ownLoads(), p.ownWarm()
+		req.Loads = p.ownLoads()
 	} else {
 		req.Uses = p.ownUses()
 	}
@@ -196,7 +195,6 @@
 	}
 	p.g.picker.NoteDelay(vm.Region, p.g.cfg.Now().Sub(began))
 	p.note(reply.From, reply.Region, reply.Loads, reply.Uses)
-	p.noteWarm(reply.Warm)
 	p.noteCrashes(reply.Crashes)
 	p.g.oper.Hint(reply.Newest)
 }
@@ -240,24 +238,6 @@
 	return loads
 }
 
-func (p *peers) ownWarm() []protocol.WarmUse {
-	var uses []protocol.WarmUse
-	for _, u := range p.g.picker.WarmUses(p.g.cfg.Now()) {
-		uses = append(uses, protocol.WarmUse{Service: u.Service, Object: u.Object, Target: u.Target.ID, Born: u.Target.Born})
-	}
-	return uses
-}
-
-func (p *peers) noteWarm(told []protocol.WarmUse) {
-	uses := make([]placement.WarmUse, 0, len(told))
-	for _, u := range told {
-		uses = append(uses, placement.WarmUse{
-			Service: u.Service, Object: u.Object, Target: targets.Key{ID: u.Target, Born: u.Born},
-		})
-	}
-	p.g.picker.NoteWarm(uses, p.g.cfg.Now())
-}
-
 // silentAfter is the time after which a VM of the region that used to exchange
 // loads is taken for gone, before its lease ends. The list of VMs may be read
 // some seconds late.
@@ -307,14 +287,13 @@
 // Loads implements peer.GatewayHandler.
 func (p *peers) Loads(_ context.Context, req *protocol.LoadsRequest, reply *protocol.LoadsReply) error {
 	p.note(req.From, req.Region, req.Loads, req.Uses)
-	p.noteWarm(req.Warm)
 	p.noteCrashes(req.Crashes)
 	p.g.oper.Hint(req.Newest)
 	self := p.g.cfg.Self
 	reply.From, reply.Region = self.ID, self.Region
 	reply.Crashes, reply.Newest = p.crashes(), p.g.oper.Newest()
 	if req.Region == self.Region {
-		reply.Loads, reply.Warm = p.ownLoads(), p.ownWarm()
+		reply.Loads = p.ownLoads()
 	} else {
 		reply.Uses = p.ownUses()
 	}
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -17,12 +17,6 @@
 	Use     float64
 }
 
-// WarmUse tells that a target has just handled an object.
-type WarmUse struct {
-	Service, Object, Target string
-	Born                    int64 // start of the target, Unix milliseconds
-}
-
 // LoadsRequest tells a peer what this VM has in flight, if the peer is of the
 // same region, and how busy the region is, if it is not. The reply tells the
 // same of the peer, so that each pair exchanges once.
@@ -30,7 +24,6 @@
 	From   string // id of the sending VM
 	Region string
 	Loads  []TargetLoad
-	Warm   []WarmUse
 	Uses   []ServiceUse
 	// Newest is the revision of the newest entry of the operators that the
 	// sender knows.
@@ -44,7 +37,6 @@
 	From    string
 	Region  string
 	Loads   []TargetLoad
-	Warm    []WarmUse
 	Uses    []ServiceUse
 	Newest  int64
 	Crashes []CrashNotice
--- a/pkg/steering/placement/choice.go
+++ b/pkg/steering/placement/choice.go
@@ -120,5 +120,6 @@
 	if place == 0 {
 		return true
 	}
-	return s.warm.knows(object, t.Key(), q.Now)
+	at, ok := s.warm[object][t.Key()]
+	return ok && q.Now.Sub(at) < warmMemory
 }
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -24,6 +24,11 @@
 	// investmentUse is the use of the targets up to which the additional work
 	// counts in full.
 	investmentUse = 0.5
+	// warmMemory is the time for which a target is expected to remember an
+	// object.
+	warmMemory = 8 * time.Second
+	// maxWarm bounds the objects remembered for each service.
+	maxWarm = 8192
 	// grayFailures is the share of failed requests above which a target is
 	// passed over.
 	grayFailures = 0.35
@@ -75,7 +80,7 @@
 	mu     sync.Mutex
 	gauges map[targets.Key]*gauge
 	work   workTable
-	warm   warmTable
+	warm   map[string]map[targets.Key]time.Time
 	spill  spill
 	uses   map[string]regionUse
 }
@@ -100,7 +105,7 @@
 	if s = p.services[service]; s == nil {
 		s = &pool{
 			gauges: map[targets.Key]*gauge{}, work: workTable{routes: map[string]*work{}},
-			warm: newWarmTable(), uses: map[string]regionUse{},
+			warm: map[string]map[targets.Key]time.Time{}, uses: map[string]regionUse{},
 		}
 		p.services[service] = s
 	}
@@ -123,7 +128,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.gauges, key)
-	s.warm.forget(key)
+	for _, known := range s.warm {
+		delete(known, key)
+	}
 }
 
 // Pick chooses a target and counts the request there until Done. It returns
@@ -220,8 +227,13 @@
 	if !c.route.Sticky {
 		return
 	}
-	before := s.warm.note(c.object, c.Target.Key(), r.Now)
-	if c.Rank > 0 && r.Now.Sub(before) > retellTime {
-		s.warm.tell(WarmUse{Service: c.Target.Service, Object: c.object, Target: c.Target.Key()}, r.Now)
+	known := s.warm[c.object]
+	if known == nil {
+		if len(s.warm) >= maxWarm {
+			s.warm = map[string]map[targets.Key]time.Time{}
+		}
+		known = map[targets.Key]time.Time{}
+		s.warm[c.object] = known
 	}
+	known[c.Target.Key()] = r.Now
 }
