Ask a failing store at growing intervals, by one follower of a VM at a time

While the store fails, the followers of operators, targets and VMs each asked it about twice a second on each of 65 VMs, and the copies of the readers were too old to be relied on. Change: a VM that has found the store failing lets one reading through after 0.4 s, then 0.8 s, and up to 3 s on a VM for which others read.

--- a/pkg/coordination/feed/sharedwatch.go
+++ b/pkg/coordination/feed/sharedwatch.go
@@ -23,6 +23,11 @@
 	Prefix string
 	// CallTimeout bounds a watch besides its wait.
 	CallTimeout time.Duration
+	// Reads reports whether this VM reads the store for itself or others; nil
+	// means that it does.
+	Reads func() bool
+
+	backoff backoff
 
 	mu    sync.Mutex
 	last  *sharedCall
@@ -39,6 +44,21 @@
 	err     error
 }
 
+// Snapshot implements platform.Feed. While the store fails it is asked at
+// growing intervals, by all followers together.
+func (s *SharedWatch) Snapshot(ctx context.Context, prefix string, freshness platform.Freshness) (platform.Snapshot, error) {
+	if !s.backoff.allow(time.Now()) {
+		return platform.Snapshot{}, errBackoff
+	}
+	snapshot, err := s.Feed.Snapshot(ctx, prefix, freshness)
+	longest := maxBackoff
+	if s.Reads != nil && !s.Reads() {
+		longest = maxIdleBackoff
+	}
+	s.backoff.note(err, time.Now(), longest)
+	return snapshot, err
+}
+
 // Changes implements platform.Feed. It returns as soon as anything has changed;
 // the result holds only changes below prefix and may be empty.
 func (s *SharedWatch) Changes(ctx context.Context, prefix string, after int64, longest time.Duration) (platform.Changes, error) {
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -72,6 +72,12 @@
 	}
 }
 
+// reads reports whether this VM reads the store for itself or others.
+func (p *peers) reads() bool {
+	_, own := p.readers()
+	return own
+}
+
 // readers returns the VMs that read the store for this region, and whether
 // this VM is one of them. On small sites every VM reads for itself.
 func (p *peers) readers() (readers []feed.VM, own bool) {
