Show what hickoryfront has in force, log silent VMs

The metrics address answers GET /status, and 'hickoryroute front' prints it: the version and routes in force, evacuated zones, targets and use by service, VMs with those that look-ups name, and the time since the store confirmed each. Event 2111 tells when a VM of the region falls silent or is heard again.

Cause of the change to the memory of silence: a silent VM was forgotten after a minute, so a dead one could be named again while the store is away longer than that. It is remembered while the VM is listed (TestSilenceLastsWhileTheVMIsListed failed before: silent was false after the second minute).

--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alexflint/go-arg"
+	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
@@ -163,10 +164,13 @@
 }
 
 func metricsHandler(g *gateway.Gateway) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	r := chi.NewRouter()
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.Metrics().WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	r.Get("/status", g.ServeStatus)
+	return r
 }
 
 // await runs until a signal ends the process. SIGHUP reads the settings file
--- a/cmd/hickoryroute/examples.go
+++ b/cmd/hickoryroute/examples.go
@@ -33,6 +33,8 @@
 	"watch": `  hickoryroute watch 18 --for 30s
 `,
 	"status": `  hickoryroute status --address 10.0.1.7:7301
+`,
+	"front": `  hickoryroute front --address 10.0.1.7:7541
 `,
 	"timeline": `  hickoryroute timeline --match sask/cluebook
 `,
--- a/cmd/hickoryroute/main.go
+++ b/cmd/hickoryroute/main.go
@@ -57,6 +57,7 @@
 	Roll     *rollCommand     `arg:"subcommand:roll-forward" help:"accept the content of an earlier revision as a new one"`
 	Watch    *watchCommand    `arg:"subcommand:watch" help:"wait until a revision is in force on all entry VMs"`
 	Status   *statusCommand   `arg:"subcommand:status" help:"print regions, links, targets and members"`
+	Front    *frontCommand    `arg:"subcommand:front" help:"print what hickoryfront has in force; --address is its metrics address"`
 	Timeline *timelineCommand `arg:"subcommand:timeline" help:"print the merged events of all entry VMs"`
 	Demo     *demoCommand     `arg:"subcommand:demo" help:"run the whole system in this process on loopback"`
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -83,7 +84,7 @@
 func (p *peers) run(ctx context.Context) {
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
-	logged := map[string]float64{}
+	logged, silent := map[string]float64{}, map[string]bool{}
 	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
@@ -96,6 +97,7 @@
 		}
 		if tick%regionTicks == 0 {
 			p.logSpills(logged)
+			p.followSilence(silent)
 		}
 	}
 }
@@ -247,13 +249,26 @@
 func (p *peers) hear(vm string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.g.cfg.Now()
-	for other, at := range p.heard {
-		if now.Sub(at) > time.Minute {
-			delete(p.heard, other)
+	p.heard[vm] = p.g.cfg.Now()
+}
+
+// followSilence logs the VMs that have fallen silent or are heard again, and
+// forgets those that are no longer listed.
+func (p *peers) followSilence(logged map[string]bool) {
+	listed := map[string]bool{}
+	for _, vm := range p.list() {
+		listed[vm.ID] = true
+		if silent := p.silent(vm.ID); silent != logged[vm.ID] {
+			logged[vm.ID] = silent
+			p.g.cfg.Logger.Log(EventVMSilent, eventlog.Fields{
+				"vm": vm.ID, "zone": vm.Zone, "silent": silent, "after_ms": silentAfter.Milliseconds(),
+			})
 		}
 	}
-	p.heard[vm] = now
+	maps.DeleteFunc(logged, func(vm string, _ bool) bool { return !listed[vm] })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.heard, func(vm string, _ time.Time) bool { return !listed[vm] })
 }
 
 // silent reports whether a VM has been heard of before and not lately.
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -90,6 +90,28 @@
 	return list
 }
 
+// Guards against a dead VM that is named again because its silence was
+// forgotten after a minute, while the store is away and the list stays as it is.
+func TestSilenceLastsWhileTheVMIsListed(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	listVMs(g, 4, 0)
+	logged := map[string]bool{}
+	g.peers.note("vm-1", "r", nil, nil)
+	for range 5 {
+		now = now.Add(time.Minute)
+		g.peers.note("vm-2", "r", nil, nil)
+		g.peers.followSilence(logged)
+		assert.Assert(t, g.peers.silent("vm-1"))
+		assert.Assert(t, !g.peers.silent("vm-2"))
+	}
+	assert.DeepEqual(t, logged, map[string]bool{"vm-1": true})
+	g.peers.list = func() []feed.VM { return nil }
+	g.peers.followSilence(logged)
+	assert.Assert(t, !g.peers.silent("vm-1"), "a VM that is no longer listed is forgotten")
+	assert.Equal(t, len(logged), 0)
+}
+
 // A question of another VM must be answered with this VM's own state.
 func TestLoadsAreExchangedBothWays(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- /dev/null
+++ b/pkg/gateway/status.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/state/route"
+)
+
+// Status returns what this VM has in force and knows.
+func (g *Gateway) Status() protocol.FrontStatus {
+	now := g.cfg.Now()
+	s := protocol.FrontStatus{
+		VM: g.cfg.Self.ID, Zone: g.cfg.Self.Zone, Region: g.cfg.Self.Region, Ready: g.Ready(), Stopping: g.Stopping(),
+		Evacuated: g.set.EvacuatedZones(), VMs: g.vmStatus(),
+		RoutesAgeSeconds: age(now, g.oper.Confirmed()), TargetsAgeSeconds: age(now, g.records.Confirmed()),
+		VMsAgeSeconds: age(now, g.vms.Confirmed()),
+	}
+	table := g.routes.Load()
+	if table == nil {
+		return s
+	}
+	s.Version, s.Revision = table.Config.Version, table.Config.Revision
+	for _, r := range table.Config.Routes {
+		s.Routes = append(s.Routes, routeStatus(r))
+	}
+	s.Services = g.serviceStatus(table.Config.Services)
+	return s
+}
+
+// age returns the seconds since a moment, or -1 if it never came.
+func age(now, at time.Time) float64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Seconds()
+}
+
+func routeStatus(r route.Route) protocol.FrontRoute {
+	status := protocol.FrontRoute{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Idempotent: r.Idempotent, TimeoutMs: r.Timeout.Milliseconds(), Homes: r.Homes,
+	}
+	total := 0.0
+	for _, share := range r.Shares {
+		total += share.Weight
+	}
+	for _, share := range r.Shares {
+		status.Services = append(status.Services, fmt.Sprintf("%s %.0f%%", share.Service, 100*share.Weight/total))
+	}
+	return status
+}
+
+func (g *Gateway) serviceStatus(services map[string]route.Service) []protocol.FrontService {
+	spills := g.picker.Spills()
+	var list []protocol.FrontService
+	for name := range services {
+		list = append(list, protocol.FrontService{
+			Name: name, Listed: g.set.View().Listed(name), Usable: g.UsableCount(name),
+			Use: spills[name].Use, Spill: spills[name].Share,
+		})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+func (g *Gateway) vmStatus() []protocol.FrontVM {
+	named := map[string]bool{}
+	for _, vm := range g.peers.entryVMs() {
+		named[vm.ID] = true
+	}
+	var list []protocol.FrontVM
+	for _, vm := range g.peers.list() {
+		list = append(list, protocol.FrontVM{
+			Address: vm.CallerAddress, Zone: vm.Zone, Region: vm.Region, Named: named[vm.ID], Silent: g.peers.silent(vm.ID),
+		})
+	}
+	return list
+}
+
+// ServeStatus answers with the Status as JSON.
+func (g *Gateway) ServeStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// The write fails only when the caller has left.
+	_ = json.NewEncoder(w).Encode(g.Status())
+}
--- a/pkg/state/targets/set.go
+++ b/pkg/state/targets/set.go
@@ -1,6 +1,8 @@
 package targets
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -245,6 +247,13 @@
 	return s.evacuated[zone]
 }
 
+// EvacuatedZones returns the zones whose targets get nothing, in order.
+func (s *Set) EvacuatedZones() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.evacuated))
+}
+
 func (s *Set) publish() {
 	if s.loaded {
 		s.view.Store(newView(s.all, s.evacuated))
--- a/pkg/state/targets/targets.go
+++ b/pkg/state/targets/targets.go
@@ -75,6 +75,20 @@
 	return len(v.all)
 }
 
+// Listed returns the number of listed targets of a service.
+func (v *View) Listed(service string) int {
+	if v == nil {
+		return 0
+	}
+	n := 0
+	for _, t := range v.all {
+		if t.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
 func newView(all map[string]*Target, evacuated map[string]bool) *View {
 	v := &View{byService: map[string][]*Target{}, all: all}
 	for _, t := range all {
--- a/pkg/transport/operatorhttp/client.go
+++ b/pkg/transport/operatorhttp/client.go
@@ -47,6 +47,12 @@
 	return call[TreeReply](ctx, c, http.MethodGet, "/v1/tree", nil)
 }
 
+// FrontStatus returns the state of hickoryfront, whose metrics address the
+// client calls.
+func (c *Client) FrontStatus(ctx context.Context) (protocol.FrontStatus, error) {
+	return call[protocol.FrontStatus](ctx, c, http.MethodGet, "/status", nil)
+}
+
 // Explain returns the settings in force at path.
 func (c *Client) Explain(ctx context.Context, path string) (ExplainReply, error) {
 	return call[ExplainReply](ctx, c, http.MethodGet, "/v1/explain?path="+url.QueryEscape(path), nil)
