Let one VM in sixteen of a region read the store on large sites

Cause: two readers a region would each answer 70 VMs at the size to design for, several hundred questions a second (docs/CAPACITY.md). Change: the number of readers grows with the region, two at least. Test: TestReadersGrowWithTheRegion.

--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -87,10 +87,11 @@
 	}
 	byID := map[string]feed.VM{}
 	var ids []string
-	fastest := 0.0
+	fastest, near := 0.0, 0
 	for _, vm := range list {
 		if vm.Region == p.g.cfg.Self.Region {
 			fastest = max(fastest, vm.LinkMbps)
+			near++
 		}
 	}
 	for _, vm := range list {
@@ -99,13 +100,18 @@
 			ids = append(ids, vm.ID)
 		}
 	}
-	for _, id := range placement.Chosen("reader", ids, regionReaders) {
+	for _, id := range placement.Chosen("reader", ids, readerCount(near)) {
 		own = own || id == p.g.cfg.Self.ID
 		readers = append(readers, byID[id])
 	}
 	return readers, own
 }
 
+// readerCount returns the number of readers for a number of VMs of a region.
+func readerCount(vms int) int {
+	return max(minReaders, (vms+vmsPerReader-1)/vmsPerReader)
+}
+
 func (p *peers) copy(ctx context.Context, vm feed.VM, kind protocol.CopyKind, after int64) (feed.Delta, bool) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -39,9 +39,12 @@
 	copyPeers = 2
 	// allRead is the number of VMs up to which each reads the store for itself.
 	allRead = 16
-	// regionReaders is the number of VMs of a region that read the store on
-	// larger sites, whose rates grow more slowly than the number of VMs.
-	regionReaders = 2
+	// minReaders is the number of VMs of a region that read the store on larger
+	// sites, whose rates grow more slowly than the number of VMs, and
+	// vmsPerReader the number of VMs for which one more reads: each asks its
+	// reader about seven times a second.
+	minReaders   = 2
+	vmsPerReader = 16
 	// fastLink is the part of the fastest link of a region's VMs that a reader
 	// must have, because it passes on what it reads.
 	fastLink = 0.5
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -90,6 +90,22 @@
 	return list
 }
 
+// Guards against readers that each answer a whole region of 140 VMs (docs/
+// CAPACITY.md: 310 questions a second), and against readers on weak links.
+func TestReadersGrowWithTheRegion(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, test := range []struct{ strong, weak, want int }{{4, 16, 2}, {20, 40, 4}, {140, 0, 9}} {
+		g := newTestGateway(&now)
+		listVMs(g, test.strong, test.weak)
+		readers, own := g.peers.readers()
+		assert.Assert(t, !own)
+		assert.Equal(t, len(readers), test.want)
+		for _, vm := range readers {
+			assert.Equal(t, vm.LinkMbps, 200.0)
+		}
+	}
+}
+
 // Guards against a dead VM that is named again because its silence was
 // forgotten after a minute, while the store is away and the list stays as it is.
 func TestSilenceLastsWhileTheVMIsListed(t *testing.T) {
