--- a/pkg/gateway/directory.go
+++ b/pkg/gateway/directory.go
@@ -1,10 +1,5 @@
 package gateway
 
-import (
-	"hickoryroute/pkg/coordination/feed"
-	"hickoryroute/pkg/steering/entries"
-)
-
 // maxDirectory is the number of VMs that one look-up names.
 const maxDirectory = 64
 
@@ -36,28 +31,3 @@
 	}
 	return nil
 }
-
-// entryVMs returns the VMs of all regions that callers should use, without
-// those of the own region that have fallen silent.
-func (p *peers) entryVMs() []feed.VM {
-	list := p.list()
-	candidates := map[string][]entries.VM{}
-	for _, vm := range list {
-		if !p.silent(vm.ID) {
-			candidates[vm.Region] = append(candidates[vm.Region], entries.VM{
-				ID: vm.ID, Zone: vm.Zone, Cores: vm.Cores, LinkMbps: vm.LinkMbps,
-			})
-		}
-	}
-	chosen := map[string]map[string]bool{}
-	for region, vms := range candidates {
-		chosen[region] = entries.Choose(vms)
-	}
-	var found []feed.VM
-	for _, vm := range list {
-		if chosen[vm.Region][vm.ID] {
-			found = append(found, vm)
-		}
-	}
-	return found
-}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -105,37 +103,6 @@
 	}
 }
 
-// due returns the VMs to call at a tick: often those that carry requests, and
-// now and then the others, whose silence must be noticed.
-func (p *peers) due(tick int) []feed.VM {
-	entryVMs := p.entryVMs()
-	isEntry := map[string]bool{}
-	for _, vm := range entryVMs {
-		isEntry[vm.ID] = true
-	}
-	busy := isEntry[p.g.cfg.Self.ID] || len(p.g.picker.OwnLoad(p.g.cfg.Now())) > 0
-	var due []feed.VM
-	if busy {
-		due = p.partners(entryVMs, !isEntry[p.g.cfg.Self.ID])
-	}
-	if busy && tick%regionTicks == 0 || tick%idleTicks == 0 {
-		due = append(due, p.delegates(entryVMs)...)
-	}
-	if tick%idleTicks == 0 {
-		var others []feed.VM
-		if !busy {
-			others = entryVMs
-		}
-		for _, vm := range p.list() {
-			if !isEntry[vm.ID] {
-				others = append(others, vm)
-			}
-		}
-		due = append(due, p.partners(others, false)...)
-	}
-	return due
-}
-
 // minSpillChange is the smallest change of a share that is logged.
 const minSpillChange = 0.05
 
@@ -152,36 +119,6 @@
 	}
 }
 
-// delegates returns one random VM of each other region.
-func (p *peers) delegates(list []feed.VM) []feed.VM {
-	byRegion := map[string][]feed.VM{}
-	for _, vm := range list {
-		if vm.Region != p.g.cfg.Self.Region {
-			byRegion[vm.Region] = append(byRegion[vm.Region], vm)
-		}
-	}
-	var chosen []feed.VM
-	for _, list := range byRegion {
-		chosen = append(chosen, list[rand.IntN(len(list))])
-	}
-	return chosen
-}
-
-// partners returns the VMs of the region in a list that this VM calls: of each
-// pair the one with the lower address calls, and both learn. With all set this
-// VM calls each of them, because they do not call it.
-func (p *peers) partners(list []feed.VM, all bool) []feed.VM {
-	self := p.g.cfg.Self
-	var partners []feed.VM
-	for _, vm := range list {
-		calls := all && vm.ID != self.ID || vm.PeerAddress > self.PeerAddress
-		if vm.Region == self.Region && calls && len(partners) < maxLoadPeers {
-			partners = append(partners, vm)
-		}
-	}
-	return partners
-}
-
 func (p *peers) exchange(ctx context.Context, vm feed.VM) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -243,45 +180,6 @@
 	return loads
 }
 
-// silentAfter is the time after which a VM of the region that used to exchange
-// loads is taken for gone, before its lease ends. The list of VMs may be read
-// some seconds late.
-const silentAfter = 2500 * time.Millisecond
-
-// hear notes a word of a VM.
-func (p *peers) hear(vm string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.heard[vm] = p.g.cfg.Now()
-}
-
-// followSilence logs the VMs that have fallen silent or are heard again, and
-// forgets those that are no longer listed.
-func (p *peers) followSilence(logged map[string]bool) {
-	listed := map[string]bool{}
-	for _, vm := range p.list() {
-		listed[vm.ID] = true
-		if silent := p.silent(vm.ID); silent != logged[vm.ID] {
-			logged[vm.ID] = silent
-			p.g.cfg.Logger.Log(EventVMSilent, eventlog.Fields{
-				"vm": vm.ID, "zone": vm.Zone, "silent": silent, "after_ms": silentAfter.Milliseconds(),
-			})
-		}
-	}
-	maps.DeleteFunc(logged, func(vm string, _ bool) bool { return !listed[vm] })
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	maps.DeleteFunc(p.heard, func(vm string, _ time.Time) bool { return !listed[vm] })
-}
-
-// silent reports whether a VM has been heard of before and not lately.
-func (p *peers) silent(vm string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	at, ok := p.heard[vm]
-	return ok && p.g.cfg.Now().Sub(at) > silentAfter
-}
-
 func (p *peers) note(vm, region string, loads []protocol.TargetLoad, uses []protocol.ServiceUse) {
 	if region == p.g.cfg.Self.Region {
 		p.hear(vm)
--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -5,11 +5,11 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"hickoryroute/internal/testproc"
 )
 
 // binaries is the directory of the programs under test.
@@ -22,9 +22,8 @@
 		os.Exit(1)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "hickoryroute/cmd/...")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, out)
+	if err := testproc.Build(dir, "hickoryroute/cmd/..."); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
--- a/test/scenario/system_test.go
+++ b/test/scenario/system_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,11 +10,12 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"hickoryroute/internal/testproc"
 )
 
 type systemKey struct{}
@@ -35,24 +35,7 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error
-	out  *lockedBuffer
-}
-
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
+	out  *testproc.Output
 }
 
 func setup(env *testscript.Env) error {
@@ -75,7 +58,7 @@
 // start runs a program in the background. With firstLine it returns the first
 // line of its standard output.
 func (s *system) start(name, program string, firstLine bool, args ...string) (string, error) {
-	p := &process{cmd: exec.Command(filepath.Join(binaries, program), args...), done: make(chan struct{}), out: &lockedBuffer{}}
+	p := &process{cmd: exec.Command(filepath.Join(binaries, program), args...), done: make(chan struct{}), out: &testproc.Output{}}
 	p.cmd.Stderr = p.out
 	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hickoryroute/platform/standin"
 )
 
 var (
@@ -26,8 +28,7 @@
 // Guards the promises against faults in series and overlapping. The seeds in
 // testdata/seeds.txt are those of CI and each one that ever failed.
 func TestSoak(t *testing.T) {
-	dir := t.TempDir()
-	binary, err := frontBinary(dir)
+	binary, err := standin.BuildFront(t.TempDir())
 	assert.NilError(t, err)
 	for _, seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, binary, seed) })
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -289,5 +289,3 @@
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{}, Timeout: routeTimeout + 2*time.Second}
 }
-
-func frontBinary(dir string) (string, error) { return standin.BuildFront(dir) }
--- a/test/speed/main_test.go
+++ b/test/speed/main_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hickoryroute/internal/testproc"
 )
 
 // speedVariable turns the measurements on.
@@ -36,9 +38,8 @@
 		os.Exit(1)
 	}
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "hickoryroute/cmd/...")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build the programs: %v\n%s", err, out)
+	if err := testproc.Build(dir, "hickoryroute/cmd/..."); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
