Let some requests of the soak run long, judge lost answers by their own target

Change: a tenth of the requests run 400 ms, and a lost answer counts unless the target that ran it, or the link to it, was harmed.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -23,7 +23,7 @@
 const (
 	scopeStore      = "store"       // the store for all VMs
 	scopeStalled    = "host"        // the machine of the test gave no processor time
-	scopeTargets    = "targets"     // any target or a link to one
+	scopeTarget     = "target-"     // the target of a slot or the link to it
 	scopeVM         = "vm-"         // killed, paused or starting
 	scopeStop       = "stop-"       // planned stop
 	scopeStoreLink  = "storelink-"  // the link of a VM to the store
@@ -78,6 +78,16 @@
 		numbered(scopeStop, v.index), numbered(scopeStoreLink, v.index), numbered(scopeCallerLink, v.index))
 }
 
+// targetsCalm reports whether nothing was wrong with any target.
+func (w *world) targetsCalm(from, to time.Time) bool {
+	for _, s := range w.slots {
+		if !w.troubles.calm(from, to, numbered(scopeTarget, s.index)) {
+			return false
+		}
+	}
+	return true
+}
+
 // apply lets one fault happen and returns when it is over.
 func (w *world) apply(f fault) {
 	v := w.vms[f.index%len(w.vms)]
@@ -112,7 +122,7 @@
 	case targetFault:
 		w.faultTarget(s, f)
 	case targetLink:
-		w.harmLink(s.link, scopeTargets, f)
+		w.harmLink(s.link, numbered(scopeTarget, s.index), f)
 	case configChange:
 		w.publish()
 	case configStorm:
@@ -180,7 +190,7 @@
 	select {
 	case <-v.Exited():
 	case <-time.After(stopTime):
-		if w.troubles.calm(time.Now().Add(-stopTime), time.Now(), scopeTargets, scopeStalled) {
+		if w.targetsCalm(time.Now().Add(-stopTime), time.Now()) && w.troubles.calm(time.Now().Add(-stopTime), time.Now(), scopeStalled) {
 			w.finding("vm-%d had not ended %v after SIGTERM", v.index, stopTime)
 		}
 		v.Kill()
@@ -267,7 +277,7 @@
 		return
 	}
 	defer s.release()
-	defer w.troubles.begin(scopeTargets)()
+	defer w.troubles.begin(numbered(scopeTarget, s.index))()
 	i.Close()
 	time.Sleep(down)
 	w.store.Delete("servers/" + i.ID)
@@ -294,7 +304,7 @@
 	w.mu.Unlock()
 	time.Sleep(serveAfterDrain)
 	w.store.Delete("servers/" + i.ID)
-	defer w.troubles.begin(scopeTargets)()
+	defer w.troubles.begin(numbered(scopeTarget, s.index))()
 	i.Close()
 	time.Sleep(down / 2)
 	w.startInstance(s, s.homed, coldTime)
@@ -324,7 +334,7 @@
 	s.mu.Lock()
 	i := s.now
 	s.mu.Unlock()
-	defer w.troubles.begin(scopeTargets)()
+	defer w.troubles.begin(numbered(scopeTarget, s.index))()
 	i.SetFault(targetFaults[f.variant%len(targetFaults)])
 	time.Sleep(f.length)
 	i.SetFault(standin.FaultNone)
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -95,6 +95,8 @@
 	// listTime is the time for which a worker keeps a list of VMs.
 	listTime = 2 * time.Second
 	objects  = 24
+	// longShare is the part of requests that run long.
+	longShare = 0.1
 	// unsafeShare is the part of requests that may run once only.
 	unsafeShare = 0.5
 	// failedPause keeps a worker whose VM is gone from using a whole core.
@@ -143,6 +145,9 @@
 		service = bankService
 	}
 	object := fmt.Sprint(r.IntN(objects))
+	if r.Float64() < longShare {
+		object = "long"
+	}
 	if r.Float64() < unsafeShare {
 		return w.attempt(client, v, http.MethodPost, "/"+service+"/unsafe/"+object, service, false, object)
 	}
--- a/test/soak/rules_test.go
+++ b/test/soak/rules_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"maps"
 	"net/http"
 	"sort"
 	"strings"
@@ -38,9 +39,11 @@
 
 	mu        sync.Mutex
 	runs      map[string]int
+	places    map[string]*slot          // of the target that ran a request last
 	read      map[*standin.Instance]int // arrivals already checked
-	overdue   int                       // unanswered at the timeout of the route
-	late      int                       // and answerSlack later
+	reported  map[string]bool
+	overdue   int // unanswered at the timeout of the route
+	late      int // and answerSlack later
 	deadNamed int
 	versions  map[vmLife]inForce
 }
@@ -96,35 +99,36 @@
 		r.w.finding("no answer, though the VM ran on: %s", s)
 		return
 	}
-	if t.calm(from, s.done, scopeTargets) && r.ran(s.ID) > 0 {
+	if place := r.ranAt(s.ID); place != nil && t.calm(from, s.done, numbered(scopeTarget, place.index)) {
 		r.w.finding("no answer around a planned stop, though the request ran: %s", s)
 	}
 }
 
-// ran returns how often a request ran up to now.
-func (r *rules) ran(id string) int {
+// ranAt returns the place of the target that ran a request last, or nil.
+func (r *rules) ranAt(id string) *slot {
 	r.arrivals()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.runs[id]
+	return r.places[id]
 }
 
 // arrivals checks the requests that instances have begun to run since the last
 // call.
 func (r *rules) arrivals() {
 	r.w.mu.Lock()
-	instances := append([]*standin.Instance(nil), r.w.instances...)
+	instances, places := append([]*standin.Instance(nil), r.w.instances...), maps.Clone(r.w.places)
 	r.w.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.runs == nil {
-		r.runs, r.read = map[string]int{}, map[*standin.Instance]int{}
+		r.runs, r.places, r.read = map[string]int{}, map[string]*slot{}, map[*standin.Instance]int{}
 	}
 	for _, i := range instances {
 		fresh := i.Arrivals(r.read[i])
 		r.read[i] += len(fresh)
 		for _, a := range fresh {
 			r.runs[a.ID]++
+			r.places[a.ID] = places[i]
 			r.arrival(i, a)
 		}
 	}
@@ -171,12 +175,24 @@
 	r.arrivals()
 	for _, s := range r.w.ledger.ended() {
 		refused := s.outcome.Status == http.StatusServiceUnavailable || s.outcome.Status == http.StatusTooManyRequests
-		if refused && !s.idempotent && r.ranKnown(s.ID) > 0 {
+		if refused && !s.idempotent && r.ranKnown(s.ID) > 0 && r.first(s.ID) {
 			r.w.finding("refused as not run, and it ran: %s", &s)
 		}
 	}
 }
 
+// first reports whether a request is reported for the first time.
+func (r *rules) first(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.reported[id]
+	if r.reported == nil {
+		r.reported = map[string]bool{}
+	}
+	r.reported[id] = true
+	return !known
+}
+
 func (r *rules) ranKnown(id string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -20,8 +20,10 @@
 	stopTime = 4 * time.Second
 	// routeTimeout is the longest time that a request may be kept waiting.
 	routeTimeout = 2 * time.Second
-	// workTime is the time that an instance runs a request.
-	workTime = 15 * time.Millisecond
+	// workTime is the time that an instance runs a request, longWorkTime that of
+	// some, which are likely to run when a VM ends.
+	workTime     = 15 * time.Millisecond
+	longWorkTime = 400 * time.Millisecond
 	// coldTime and coldPerSecond are what the configuration of the stand-in
 	// tells of all services.
 	coldTime      = 3 * time.Second
@@ -62,6 +64,7 @@
 
 // slot is the place of a target: an address that outlives the instances on it.
 type slot struct {
+	index int
 	link  *proxy
 	mu    sync.Mutex
 	now   *standin.Instance // nil while nothing runs there
@@ -83,6 +86,7 @@
 
 	mu        sync.Mutex
 	instances []*standin.Instance // all that ever ran
+	places    map[*standin.Instance]*slot
 	nextID    int
 	version   int
 	published []publication
@@ -111,7 +115,7 @@
 }
 
 func newWorld(t *testing.T, binary string) *world {
-	w := &world{t: t, store: standin.NewStore(), ledger: newLedger(), troubles: newTroubles()}
+	w := &world{t: t, store: standin.NewStore(), ledger: newLedger(), troubles: newTroubles(), places: map[*standin.Instance]*slot{}}
 	w.rules = &rules{w: w}
 	server := httptest.NewServer(w.store.Handler())
 	t.Cleanup(server.Close)
@@ -137,7 +141,7 @@
 	link, err := newProxy("127.0.0.1:1")
 	assert.NilError(w.t, err)
 	w.t.Cleanup(link.close)
-	s := &slot{link: link, homed: service, zone: zone}
+	s := &slot{index: len(w.slots), link: link, homed: service, zone: zone}
 	w.slots = append(w.slots, s)
 	w.startInstance(s, service, 0)
 }
@@ -151,11 +155,12 @@
 	i, err := standin.NewInstance(id, service, s.zone, "127.0.0.1:0")
 	assert.NilError(w.t, err)
 	w.t.Cleanup(i.Close)
-	i.Work, i.ColdTime = workTime, cold
+	i.Work, i.LongWork, i.ColdTime = workTime, longWorkTime, cold
 	s.link.setBackend(i.Address)
 	i.Address = s.link.address()
 	w.mu.Lock()
 	w.instances = append(w.instances, i)
+	w.places[i] = s
 	w.mu.Unlock()
 	s.mu.Lock()
 	s.now = i
