Tell no loads to VMs that carry no requests

Cause: an idle VM got the loads of each partner once a second and had no use for them. Test: TestBriefExchangesCarryNoLoads.

--- a/pkg/gateway/partners.go
+++ b/pkg/gateway/partners.go
@@ -7,35 +7,36 @@
 	"hickoryroute/pkg/steering/entries"
 )
 
-// due returns the VMs to call at a tick: often those that carry requests, and
-// now and then the others, whose silence must be noticed.
-func (p *peers) due(tick int) []feed.VM {
+// due returns the VMs to call at a tick: often those that carry requests, to
+// share loads with them, and now and then the others, whose silence must be
+// noticed.
+func (p *peers) due(tick int) (often, seldom []feed.VM) {
 	entryVMs := p.entryVMs()
 	isEntry := map[string]bool{}
 	for _, vm := range entryVMs {
 		isEntry[vm.ID] = true
 	}
 	busy := isEntry[p.g.cfg.Self.ID] || len(p.g.picker.OwnLoad(p.g.cfg.Now())) > 0
-	var due []feed.VM
 	if busy {
-		due = p.partners(entryVMs, !isEntry[p.g.cfg.Self.ID])
+		often = p.partners(entryVMs, !isEntry[p.g.cfg.Self.ID])
 	}
-	if busy && tick%regionTicks == 0 || tick%idleTicks == 0 {
-		due = append(due, p.delegates(entryVMs)...)
+	if busy && tick%regionTicks == 0 {
+		often = append(often, p.delegates(entryVMs)...)
 	}
-	if tick%idleTicks == 0 {
-		var others []feed.VM
-		if !busy {
-			others = entryVMs
-		}
-		for _, vm := range p.list() {
-			if !isEntry[vm.ID] {
-				others = append(others, vm)
-			}
+	if tick%idleTicks != 0 {
+		return often, nil
+	}
+	var others []feed.VM
+	if !busy {
+		seldom = p.delegates(entryVMs)
+		others = entryVMs
+	}
+	for _, vm := range p.list() {
+		if !isEntry[vm.ID] {
+			others = append(others, vm)
 		}
-		due = append(due, p.partners(others, false)...)
 	}
-	return due
+	return often, append(seldom, p.partners(others, false)...)
 }
 
 // delegates returns one random VM of each other region.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -93,8 +93,12 @@
 			return
 		case <-ticker.C:
 		}
-		for _, vm := range p.due(tick) {
-			go p.exchange(ctx, vm)
+		often, seldom := p.due(tick)
+		for _, vm := range often {
+			go p.exchange(ctx, vm, false)
+		}
+		for _, vm := range seldom {
+			go p.exchange(ctx, vm, true)
 		}
 		for _, vm := range p.quiet() {
 			go p.check(ctx, vm)
@@ -122,17 +126,18 @@
 	}
 }
 
-// exchange tells a VM the state of this one and takes its own. It reports
-// whether the VM has answered.
-func (p *peers) exchange(ctx context.Context, vm feed.VM) bool {
+// exchange tells a VM the state of this one and takes its own, without loads if
+// it is brief. It reports whether the VM has answered.
+func (p *peers) exchange(ctx context.Context, vm feed.VM, brief bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	self := p.g.cfg.Self
-	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.crashes(), Newest: p.g.oper.Newest()}
-	if vm.Region == self.Region {
-		req.Loads = p.ownLoads()
-	} else {
+	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.crashes(), Newest: p.g.oper.Newest(), Brief: brief}
+	switch {
+	case vm.Region != self.Region:
 		req.Uses = p.ownUses()
+	case !brief:
+		req.Loads = p.ownLoads()
 	}
 	var reply protocol.LoadsReply
 	began := p.g.cfg.Now()
@@ -141,7 +146,7 @@
 		return false
 	}
 	p.g.picker.NoteDelay(vm.Region, p.g.cfg.Now().Sub(began))
-	p.note(reply.From, reply.Region, reply.Loads, reply.Uses)
+	p.note(reply.From, reply.Region, brief, reply.Loads, reply.Uses)
 	p.noteCrashes(reply.Crashes)
 	p.g.oper.Hint(reply.Newest)
 	return true
@@ -186,9 +191,12 @@
 	return loads
 }
 
-func (p *peers) note(vm, region string, loads []protocol.TargetLoad, uses []protocol.ServiceUse) {
+func (p *peers) note(vm, region string, brief bool, loads []protocol.TargetLoad, uses []protocol.ServiceUse) {
 	if region == p.g.cfg.Self.Region {
 		p.hear(vm)
+		if brief {
+			return
+		}
 	}
 	if region != p.g.cfg.Self.Region {
 		for _, u := range uses {
@@ -208,16 +216,17 @@
 
 // Loads implements peer.GatewayHandler.
 func (p *peers) Loads(_ context.Context, req *protocol.LoadsRequest, reply *protocol.LoadsReply) error {
-	p.note(req.From, req.Region, req.Loads, req.Uses)
+	p.note(req.From, req.Region, req.Brief, req.Loads, req.Uses)
 	p.noteCrashes(req.Crashes)
 	p.g.oper.Hint(req.Newest)
 	self := p.g.cfg.Self
 	reply.From, reply.Region = self.ID, self.Region
 	reply.Crashes, reply.Newest = p.crashes(), p.g.oper.Newest()
-	if req.Region == self.Region {
-		reply.Loads = p.ownLoads()
-	} else {
+	switch {
+	case req.Region != self.Region:
 		reply.Uses = p.ownUses()
+	case !req.Brief:
+		reply.Loads = p.ownLoads()
 	}
 	return nil
 }
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -16,7 +16,10 @@
 	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/state/route"
+	"hickoryroute/pkg/state/targets"
 	"hickoryroute/pkg/steering/limit"
+	"hickoryroute/pkg/steering/placement"
 	"hickoryroute/pkg/transport/peer"
 )
 
@@ -34,7 +37,7 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	g := newTestGateway(&now)
 	assert.Assert(t, !g.peers.silent("vm-2"), "a VM that was never heard is not silent")
-	g.peers.note("vm-2", "r", nil, nil)
+	g.peers.note("vm-2", "r", true, nil, nil)
 	now = now.Add(silentAfter / 2)
 	assert.Assert(t, !g.peers.silent("vm-2"))
 	now = now.Add(silentAfter)
@@ -70,16 +73,22 @@
 	g.cfg.Self.PeerAddress = "10.0.1.0:81"
 	listVMs(g, 4, 8)
 	assert.DeepEqual(t, g.Directory("h", "r", "z"), []string{"10.0.1.0:80", "10.0.1.1:80", "10.0.1.2:80", "10.0.1.3:80"})
-	assert.DeepEqual(t, ids(g.peers.due(1)), []string{"vm-1", "vm-2", "vm-3"})
-	assert.DeepEqual(t, ids(g.peers.due(regionTicks)), []string{"vm-1", "vm-2", "vm-3", "far"})
-	assert.Equal(t, len(g.peers.due(idleTicks)), 3+1+8, "all VMs are called now and then")
+	due := func(tick int) [2][]string {
+		often, seldom := g.peers.due(tick)
+		return [2][]string{ids(often), ids(seldom)}
+	}
+	strong := []string{"vm-1", "vm-2", "vm-3"}
+	weak := []string{"vm-4", "vm-5", "vm-6", "vm-7", "vm-8", "vm-9", "vm-10", "vm-11"}
+	assert.DeepEqual(t, due(1), [2][]string{strong, {}})
+	assert.DeepEqual(t, due(regionTicks), [2][]string{append(strong, "far"), {}})
+	assert.DeepEqual(t, due(idleTicks), [2][]string{strong, weak})
 
 	g.cfg.Self.ID, g.cfg.Self.PeerAddress = "vm-7", "10.0.1.7:81"
-	assert.Equal(t, len(g.peers.due(1)), 0, "a VM that carries nothing")
-	assert.DeepEqual(t, ids(g.peers.due(idleTicks)), []string{"far", "vm-8", "vm-9"})
+	assert.DeepEqual(t, due(1), [2][]string{{}, {}})
+	assert.DeepEqual(t, due(idleTicks), [2][]string{{}, {"far", "vm-8", "vm-9"}})
 
 	for _, vm := range []string{"vm-0", "vm-1", "vm-2"} {
-		g.peers.note(vm, "r", nil, nil)
+		g.peers.note(vm, "r", true, nil, nil)
 	}
 	now = now.Add(2 * silentAfter)
 	assert.Equal(t, len(g.Directory("h", "r", "z")), 9, "one strong VM carries less than all")
@@ -109,6 +118,21 @@
 	}
 }
 
+// Guards against loads that are told to VMs that carry no requests and have no
+// use for them.
+func TestBriefExchangesCarryNoLoads(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	list := []*targets.Target{{Record: targets.Record{ID: "a", Service: "s", Slots: 4}, Region: "r"}}
+	_, ok := g.picker.Pick(list, placement.Query{Service: "s", Route: &route.Route{Name: "r"}, Now: now})
+	assert.Assert(t, ok)
+	for _, brief := range []bool{true, false} {
+		var reply protocol.LoadsReply
+		assert.NilError(t, g.peers.Loads(t.Context(), &protocol.LoadsRequest{From: "vm-2", Region: "r", Brief: brief}, &reply))
+		assert.Equal(t, len(reply.Loads) == 0, brief)
+	}
+}
+
 // answeringPeer is a VM that answers exchanges.
 type answeringPeer struct{ id, region string }
 
@@ -138,8 +162,8 @@
 		{ID: "dead", Region: "r", PeerAddress: "127.0.0.1:1"},
 	}
 	g.peers.list = func() []feed.VM { return vms }
-	g.peers.note("lives", "r", nil, nil)
-	g.peers.note("dead", "r", nil, nil)
+	g.peers.note("lives", "r", true, nil, nil)
+	g.peers.note("dead", "r", true, nil, nil)
 	now = now.Add(quietAfter + time.Millisecond)
 	assert.DeepEqual(t, ids(g.peers.quiet()), []string{"lives", "dead"})
 	for _, vm := range g.peers.quiet() {
@@ -157,10 +181,10 @@
 	g := newTestGateway(&now)
 	listVMs(g, 4, 0)
 	logged := map[string]bool{}
-	g.peers.note("vm-1", "r", nil, nil)
+	g.peers.note("vm-1", "r", true, nil, nil)
 	for range 5 {
 		now = now.Add(time.Minute)
-		g.peers.note("vm-2", "r", nil, nil)
+		g.peers.note("vm-2", "r", true, nil, nil)
 		g.peers.followSilence(logged)
 		assert.Assert(t, g.peers.silent("vm-1"))
 		assert.Assert(t, !g.peers.silent("vm-2"))
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -35,7 +35,7 @@
 // check asks a quiet VM. One that answers is forgotten, and judged again when
 // it next exchanges loads with this VM.
 func (p *peers) check(ctx context.Context, vm feed.VM) {
-	if !p.exchange(ctx, vm) {
+	if !p.exchange(ctx, vm, true) {
 		return
 	}
 	p.mu.Lock()
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -23,8 +23,11 @@
 type LoadsRequest struct {
 	From   string // id of the sending VM
 	Region string
-	Loads  []TargetLoad
-	Uses   []ServiceUse
+	// Brief asks for a reply without loads, because the sender or the receiver
+	// carries no requests.
+	Brief bool
+	Loads []TargetLoad
+	Uses  []ServiceUse
 	// Newest is the revision of the newest entry of the operators that the
 	// sender knows.
 	Newest int64
