Note the return of the store before its entries are published

Cause, found by reading the change: the followers published what the store answered first after an outage before they noted that it was back, so records that had lapsed meanwhile dropped most targets at once, instead of being kept for the two seconds in which they are written again. Without the shared watch this order was right for targets and wrong for the list of VMs. Change: a follower notes the return first. A VM that leaves drops itself from its own list at once, also while the store is away.

--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -47,7 +47,8 @@
 // once and then waits for changes. It is embedded in what follows one kind of
 // entries.
 type follower struct {
-	cfg followConfig
+	cfg   followConfig
+	state contact // used by Run alone
 
 	mu     sync.Mutex
 	mirror *mirror
@@ -58,7 +59,7 @@
 }
 
 func newFollower(cfg followConfig) follower {
-	return follower{cfg: cfg, mirror: newMirror()}
+	return follower{cfg: cfg, state: contact{name: cfg.name, logger: cfg.logger}, mirror: newMirror()}
 }
 
 // Since returns what has changed after a revision.
@@ -133,23 +134,22 @@
 
 // Run follows the store until ctx ends.
 func (f *follower) Run(ctx context.Context) {
-	state := contact{name: f.cfg.name, logger: f.cfg.logger}
 	readAll := true
 	for ctx.Err() == nil {
 		if d, ok := askReader(ctx, f.cfg.reader, f.Revision(), f.cfg.timing.CopyAge); ok {
+			f.note(nil)
 			f.merge(d)
-			f.note(&state, nil)
 			readAll = true
 			pause(ctx, f.cfg.timing.PullInterval)
 			continue
 		}
-		readAll = f.step(ctx, &state, readAll)
+		readAll = f.step(ctx, readAll)
 	}
 }
 
 // step makes one call to the store. It reports whether the next call must read
 // all entries.
-func (f *follower) step(ctx context.Context, state *contact, readAll bool) (again bool) {
+func (f *follower) step(ctx context.Context, readAll bool) (again bool) {
 	var err error
 	if readAll {
 		err = f.readAll(ctx)
@@ -162,10 +162,10 @@
 	case f.takeBehind():
 		return true
 	}
-	f.note(state, err)
 	if err == nil {
 		return false
 	}
+	f.note(err)
 	if readAll {
 		f.askPeers(ctx)
 		pause(ctx, retryPause)
@@ -174,8 +174,10 @@
 	return true
 }
 
-func (f *follower) note(state *contact, err error) {
-	if state.note(err, f.cfg.now()) && f.cfg.regained != nil {
+// note takes the result of a call. The return of the store is noted before what
+// it answered is published, because entries may have lapsed meanwhile.
+func (f *follower) note(err error) {
+	if f.state.note(err, f.cfg.now()) && f.cfg.regained != nil {
 		f.cfg.regained()
 	}
 }
@@ -187,6 +189,7 @@
 	if err != nil {
 		return err
 	}
+	f.note(nil)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.mirror.confirmed = f.cfg.now()
--- a/pkg/coordination/feed/targets_test.go
+++ b/pkg/coordination/feed/targets_test.go
@@ -1,8 +1,12 @@
 package feed
 
 import (
+	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -42,3 +46,81 @@
 	assert.Equal(t, decodes["b"], 2)
 	assert.Equal(t, len(f.decoded), 2, "what is gone is forgotten")
 }
+
+// recordFeed holds the entries of a store that can be taken away.
+type recordFeed struct {
+	mu       sync.Mutex
+	entries  []platform.Entry
+	revision int64
+	down     bool
+}
+
+func (f *recordFeed) set(change func(*recordFeed)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *recordFeed) Snapshot(context.Context, string, platform.Freshness) (platform.Snapshot, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Snapshot{}, platform.ErrUnavailable
+	}
+	return platform.Snapshot{Entries: f.entries, Revision: f.revision}, nil
+}
+
+func (f *recordFeed) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Changes, error) {
+	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		f.mu.Lock()
+		down := f.down
+		f.mu.Unlock()
+		if down || ctx.Err() != nil {
+			return platform.Changes{}, platform.ErrUnavailable
+		}
+	}
+	return platform.Changes{Revision: after}, nil
+}
+
+func records(n int) []platform.Entry {
+	var list []platform.Entry
+	for i := range n {
+		list = append(list, platform.Entry{Key: fmt.Sprintf("t-%d", i), Revision: int64(i + 1)})
+	}
+	return list
+}
+
+// Guards against targets that are dropped with the first reading after an
+// outage of the store, though their records lapsed meanwhile and come back, and
+// against those that do not come back and stay.
+func TestLapsedRecordsAreKeptForAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		set := targets.NewSet(targets.Config{
+			RegionOf: func(string) string { return "r" }, ColdTime: func(string) time.Duration { return 0 },
+		})
+		f := &recordFeed{entries: records(8), revision: 8}
+		follower := NewTargets(TargetsConfig{
+			Feed: f, Timing: DefaultTiming(), Set: set, Logger: eventlog.Discard(), Now: time.Now,
+			Layout: Layout{DecodeTarget: func(e platform.Entry) (targets.Record, error) {
+				return targets.Record{ID: e.Key, Service: "s", Slots: 1, Revision: e.Revision}, nil
+			}},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			follower.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(time.Second)
+		assert.Equal(t, set.View().Len(), 8)
+		f.set(func(f *recordFeed) { f.down = true })
+		time.Sleep(6 * time.Second)
+		f.set(func(f *recordFeed) { f.down, f.entries, f.revision = false, records(2), 20 })
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, set.View().Len(), 8, "records that lapsed are written again within two seconds")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, set.View().Len(), 2, "what is missing after that is gone")
+		cancel()
+		<-done
+	})
+}
--- a/pkg/coordination/feed/vms.go
+++ b/pkg/coordination/feed/vms.go
@@ -69,7 +69,7 @@
 
 // NewVMs returns a registry that lists this VM alone.
 func NewVMs(cfg VMsConfig) *VMs {
-	v := &VMs{cfg: cfg, known: map[string]VM{}}
+	v := &VMs{cfg: cfg, known: map[string]VM{cfg.Self.ID: cfg.Self}}
 	v.follower = newFollower(followConfig{
 		name: "store: VM list", prefix: cfg.Layout.OwnPrefix + "vm/", feed: cfg.Feed, timing: cfg.Timing,
 		logger: cfg.Logger, now: cfg.Now, peers: cfg.Peers, reader: cfg.Reader, shared: cfg.Shared,
@@ -184,8 +184,9 @@
 		}
 		next[vm.ID] = vm
 	}
-	if !v.stopped {
-		next[v.cfg.Self.ID] = v.cfg.Self
+	next[v.cfg.Self.ID] = v.cfg.Self
+	if v.stopped {
+		delete(next, v.cfg.Self.ID)
 	}
 	changed := len(next) != len(v.known)
 	for id := range next {
@@ -217,6 +218,7 @@
 	v.mu.Lock()
 	lease := v.lease
 	v.stopped = true
+	v.update()
 	v.mu.Unlock()
 	if lease == 0 {
 		return nil
