--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -45,7 +46,7 @@
 
 func runScripts(t *testing.T, dir string) {
 	t.Helper()
-	trackSources(t)
+	testproc.TrackSources(t, filepath.Join("..", ".."))
 	testscript.Run(t, testscript.Params{
 		Dir:                 dir,
 		RequireExplicitExec: true,
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hickoryroute/internal/testproc"
 	"hickoryroute/platform/standin"
 )
 
@@ -28,6 +29,7 @@
 // Guards the promises against faults in series and overlapping. The seeds in
 // testdata/seeds.txt are those of CI and each one that ever failed.
 func TestSoak(t *testing.T) {
+	testproc.TrackSources(t, filepath.Join("..", ".."))
 	binary, err := standin.BuildFront(t.TempDir())
 	assert.NilError(t, err)
 	for _, seed := range seeds(t) {
