--- a/pkg/steering/entries/entries.go
+++ b/pkg/steering/entries/entries.go
@@ -9,7 +9,8 @@
 const (
 	// requestsPerCore is the number of requests a second for which a VM is
 	// planned with each core, and requestsPerMbps the one with each megabit a
-	// second of its link. Half of either is left for peaks (docs/CAPACITY.md).
+	// second of its link. They take a quarter of the processor and half of the
+	// link (docs/CAPACITY.md), so that the rest is there for peaks.
 	requestsPerCore = 500.0
 	requestsPerMbps = 9.0
 	// enough is the part of the largest capacity with which fewer VMs do.
