--- a/pkg/coordination/feed/feed.go
+++ b/pkg/coordination/feed/feed.go
@@ -1,6 +1,7 @@
 // Package feed follows what operators and targets write to the platform's
-// store and keeps this VM registered there. Each VM reads the store itself;
-// while the store refuses a VM, it takes copies from the other VMs.
+// store and keeps this VM registered there. All followers of a VM wait in one
+// watch. On large sites some VMs read the store for the others, and while the
+// store refuses a VM, it takes copies from the other VMs.
 package feed
 
 import (
