--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -239,15 +239,13 @@
 	defer w.troubles.begin(scopeStore)()
 	w.store.SetTrouble(standin.Trouble{Silent: true})
 	time.Sleep(length)
-	for _, key := range w.store.Keys("servers/") {
-		w.store.Delete(key)
-	}
+	w.store.LapseInstances()
 	w.store.SetTrouble(standin.Trouble{})
 	time.Sleep(time.Second)
 	for _, s := range w.slots {
 		s.mu.Lock()
 		if i := s.now; i != nil && !s.busy {
-			w.store.Put("servers/"+i.ID, i.Record("ready"))
+			w.store.Register(i)
 		}
 		s.mu.Unlock()
 	}
@@ -280,7 +278,7 @@
 	defer w.troubles.begin(numbered(scopeTarget, s.index))()
 	i.Close()
 	time.Sleep(down)
-	w.store.Delete("servers/" + i.ID)
+	w.store.Unregister(i)
 	w.startInstance(s, service, coldTime)
 }
 
@@ -298,12 +296,12 @@
 		return
 	}
 	defer s.release()
-	w.store.Put("servers/"+i.ID, i.Record("draining"))
+	w.store.Drain(i)
 	w.mu.Lock()
 	w.leavings = append(w.leavings, leaving{i, time.Now()})
 	w.mu.Unlock()
 	time.Sleep(serveAfterDrain)
-	w.store.Delete("servers/" + i.ID)
+	w.store.Unregister(i)
 	defer w.troubles.begin(numbered(scopeTarget, s.index))()
 	i.Close()
 	time.Sleep(down / 2)
@@ -358,7 +356,7 @@
 	w.evacuated = append(w.evacuated, evacuation{zone: zone})
 	n := len(w.evacuated) - 1
 	w.mu.Unlock()
-	w.store.Put("op/evacuate/"+zone, "{}")
+	w.store.Evacuate(zone)
 	w.mu.Lock()
 	w.evacuated[n].at = time.Now()
 	w.mu.Unlock()
@@ -366,5 +364,5 @@
 	w.mu.Lock()
 	w.evacuated[n].till = time.Now()
 	w.mu.Unlock()
-	w.store.Delete("op/evacuate/" + zone)
+	w.store.TakeBack(zone)
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -165,7 +165,7 @@
 	s.mu.Lock()
 	s.now = i
 	s.mu.Unlock()
-	w.store.Put("servers/"+id, i.Record("ready"))
+	w.store.Register(i)
 }
 
 func (w *world) addVM(binary string, index int, zone string) {
@@ -229,13 +229,13 @@
 	version := w.version
 	w.mu.Unlock()
 	ms := int(routeTimeout.Milliseconds())
-	w.store.Put("op/config", standin.Configuration(version, []standin.Route{
+	w.store.Publish(version, []standin.Route{
 		{Host: callerHost, Prefix: "/desk/safe/", Kind: "safe", Service: deskService, TimeoutMs: ms},
 		{Host: callerHost, Prefix: "/desk/unsafe/", Kind: "unsafe", Service: deskService, TimeoutMs: ms},
 		{Host: callerHost, Prefix: "/bank/safe/", Kind: "safe", Service: bankService, TimeoutMs: ms},
 		{Host: callerHost, Prefix: "/bank/unsafe/", Kind: "unsafe", Service: bankService, TimeoutMs: ms},
 		{Host: callerHost, Prefix: versionPrefix(version), Kind: "safe", Service: deskService, TimeoutMs: ms},
-	}))
+	})
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.published = append(w.published, publication{version, time.Now()})
