--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,6 +23,7 @@
 
 var (
 	seedList = flag.String("soak.seeds", "", "seeds to play, such as 1-50 or 3,7; empty: those of testdata/seeds.txt")
+	vmCount  = flag.Int("soak.vms", 4, "number of VMs; above 16 some of them read the store for the others")
 	length   = flag.Duration("soak.length", 8*time.Second, "time for which faults begin")
 )
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -38,7 +38,8 @@
 
 var (
 	regions = map[string]string{"za": "ra", "zb": "ra", "zc": "rb"}
-	// vmZones and targetZones place the VMs and the targets of each service.
+	// vmZones places the VMs, in turn, and targetZones the targets of each
+	// service.
 	vmZones     = []string{"za", "zb", "zc", "zc"}
 	targetZones = map[string][]string{
 		deskService: {"za", "za", "zb", "zb", "zc", "zc"},
@@ -126,8 +127,8 @@
 		}
 	}
 	w.publish()
-	for i, zone := range vmZones {
-		w.addVM(binary, i, zone)
+	for i := range *vmCount {
+		w.addVM(binary, i, vmZones[i%len(vmZones)])
 	}
 	for _, v := range w.vms {
 		w.startVM(v)
@@ -267,8 +268,8 @@
 func (w *world) allNamed() bool {
 	for _, v := range w.vms {
 		near := 0
-		for _, zone := range vmZones {
-			if regions[zone] == regions[v.Zone] {
+		for _, other := range w.vms {
+			if regions[other.Zone] == regions[v.Zone] {
 				near++
 			}
 		}
