--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -108,7 +108,7 @@
 	at       time.Time
 }
 
-// evacuation is a zone that got nothing from a moment on; until is zero while
+// evacuation is a zone that got nothing from a moment on; till is zero while
 // it lasts.
 type evacuation struct {
 	zone     string
@@ -194,7 +194,7 @@
 	v.running = true
 }
 
-// endVM notes that the process of a VM has ended.
+// ended notes that the process of a VM has ended.
 func (v *vm) ended() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
