Send one signal to the daemon that the pages start

Usually both arrive together and count as one; beside load the second came after the first was handled. The page's command must still end with exit code 0 after one SIGTERM.

--- a/test/scenario/pages_test.go
+++ b/test/scenario/pages_test.go
@@ -38,7 +38,10 @@
 			command = pageRevision.ReplaceAllString(command, strings.TrimSpace(ts.ReadFile("revision")))
 		}
 		if strings.HasPrefix(command, "hickoryd ") {
-			command = "timeout --preserve-status -s TERM 2 " + command
+			// In the foreground the signal goes to the program alone. Otherwise it is
+			// sent to the program and to its group, and the second one, if it comes
+			// late, ends the planned stop at once.
+			command = "timeout --foreground --preserve-status -s TERM 2 " + command
 		}
 		if err := ts.Exec("sh", "-c", command); err != nil {
 			ts.Fatalf("%s: %s: %v", args[0], command, err)
