Announce settings to the nodes that exist in the outage test

The first node can boot and announce its settings before the others have been started, if the test's goroutine gets no processor time. Change: it announces to up to three random nodes, as the product does. No check or bound is touched.

--- a/pkg/entry/outage_test.go
+++ b/pkg/entry/outage_test.go
@@ -99,7 +99,7 @@
 
 // Announce implements config.Peers.
 func (n *outageNode) Announce(revision int64) {
-	for _, address := range n.All()[:3] {
+	for _, address := range n.Random(3) {
 		go n.fleet.node(address).config.Learn(n.address, revision)
 	}
 }
