Record the connections of a starting VM in the fake of cut VMs

The fake records a connection under the addresses of both VMs, but a VM dials its peers while it starts, before the test has told the fake the VM's address. Such a connection stood under an empty address and survived the cut.

Ruled out: a second path between the VMs; tickets are never relayed.

The dial function of a VM now waits for the address.

--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -73,9 +73,37 @@
 	delete(c.conns, key)
 }
 
+// selfAddress is the peer address of a VM, known once the VM has started.
+type selfAddress struct {
+	known chan struct{}
+	value string
+}
+
+func newSelfAddress() *selfAddress { return &selfAddress{known: make(chan struct{})} }
+
+func (a *selfAddress) set(value string) {
+	a.value = value
+	close(a.known)
+}
+
+// wait returns the address. A VM dials its peers while it starts; a connection
+// that is not recorded under its address would outlive a cut.
+func (a *selfAddress) wait(ctx context.Context) (string, error) {
+	select {
+	case <-a.known:
+		return a.value, nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
 // dialer returns the peer dial function of a VM.
-func (c *cuts) dialer(self func() string) func(context.Context, string) (net.Conn, error) {
+func (c *cuts) dialer(self *selfAddress) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
+		own, err := self.wait(ctx)
+		if err != nil {
+			return nil, err
+		}
 		var d net.Dialer
 		conn, err := d.DialContext(ctx, "tcp", address)
 		if err != nil {
@@ -83,7 +111,7 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		key := pair(self(), address)
+		key := pair(own, address)
 		if c.cut[key] {
 			_ = conn.Close()
 			return nil, fmt.Errorf("the connection between %s and %s is cut", key[0], key[1])
@@ -166,26 +194,19 @@
 	for _, v := range f.vms {
 		peers = append(peers, v.PeerAddress())
 	}
-	var mu sync.Mutex
-	address := ""
+	self := newSelfAddress()
 	config := Config{
 		Region: region, Zone: region + "-a",
 		CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
 		Store: f.store, VMList: f.store, Peers: peers, SeatCount: 24, Timing: timing,
-		DialPeer: f.cuts.dialer(func() string {
-			mu.Lock()
-			defer mu.Unlock()
-			return address
-		}),
+		DialPeer: f.cuts.dialer(self),
 	}
 	if f.adjust != nil {
 		f.adjust(&config)
 	}
 	vm, err := Start(context.Background(), config)
 	assert.NilError(t, err)
-	mu.Lock()
-	address = vm.PeerAddress()
-	mu.Unlock()
+	self.set(vm.PeerAddress())
 	f.vms = append(f.vms, vm)
 	f.store.PutVM(platform.VM{Address: vm.PeerAddress(), Zone: region + "-a", State: platform.VMLive})
 	t.Cleanup(vm.Kill)
