Rank targets without sorting all, keep the roles of VMs while their list stays

Cause: the processor time of a VM grows with the site (docs/CAPACITY.md).

Now an order keeps its first eight candidates, gauges exist for used targets alone, the roles of VMs are computed when the list or the silent VMs change, VM records are decoded once a revision, and the change of one target copies the list of its service instead of building the view anew.

Found on the way: a look-up named the first 64 addresses of a region, so 76 of 140 alike VMs would never be named. Each zone now gets 64 of its own (TestLookupsOfAllZonesNameAllVMs).

--- a/pkg/coordination/feed/targets.go
+++ b/pkg/coordination/feed/targets.go
@@ -36,14 +36,12 @@
 type Targets struct {
 	cfg TargetsConfig
 	follower
-	// decoded holds the entries as they were last read, under the lock of the
-	// follower. Most of them do not change from one reading to the next.
-	decoded map[string]decodedTarget
+	records decoder[targets.Record] // under the lock of the follower
 }
 
 // NewTargets returns a follower that has read nothing.
 func NewTargets(cfg TargetsConfig) *Targets {
-	t := &Targets{cfg: cfg}
+	t := &Targets{cfg: cfg, records: decoder[targets.Record]{decode: cfg.Layout.DecodeTarget, logger: cfg.Logger}}
 	t.follower = newFollower(followConfig{
 		name: "store: target records", prefix: cfg.Layout.TargetPrefix, feed: cfg.Feed, timing: cfg.Timing,
 		logger: cfg.Logger, now: cfg.Now, peers: cfg.Peers, reader: cfg.Reader, shared: cfg.Shared,
@@ -63,21 +61,8 @@
 
 // publish passes the records on. It runs under the lock.
 func (t *Targets) publish() {
-	decoded := make(map[string]decodedTarget, len(t.mirror.entries))
-	records := make([]targets.Record, 0, len(t.mirror.entries))
-	for key, e := range t.mirror.entries {
-		d, known := t.decoded[key]
-		if !known || d.revision != e.Revision {
-			d = t.decode(e)
-		}
-		decoded[key] = d
-		if d.readable {
-			records = append(records, d.record)
-		}
-	}
-	t.decoded = decoded
 	revision := t.mirror.revision
-	d := t.cfg.Set.Replace(records, revision, t.cfg.Now())
+	d := t.cfg.Set.Replace(t.records.all(t.mirror.entries), revision, t.cfg.Now())
 	t.log(d, revision)
 	for _, left := range d.Left {
 		if t.cfg.Left != nil {
@@ -86,24 +71,6 @@
 	}
 }
 
-// decodedTarget is an entry of a target as it reads.
-type decodedTarget struct {
-	revision int64
-	record   targets.Record
-	readable bool
-}
-
-// decode reads an entry. It logs one that cannot be read, once a revision.
-func (t *Targets) decode(e platform.Entry) decodedTarget {
-	r, err := t.cfg.Layout.DecodeTarget(e)
-	if err != nil {
-		t.cfg.Logger.Log(EventEntryUnreadable, eventlog.Fields{
-			"key": e.Key, "revision": e.Revision, "error": err.Error(),
-		})
-	}
-	return decodedTarget{revision: e.Revision, record: r, readable: err == nil}
-}
-
 func (t *Targets) log(d targets.Difference, revision int64) {
 	for _, g := range []struct {
 		event eventlog.Event
--- a/pkg/coordination/feed/targets_test.go
+++ b/pkg/coordination/feed/targets_test.go
@@ -44,7 +44,7 @@
 	f.merge(Delta{Revision: 7, Entries: []platform.Entry{{Key: "b", Revision: 7}}, Deleted: []string{"a"}})
 	assert.Equal(t, set.View().Len(), 1)
 	assert.Equal(t, decodes["b"], 2)
-	assert.Equal(t, len(f.decoded), 2, "what is gone is forgotten")
+	assert.Equal(t, len(f.records.known), 2, "what is gone is forgotten")
 }
 
 // recordFeed holds the entries of a store that can be taken away.
--- a/pkg/coordination/feed/vms.go
+++ b/pkg/coordination/feed/vms.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -64,23 +63,29 @@
 	registered time.Time // when the record was last written
 	stopped    bool
 	known      map[string]VM
-	keepUntil  time.Time
+	records    decoder[VM]
+	// keepUntil is the time up to which VMs without a record stay listed, and
+	// keeps tells that some may be listed still.
+	keepUntil time.Time
+	keeps     bool
 }
 
 // NewVMs returns a registry that lists this VM alone.
 func NewVMs(cfg VMsConfig) *VMs {
 	v := &VMs{cfg: cfg, known: map[string]VM{cfg.Self.ID: cfg.Self}}
+	v.records = decoder[VM]{decode: decodeVM, logger: cfg.Logger}
 	v.follower = newFollower(followConfig{
 		name: "store: VM list", prefix: cfg.Layout.OwnPrefix + "vm/", feed: cfg.Feed, timing: cfg.Timing,
 		logger: cfg.Logger, now: cfg.Now, peers: cfg.Peers, reader: cfg.Reader, shared: cfg.Shared,
-		publish: v.update, confirm: v.update, regained: v.keepMissing,
+		publish: v.update, confirm: v.confirm, regained: v.keepMissing,
 	})
 	v.publish([]VM{cfg.Self})
 	return v
 }
 
-// List returns a copy of the list in the order of the addresses.
-func (v *VMs) List() []VM { return slices.Clone(*v.list.Load()) }
+// List returns the list in the order of the addresses. It must not be changed,
+// and stays the same slice until the list changes.
+func (v *VMs) List() []VM { return *v.list.Load() }
 
 func (v *VMs) key() string { return v.cfg.Layout.OwnPrefix + "vm/" + v.cfg.Self.ID }
 
@@ -104,6 +109,15 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.keepUntil = v.cfg.Now().Add(returnTime)
+	v.keeps = true
+}
+
+// confirm drops the VMs that were kept for a time though their records were
+// missing. It runs under the lock.
+func (v *VMs) confirm() {
+	if v.keeps {
+		v.update()
+	}
 }
 
 // returnTime is the time after an outage in which VMs register again.
@@ -171,17 +185,13 @@
 // lock.
 func (v *VMs) update() {
 	next := map[string]VM{}
-	if v.cfg.Now().Before(v.keepUntil) {
+	v.keeps = v.cfg.Now().Before(v.keepUntil)
+	if v.keeps {
 		for id, vm := range v.known {
 			next[id] = vm
 		}
 	}
-	for _, e := range v.mirror.entries {
-		var vm VM
-		if err := json.Unmarshal(e.Value, &vm); err != nil {
-			v.cfg.Logger.Log(EventEntryUnreadable, eventlog.Fields{"key": e.Key, "error": err.Error()})
-			continue
-		}
+	for _, vm := range v.records.all(v.mirror.entries) {
 		next[vm.ID] = vm
 	}
 	next[v.cfg.Self.ID] = v.cfg.Self
@@ -208,6 +218,12 @@
 	v.cfg.Logger.Log(EventVMsChanged, eventlog.Fields{"count": len(all), "vms": joinSorted(ids)})
 }
 
+func decodeVM(e platform.Entry) (VM, error) {
+	var vm VM
+	err := json.Unmarshal(e.Value, &vm)
+	return vm, err
+}
+
 func (v *VMs) publish(list []VM) {
 	sort.Slice(list, func(i, j int) bool { return list[i].CallerAddress < list[j].CallerAddress })
 	v.list.Store(&list)
--- a/pkg/coordination/feed/vms_test.go
+++ b/pkg/coordination/feed/vms_test.go
@@ -1,12 +1,17 @@
 package feed
 
 import (
+	"bytes"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"hickoryroute/pkg/eventlog"
+	"hickoryroute/pkg/transport/platform"
 )
 
 // Guards against a VM that names itself to callers through its planned stop,
@@ -17,3 +22,44 @@
 	assert.NilError(t, v.Leave(t.Context()))
 	assert.Equal(t, len(v.List()), 0)
 }
+
+func vmEntries(revision int64, ids ...string) []platform.Entry {
+	var list []platform.Entry
+	for _, id := range ids {
+		list = append(list, platform.Entry{Key: "vm/" + id, Revision: revision, Value: fmt.Appendf(nil, `{"id":%q,"caller_address":%q}`, id, id)})
+	}
+	return list
+}
+
+// Guards against the records of all VMs being decoded at each confirmation of
+// the store, with a log line each time for one that cannot be read.
+func TestUnchangedVMRecordsAreReadOnce(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	v := NewVMs(VMsConfig{Self: VM{ID: "self"}, Timing: DefaultTiming(), Logger: eventlog.New(log, nil), Now: time.Now})
+	entries := append(vmEntries(1, "a", "b"), platform.Entry{Key: "vm/bad", Revision: 1, Value: []byte("{")})
+	v.merge(Delta{Revision: 1, Full: true, Entries: entries})
+	list := v.List()
+	assert.Equal(t, len(list), 3)
+	for revision := int64(2); revision < 6; revision++ {
+		v.merge(Delta{Revision: revision})
+		v.merge(Delta{Revision: revision, Full: true, Entries: entries})
+	}
+	assert.Equal(t, strings.Count(out.String(), "vm/bad"), 1, out.String())
+	assert.Assert(t, &list[0] == &v.List()[0], "a list that has not changed is not built again")
+}
+
+// Guards against a VM that stays listed because nothing changes in the store
+// after the time in which VMs register again.
+func TestKeptVMIsDroppedWithoutAnotherChange(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	v := NewVMs(VMsConfig{Self: VM{ID: "self"}, Timing: DefaultTiming(), Logger: eventlog.Discard(), Now: func() time.Time { return now }})
+	v.merge(Delta{Revision: 1, Full: true, Entries: vmEntries(1, "a", "gone")})
+	v.keepMissing()
+	v.merge(Delta{Revision: 2, Deleted: []string{"vm/gone"}})
+	assert.Equal(t, len(v.List()), 3, "a VM whose lease lapsed during the outage is kept")
+	now = now.Add(returnTime)
+	v.merge(Delta{Revision: 2})
+	assert.Equal(t, len(v.List()), 2)
+}
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/protocol"
-	"hickoryroute/pkg/steering/placement"
 	"hickoryroute/pkg/transport/packed"
 	"hickoryroute/pkg/transport/platform"
 )
@@ -39,7 +39,7 @@
 // copies returns a function that asks some VMs for copies of one kind.
 func (p *peers) copies(kind protocol.CopyKind) feed.PeerFunc {
 	return func(ctx context.Context, after int64) []feed.Delta {
-		list := p.list()
+		list := slices.Clone(p.list())
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		var found []feed.Delta
 		asked := 0
@@ -59,12 +59,12 @@
 // reader returns a function that asks a reader of this region.
 func (p *peers) reader(kind protocol.CopyKind) feed.ReaderFunc {
 	return func(ctx context.Context, after int64, maxAge time.Duration) (feed.Delta, bool) {
-		readers, own := p.readers()
-		if own {
+		r := p.currentRoles()
+		if r.reads {
 			return feed.Delta{}, false
 		}
-		for _, i := range rand.Perm(len(readers)) {
-			if d, ok := p.copy(ctx, readers[i], kind, after); ok && d.Age <= maxAge {
+		for _, i := range rand.Perm(len(r.readers)) {
+			if d, ok := p.copy(ctx, r.readers[i], kind, after); ok && d.Age <= maxAge {
 				return d, true
 			}
 		}
@@ -72,46 +72,6 @@
 	}
 }
 
-// reads reports whether this VM reads the store for itself or others.
-func (p *peers) reads() bool {
-	_, own := p.readers()
-	return own
-}
-
-// readers returns the VMs that read the store for this region, and whether
-// this VM is one of them. On small sites every VM reads for itself.
-func (p *peers) readers() (readers []feed.VM, own bool) {
-	list := p.list()
-	if len(list) <= allRead {
-		return nil, true
-	}
-	byID := map[string]feed.VM{}
-	var ids []string
-	fastest, near := 0.0, 0
-	for _, vm := range list {
-		if vm.Region == p.g.cfg.Self.Region {
-			fastest = max(fastest, vm.LinkMbps)
-			near++
-		}
-	}
-	for _, vm := range list {
-		if vm.Region == p.g.cfg.Self.Region && vm.LinkMbps >= fastest*fastLink && !p.silent(vm.ID) {
-			byID[vm.ID] = vm
-			ids = append(ids, vm.ID)
-		}
-	}
-	for _, id := range placement.Chosen("reader", ids, readerCount(near)) {
-		own = own || id == p.g.cfg.Self.ID
-		readers = append(readers, byID[id])
-	}
-	return readers, own
-}
-
-// readerCount returns the number of readers for a number of VMs of a region.
-func readerCount(vms int) int {
-	return max(minReaders, (vms+vmsPerReader-1)/vmsPerReader)
-}
-
 func (p *peers) copy(ctx context.Context, vm feed.VM, kind protocol.CopyKind, after int64) (feed.Delta, bool) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -128,7 +128,9 @@
 // follow builds the followers of the store, which share one watch.
 func (g *Gateway) follow() {
 	cfg := g.cfg
-	watch := &feed.SharedWatch{Feed: cfg.Feed, Prefix: cfg.Layout.CommonPrefix, CallTimeout: cfg.Timing.CallTimeout, Reads: g.peers.reads}
+	watch := &feed.SharedWatch{Feed: cfg.Feed, Prefix: cfg.Layout.CommonPrefix, CallTimeout: cfg.Timing.CallTimeout,
+		Reads: func() bool { return g.peers.currentRoles().reads },
+	}
 	shared := func() bool { return len(g.vms.List()) > allRead }
 	g.vms = feed.NewVMs(feed.VMsConfig{
 		Store: cfg.Store, Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Self: cfg.Self,
--- a/pkg/gateway/partners.go
+++ b/pkg/gateway/partners.go
@@ -4,35 +4,31 @@
 	"math/rand/v2"
 
 	"hickoryroute/pkg/coordination/feed"
-	"hickoryroute/pkg/steering/entries"
 )
 
 // due returns the VMs to call at a tick: often those that carry requests, to
 // share loads with them, and now and then the others, whose silence must be
 // noticed.
 func (p *peers) due(tick int) (often, seldom []feed.VM) {
-	entryVMs := p.entryVMs()
-	isEntry := map[string]bool{}
-	for _, vm := range entryVMs {
-		isEntry[vm.ID] = true
-	}
-	busy := isEntry[p.g.cfg.Self.ID] || len(p.g.picker.OwnLoad(p.g.cfg.Now())) > 0
+	r := p.currentRoles()
+	named := r.isNamed[p.g.cfg.Self.ID]
+	busy := named || p.g.picker.Busy(p.g.cfg.Now())
 	if busy {
-		often = p.partners(entryVMs, !isEntry[p.g.cfg.Self.ID])
+		often = p.partners(r.named, !named)
 	}
 	if busy && tick%regionTicks == 0 {
-		often = append(often, p.delegates(entryVMs)...)
+		often = append(often, p.delegates(r.named)...)
 	}
 	if tick%idleTicks != 0 {
 		return often, nil
 	}
 	var others []feed.VM
 	if !busy {
-		seldom = p.delegates(entryVMs)
-		others = entryVMs
+		seldom = p.delegates(r.named)
+		others = r.named
 	}
-	for _, vm := range p.list() {
-		if !isEntry[vm.ID] {
+	for _, vm := range r.list {
+		if !r.isNamed[vm.ID] {
 			others = append(others, vm)
 		}
 	}
@@ -68,28 +64,3 @@
 	}
 	return partners
 }
-
-// entryVMs returns the VMs of all regions that callers should use, without
-// those of the own region that have fallen silent.
-func (p *peers) entryVMs() []feed.VM {
-	list := p.list()
-	candidates := map[string][]entries.VM{}
-	for _, vm := range list {
-		if !p.silent(vm.ID) {
-			candidates[vm.Region] = append(candidates[vm.Region], entries.VM{
-				ID: vm.ID, Zone: vm.Zone, Cores: vm.Cores, LinkMbps: vm.LinkMbps,
-			})
-		}
-	}
-	chosen := map[string]map[string]bool{}
-	for region, vms := range candidates {
-		chosen[region] = entries.Choose(vms)
-	}
-	var found []feed.VM
-	for _, vm := range list {
-		if chosen[vm.Region][vm.ID] {
-			found = append(found, vm)
-		}
-	}
-	return found
-}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hickoryroute/pkg/coordination/feed"
@@ -56,8 +57,10 @@
 	g      *Gateway
 	client *peer.Client
 	server *peer.Server
-	// list returns the listed VMs.
+	// list returns the listed VMs. A list is not changed after it was returned.
 	list func() []feed.VM
+	// roles holds the roles that were computed last.
+	roles atomic.Pointer[roles]
 
 	// packed holds the packed form of the newest large entry.
 	packed packed.Document
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -109,15 +109,52 @@
 	for _, test := range []struct{ strong, weak, want int }{{4, 16, 2}, {20, 40, 4}, {140, 0, 9}} {
 		g := newTestGateway(&now)
 		listVMs(g, test.strong, test.weak)
-		readers, own := g.peers.readers()
-		assert.Assert(t, !own)
-		assert.Equal(t, len(readers), test.want)
-		for _, vm := range readers {
+		roles := g.peers.currentRoles()
+		assert.Assert(t, !roles.reads)
+		assert.Equal(t, len(roles.readers), test.want)
+		for _, vm := range roles.readers {
 			assert.Equal(t, vm.LinkMbps, 200.0)
 		}
 	}
 }
 
+// Guards against VMs that no look-up ever names: one answer holds at most
+// maxDirectory addresses, and 76 of 140 VMs of a region were left out.
+func TestLookupsOfAllZonesNameAllVMs(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	listVMs(g, 140, 0)
+	seen := map[string]int{}
+	for zone := range 12 {
+		name := fmt.Sprintf("zone-%d", zone)
+		list := g.Directory("h", "r", name)
+		assert.Equal(t, len(list), maxDirectory)
+		assert.DeepEqual(t, g.Directory("h", "r", name), list)
+		for _, address := range list {
+			seen[address]++
+		}
+	}
+	assert.Equal(t, len(seen), 140)
+}
+
+// Guards against roles that are computed anew for each look-up, and against
+// roles that stay when a VM falls silent or the list changes.
+func TestRolesFollowTheListAndTheSilence(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	listVMs(g, 20, 0)
+	first := g.peers.currentRoles()
+	assert.Equal(t, g.peers.currentRoles(), first)
+	g.peers.note("vm-3", "r", true, nil, nil)
+	assert.Equal(t, g.peers.currentRoles(), first)
+	now = now.Add(2 * silentAfter)
+	assert.Assert(t, !g.peers.currentRoles().isNamed["vm-3"])
+	g.peers.note("vm-3", "r", true, nil, nil)
+	assert.Assert(t, g.peers.currentRoles().isNamed["vm-3"])
+	listVMs(g, 19, 0)
+	assert.Assert(t, !g.peers.currentRoles().isNamed["vm-19"])
+}
+
 // Guards against loads that are told to VMs that carry no requests and have no
 // use for them.
 func TestBriefExchangesCarryNoLoads(t *testing.T) {
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -76,3 +76,21 @@
 	at, ok := p.heard[vm]
 	return ok && p.g.cfg.Now().Sub(at) > silentAfter
 }
+
+// silentVMs returns the VMs that have fallen silent.
+func (p *peers) silentVMs() map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.g.cfg.Now()
+	var silent map[string]bool
+	for vm, at := range p.heard {
+		if now.Sub(at) <= silentAfter {
+			continue
+		}
+		if silent == nil {
+			silent = map[string]bool{}
+		}
+		silent[vm] = true
+	}
+	return silent
+}
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -68,14 +68,11 @@
 }
 
 func (g *Gateway) vmStatus() []protocol.FrontVM {
-	named := map[string]bool{}
-	for _, vm := range g.peers.entryVMs() {
-		named[vm.ID] = true
-	}
+	roles := g.peers.currentRoles()
 	var list []protocol.FrontVM
-	for _, vm := range g.peers.list() {
+	for _, vm := range roles.list {
 		list = append(list, protocol.FrontVM{
-			Address: vm.CallerAddress, Zone: vm.Zone, Region: vm.Region, Named: named[vm.ID], Silent: g.peers.silent(vm.ID),
+			Address: vm.CallerAddress, Zone: vm.Zone, Region: vm.Region, Named: roles.isNamed[vm.ID], Silent: roles.silent[vm.ID],
 		})
 	}
 	return list
--- a/pkg/state/targets/set.go
+++ b/pkg/state/targets/set.go
@@ -195,16 +195,15 @@
 	}
 }
 
+// replaceOne publishes a change of one target that leaves its place in the view.
 func (s *Set) replaceOne(old *Target, change func(*Target)) {
 	t := *old
 	change(&t)
-	next := make(map[string]*Target, len(s.all))
-	for id, other := range s.all {
-		next[id] = other
+	s.all = maps.Clone(s.all)
+	s.all[t.ID] = &t
+	if s.loaded {
+		s.view.Store(s.View().with(&t, s.all))
 	}
-	next[t.ID] = &t
-	s.all = next
-	s.publish()
 }
 
 // Evacuate sets the zones whose targets get nothing. Targets of a zone that is
--- a/pkg/state/targets/set_test.go
+++ b/pkg/state/targets/set_test.go
@@ -1,10 +1,12 @@
 package targets
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -96,3 +98,30 @@
 	s.Replace([]Record{record("a", 1)}, 1, start.Add(4*time.Second))
 	assert.Assert(t, !s.View().ByID("a").Cold(start.Add(4*time.Second)))
 }
+
+// Guards against a view that shows an old state of a target, or a target that
+// is leaving or evacuated, after the change of one target.
+func TestChangeOfOneTargetShowsInTheView(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newTestSet()
+		var records []Record
+		for i := range rapid.IntRange(1, 12).Draw(t, "targets") {
+			r := record(fmt.Sprintf("t-%d", i), 1)
+			r.Service = rapid.SampledFrom([]string{"s", "s2"}).Draw(t, "service")
+			r.Zone = rapid.SampledFrom([]string{"z", "z2"}).Draw(t, "zone")
+			r.Leaving = rapid.Float64().Draw(t, "leaving") < 0.2
+			records = append(records, r)
+		}
+		s.Replace(records, 1, start)
+		if rapid.Bool().Draw(t, "evacuated") {
+			s.Evacuate([]string{"z2"}, 2, start)
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "changes") {
+			id := records[rapid.IntRange(0, len(records)-1).Draw(t, "target")].ID
+			s.MarkCold(id, time.Duration(rapid.IntRange(1, 9).Draw(t, "seconds"))*time.Second, start)
+			want := newView(s.all, s.evacuated)
+			assert.DeepEqual(t, s.View().byService, want.byService)
+			assert.DeepEqual(t, s.View().all, want.all)
+		}
+	})
+}
--- a/pkg/state/targets/targets.go
+++ b/pkg/state/targets/targets.go
@@ -4,6 +4,8 @@
 package targets
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -89,6 +91,21 @@
 	return n
 }
 
+// with returns the view with another state of a target. all holds that state
+// already. The lists of other services are shared.
+func (v *View) with(t *Target, all map[string]*Target) *View {
+	next := &View{byService: v.byService, all: all}
+	list := v.byService[t.Service]
+	i := sort.Search(len(list), func(i int) bool { return list[i].ID >= t.ID })
+	if i == len(list) || list[i].ID != t.ID {
+		return next // the target is leaving or evacuated
+	}
+	next.byService = maps.Clone(v.byService)
+	next.byService[t.Service] = slices.Clone(list)
+	next.byService[t.Service][i] = t
+	return next
+}
+
 func newView(all map[string]*Target, evacuated map[string]bool) *View {
 	v := &View{byService: map[string][]*Target{}, all: all}
 	for _, t := range all {
--- a/pkg/steering/placement/choice.go
+++ b/pkg/steering/placement/choice.go
@@ -32,37 +32,72 @@
 	sent     time.Time
 }
 
+// allows reports whether the request may be sent to a target.
+func (q *Query) allows(t *targets.Target) bool {
+	return !q.Excluded[t.ID] && q.Route.MayRunIn(t.Region)
+}
+
+// bestLocal returns the best target of the own region, which weigh by their
+// slots.
+func (p *Picker) bestLocal(s *pool, object string, q Query) *Choice {
+	return p.bestOf(s, s.division.local, object, q, func(t *targets.Target) float64 { return float64(t.Slots) })
+}
+
+// bestRemote returns the best target of the other regions, which weigh by what
+// their own callers leave of them.
+func (p *Picker) bestRemote(s *pool, object string, q Query) *Choice {
+	spares := s.division.spares(q.Route, p.cfg.Region, p.cfg.Demand)
+	return p.bestOf(s, s.division.remote, object, q, func(t *targets.Target) float64 {
+		return spares[t.Region] * float64(t.Slots)
+	})
+}
+
+// shortlist is the number of targets in an object's order that are looked at
+// first. Nearly always the replicas are among them.
+const shortlist = 8
+
 // bestOf returns the target with the lowest expected completion among the
-// first ones in the object's order. spares weighs the targets of other regions;
-// it is nil for those of the own region, which weigh by their slots alone.
-func (p *Picker) bestOf(s *pool, group []*targets.Target, spares map[string]float64, object string, q Query) *Choice {
-	names := make([]string, len(group))
-	weights := make([]float64, len(group))
+// first usable ones in the object's order. Targets without weight do not count.
+func (p *Picker) bestOf(s *pool, group []*targets.Target, object string, q Query, weight func(*targets.Target) float64) *Choice {
+	for n := shortlist; ; n *= shortlist {
+		best, place := p.bestOfFirst(s, n, group, object, q, weight)
+		if place == replicas || n >= len(group) {
+			return best
+		}
+	}
+}
+
+// bestOfFirst is bestOf for the first n targets of the order. It returns the
+// number of those that are usable, up to the replicas.
+func (p *Picker) bestOfFirst(s *pool, n int, group []*targets.Target, object string, q Query, weight func(*targets.Target) float64) (best *Choice, place int) {
+	order := newOrder(object, n)
 	for i, t := range group {
-		names[i] = t.ID
-		weights[i] = float64(t.Slots)
-		if spares != nil {
-			weights[i] *= spares[t.Region]
+		if w := weight(t); w > 0 && q.allows(t) {
+			order.add(i, t.ID, w)
 		}
 	}
-	var best *Choice
 	lowest := math.Inf(1)
-	for place, i := range rank(object, names, weights) {
-		if place >= replicas && best != nil {
+	for _, r := range order.first {
+		if place == replicas {
 			break
 		}
-		c, cost := p.evaluate(s, group[i], object, place, q)
+		t := group[r.index]
+		if !p.usable(s, t, q.Now) {
+			continue
+		}
+		c, cost := p.evaluate(s, t, object, place, q)
 		if cost < lowest {
 			best, lowest = c, cost
 		}
+		place++
 	}
-	return best
+	return best, place
 }
 
 // evaluate estimates the completion of a request at one target. The cost adds
 // to the expected time what else speaks against the target.
 func (p *Picker) evaluate(s *pool, t *targets.Target, object string, place int, q Query) (*Choice, float64) {
-	g := s.gauge(t)
+	g := s.known(t)
 	w := s.work.of(q.Route.Name, q.Route.Goal)
 	slow := p.slow(g, t, q.Now)
 	inFlight := g.inFlight(p.peers.at(t.ID, q.Now), q.Now)
--- a/pkg/steering/placement/peers.go
+++ b/pkg/steering/placement/peers.go
@@ -93,6 +93,29 @@
 	return load
 }
 
+// Busy reports whether this VM has anything to tell of the targets.
+func (p *Picker) Busy(now time.Time) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, s := range p.services {
+		if s.busy(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *pool) busy(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.gauges {
+		if g.told(now) != (TargetLoad{}) {
+			return true
+		}
+	}
+	return false
+}
+
 // told returns what the peers should know of the target.
 func (g *gauge) told(now time.Time) TargetLoad {
 	l := TargetLoad{InFlight: g.own}
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -83,6 +83,8 @@
 	warm   map[string]map[targets.Key]time.Time
 	spill  spill
 	uses   map[string]regionUse
+	// division is the list of targets that was used last.
+	division division
 }
 
 // New returns a Picker without knowledge.
@@ -112,6 +114,7 @@
 	return s
 }
 
+// gauge returns the gauge of a target that this VM uses.
 func (s *pool) gauge(t *targets.Target) *gauge {
 	g := s.gauges[t.Key()]
 	if g == nil {
@@ -121,6 +124,18 @@
 	return g
 }
 
+// unused is the gauge of targets that this VM has not used. It is not changed.
+var unused gauge
+
+// known returns what is known of a target, without a gauge for each of the
+// thousands of targets of a large site.
+func (s *pool) known(t *targets.Target) *gauge {
+	if g := s.gauges[t.Key()]; g != nil {
+		return g
+	}
+	return &unused
+}
+
 // Forget drops what is known of a target that left. Requests that are still in
 // flight there end without being counted.
 func (p *Picker) Forget(service string, key targets.Key) {
@@ -140,38 +155,37 @@
 	s := p.pool(q.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	local, remote := p.split(s, list, q)
+	s.division.of(list, p.cfg.Region)
 	if s.spill.due(q.Now) {
-		s.spill.update(p.initialSpill(list, q.Route), p.use(s, local, q.Now), s.usedElsewhere(remote, q.Now),
-			p.cfg.ShiftShare, q.Now)
+		p.updateSpill(s, q)
 	}
 	object := q.Object
 	if object == "" || !q.Route.Sticky {
 		object = strconv.FormatFloat(p.cfg.Rand(), 'x', -1, 64)
 	}
-	spilled := len(remote) > 0 && (len(local) == 0 || handsOver(object, s.spill.share, p.cfg.Rand()))
+	local, all := s.division.allowed(q.Route, p.cfg.Region)
+	spilled := all > local && (local == 0 || handsOver(object, s.spill.share, p.cfg.Rand()))
 	var best *Choice
 	if !spilled {
-		best = p.bestOf(s, local, nil, object, q)
+		best = p.bestLocal(s, object, q)
 	}
 	if best == nil {
-		best = p.bestOf(s, remote, p.spares(list, q.Route), object, q)
+		best = p.bestRemote(s, object, q)
 	}
 	if best == nil && spilled {
-		best = p.bestOf(s, local, nil, object, q)
+		best = p.bestLocal(s, object, q)
 	}
 	if best == nil {
 		return nil, false
 	}
-	best.Spilled = spilled
+	best.Spilled = spilled || best.Target.Region != p.cfg.Region
 	g := s.gauge(best.Target)
 	g.own++
 	return best, true
 }
 
 func (p *Picker) usable(s *pool, t *targets.Target, now time.Time) bool {
-	g := s.gauge(t)
-	if g.ejected(now) {
+	if s.known(t).ejected(now) {
 		return false
 	}
 	return !t.Cold(now) || p.cfg.ColdAllowed(t, now)
--- a/pkg/steering/placement/regions.go
+++ b/pkg/steering/placement/regions.go
@@ -22,6 +22,26 @@
 	usualUse = 0.7
 )
 
+// updateSpill moves the share of the objects that other regions serve.
+func (p *Picker) updateSpill(s *pool, q Query) {
+	own, all := s.division.allowed(q.Route, p.cfg.Region)
+	initial := balanced(own, all, p.cfg.Demand(p.cfg.Region))
+	use := p.use(s, p.usableOf(s, s.division.local, q), q.Now)
+	others := s.usedElsewhere(p.usableOf(s, s.division.remote, q), q.Now)
+	s.spill.update(initial, use, others, p.cfg.ShiftShare, q.Now)
+}
+
+// usableOf returns the targets of a group that may take a request.
+func (p *Picker) usableOf(s *pool, group []*targets.Target, q Query) []*targets.Target {
+	var usable []*targets.Target
+	for _, t := range group {
+		if q.allows(t) && p.usable(s, t, q.Now) {
+			usable = append(usable, t)
+		}
+	}
+	return usable
+}
+
 // usedElsewhere returns the share of the slots of targets of other regions
 // that is in use.
 func (s *pool) usedElsewhere(remote []*targets.Target, now time.Time) float64 {
@@ -67,56 +87,58 @@
 	return spills
 }
 
-// split divides the usable targets into those of this region and others.
-func (p *Picker) split(s *pool, list []*targets.Target, q Query) (local, remote []*targets.Target) {
+// division is a list of targets divided by regions.
+type division struct {
+	list          []*targets.Target
+	local, remote []*targets.Target
+	slots         map[string]int // of each region
+}
+
+// of divides a list, which is not changed afterwards. A list that was divided
+// last is not divided again.
+func (d *division) of(list []*targets.Target, region string) {
+	if d.slots != nil && len(list) == len(d.list) && (len(list) == 0 || &list[0] == &d.list[0]) {
+		return
+	}
+	*d = division{list: list, slots: map[string]int{}}
 	for _, t := range list {
-		if q.Excluded[t.ID] || !q.Route.MayRunIn(t.Region) || !p.usable(s, t, q.Now) {
-			continue
-		}
-		if t.Region == p.cfg.Region {
-			local = append(local, t)
+		d.slots[t.Region] += t.Slots
+		if t.Region == region {
+			d.local = append(d.local, t)
 		} else {
-			remote = append(remote, t)
+			d.remote = append(d.remote, t)
 		}
 	}
-	return local, remote
 }
 
-// initialSpill is the share of objects that other regions serve at first.
-func (p *Picker) initialSpill(list []*targets.Target, r *route.Route) float64 {
-	local, all := 0, 0
-	for _, t := range list {
-		if !r.MayRunIn(t.Region) {
+// allowed returns the slots of a region and of all regions in which a route's
+// requests may run.
+func (d *division) allowed(route *route.Route, region string) (own, all int) {
+	for other, n := range d.slots {
+		if !route.MayRunIn(other) {
 			continue
 		}
-		all += t.Slots
-		if t.Region == p.cfg.Region {
-			local += t.Slots
+		all += n
+		if other == region {
+			own = n
 		}
 	}
-	return balanced(local, all, p.cfg.Demand(p.cfg.Region))
+	return own, all
 }
 
 // minSpare keeps every region in use as a helper, though it may have no more
 // capacity than its own callers need.
 const minSpare = 0.1
 
-// spares returns for each other region the part of its capacity that its own
+// spares returns for each region but one the part of its capacity that its own
 // callers do not need, if all regions' callers send as much as assumed. It
-// weighs the regions that help this one.
-func (p *Picker) spares(list []*targets.Target, r *route.Route) map[string]float64 {
-	slots := map[string]float64{}
-	all := 0.0
-	for _, t := range list {
-		if r.MayRunIn(t.Region) {
-			slots[t.Region] += float64(t.Slots)
-			all += float64(t.Slots)
-		}
-	}
+// weighs the regions that help the one.
+func (d *division) spares(route *route.Route, region string, demand func(region string) float64) map[string]float64 {
+	_, all := d.allowed(route, region)
 	spares := map[string]float64{}
-	for region, n := range slots {
-		if region != p.cfg.Region && n > 0 {
-			spares[region] = max(minSpare, (n-all*p.cfg.Demand(region))/n)
+	for other, n := range d.slots {
+		if other != region && n > 0 && route.MayRunIn(other) {
+			spares[other] = max(minSpare, (float64(n)-float64(all)*demand(other))/float64(n))
 		}
 	}
 	return spares
@@ -126,7 +148,7 @@
 func (p *Picker) use(s *pool, list []*targets.Target, now time.Time) float64 {
 	busy, slots := 0.0, 0
 	for _, t := range list {
-		busy += s.gauge(t).inFlight(p.peers.at(t.ID, now), now)
+		busy += s.known(t).inFlight(p.peers.at(t.ID, now), now)
 		slots += t.Slots
 	}
 	if slots == 0 {
