Scale expected waits by those that answers have shown

Cause: requests were refused that would have been served in time. The requests in flight are known late and err upwards where they are many, and slots come free sooner than the mean work says.

--- a/pkg/steering/placement/choice.go
+++ b/pkg/steering/placement/choice.go
@@ -27,6 +27,7 @@
 	Spilled  bool          // the object belongs to targets of another region
 	LoadAge  time.Duration // age of the last load report; negative for none
 	Wait     time.Duration // part of Expected that the request waits for a slot
+	unscaled float64       // Wait without the learned scale, in seconds
 	route    *route.Route
 	object   string
 	sent     time.Time
@@ -114,11 +115,12 @@
 		worth := (s.spill.use - investmentUse) / (1 - investmentUse)
 		investment = (time1 - w.warm) * max(0, min(maxInvestment, worth))
 	}
-	wait := 0.0
+	unscaled := 0.0
 	if free := float64(t.Slots) - inFlight; free < 1 {
 		mean := 0.8*w.warm + 0.2*w.cold
-		wait = (1 - free) * mean * slow / float64(t.Slots)
+		unscaled = (1 - free) * mean * slow / float64(t.Slots)
 	}
+	wait := unscaled * s.waits.factor()
 	delay := p.delay(t.Region)
 	expected := delay + wait + time1*slow
 	cost := expected - investment + g.failures*failureCost
@@ -130,7 +132,8 @@
 	}
 	c := &Choice{
 		Target: t, Expected: time.Duration(expected * float64(time.Second)), InFlight: inFlight, Warm: warm,
-		Rank: place, Wait: time.Duration(wait * float64(time.Second)), route: q.Route, object: object, sent: q.Now, LoadAge: -1,
+		Rank: place, Wait: time.Duration(wait * float64(time.Second)), unscaled: unscaled,
+		route: q.Route, object: object, sent: q.Now, LoadAge: -1,
 	}
 	if !g.reported.IsZero() {
 		c.LoadAge = q.Now.Sub(g.reported)
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -80,6 +80,7 @@
 	mu     sync.Mutex
 	gauges map[targets.Key]*gauge
 	work   workTable
+	waits  waitScale
 	warm   map[string]map[targets.Key]time.Time
 	spill  spill
 	uses   map[string]regionUse
@@ -106,7 +107,7 @@
 	defer p.mu.Unlock()
 	if s = p.services[service]; s == nil {
 		s = &pool{
-			gauges: map[targets.Key]*gauge{}, work: workTable{routes: map[string]*work{}},
+			waits: newWaitScale(), gauges: map[targets.Key]*gauge{}, work: workTable{routes: map[string]*work{}},
 			warm: map[string]map[targets.Key]time.Time{}, uses: map[string]regionUse{},
 		}
 		p.services[service] = s
@@ -234,8 +235,11 @@
 
 // learn updates the work of the route and the objects that a target knows.
 func (s *pool) learn(c *Choice, slow float64, r Result) {
+	seconds := r.Now.Sub(c.sent).Seconds()
+	if c.unscaled > 0 && !c.Target.Cold(r.Now) {
+		s.waits.learn(c.unscaled, seconds-(c.Expected-c.Wait).Seconds())
+	}
 	if c.Wait == 0 && !c.Target.Cold(r.Now) {
-		seconds := r.Now.Sub(c.sent).Seconds()
 		s.work.of(c.route.Name, c.route.Goal).learn(seconds/max(1, slow), c.Warm)
 	}
 	if !c.route.Sticky {
