Give each availability zone an even part of the VMs of a large region

Cause: 64 addresses chosen for each zone by itself leave VMs out where a region has few zones: of 140 VMs in four zones about 15 would be named to none, and some to all. The parts now start at even distances in one order, so that they cover all VMs, each is named to two zones at most, and a VM that leaves changes one or two addresses of a part.

TestLookupsOfAllZonesNameAllVMs asks four zones instead of twelve and fails on the code before.

--- a/pkg/gateway/directory.go
+++ b/pkg/gateway/directory.go
@@ -1,10 +1,6 @@
 package gateway
 
-import (
-	"slices"
-
-	"hickoryroute/pkg/steering/placement"
-)
+import "slices"
 
 // maxDirectory is the number of VMs that one look-up names.
 const maxDirectory = 64
@@ -13,14 +9,36 @@
 // should use for a host, without those that have fallen silent: those of its
 // own region, else those of regions that may run the host's requests, else all.
 // Of each region the VMs are named that carry the most together. Where these
-// are too many for one answer, each zone's clients get some of their own, which
-// stay the same while VMs join and leave. The list must not be changed.
+// are too many for one answer, each availability zone's clients get a part of
+// them. The list must not be changed.
 func (g *Gateway) Directory(host, region, zone string) []string {
 	list := g.candidates(host, region)
-	if len(list) > maxDirectory {
-		return placement.Chosen(zone, list, maxDirectory)
+	if len(list) <= maxDirectory {
+		return list
+	}
+	zones := g.zones(region)
+	return window(list, max(0, slices.Index(zones, zone)), max(1, len(zones)))
+}
+
+// window returns maxDirectory addresses for one of several availability zones.
+// The parts of the zones start at even distances in the order of the list, so
+// that they cover all of it, and callers keep nearly all of theirs when a VM
+// joins or leaves.
+func window(list []string, zone, zones int) []string {
+	start := zone * len(list) / zones
+	return slices.Concat(list[start:], list[:start])[:maxDirectory]
+}
+
+// zones returns the availability zones of a region, in order.
+func (g *Gateway) zones(region string) []string {
+	var zones []string
+	for zone, r := range g.cfg.Regions {
+		if r == region {
+			zones = append(zones, zone)
+		}
 	}
-	return list
+	slices.Sort(zones)
+	return zones
 }
 
 // candidates returns the addresses of all VMs that suit a client.
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -118,23 +119,41 @@
 	}
 }
 
-// Guards against VMs that no look-up ever names: one answer holds at most
+// Guards against VMs that no look-up ever names, and against VMs that many
+// zones name while others are named by one: one answer holds at most
 // maxDirectory addresses, and 76 of 140 VMs of a region were left out.
 func TestLookupsOfAllZonesNameAllVMs(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	g := newTestGateway(&now)
+	zones := []string{"z0", "z1", "z2", "z3"}
+	for _, zone := range zones {
+		g.cfg.Regions[zone] = "r"
+	}
+	delete(g.cfg.Regions, "z")
 	listVMs(g, 140, 0)
-	seen := map[string]int{}
-	for zone := range 12 {
-		name := fmt.Sprintf("zone-%d", zone)
-		list := g.Directory("h", "r", name)
-		assert.Equal(t, len(list), maxDirectory)
-		assert.DeepEqual(t, g.Directory("h", "r", name), list)
-		for _, address := range list {
+	lists, seen := map[string][]string{}, map[string]int{}
+	for _, zone := range zones {
+		lists[zone] = g.Directory("h", "r", zone)
+		assert.Equal(t, len(lists[zone]), maxDirectory)
+		for _, address := range lists[zone] {
 			seen[address]++
 		}
 	}
 	assert.Equal(t, len(seen), 140)
+	for address, n := range seen {
+		assert.Assert(t, n <= 2, "%s is named to %d of 4 zones", address, n)
+	}
+	assert.Equal(t, len(g.Directory("h", "r", "elsewhere")), maxDirectory)
+	listVMs(g, 139, 0) // one VM leaves
+	for _, zone := range zones {
+		kept := 0
+		for _, address := range g.Directory("h", "r", zone) {
+			if slices.Contains(lists[zone], address) {
+				kept++
+			}
+		}
+		assert.Assert(t, kept >= maxDirectory-2, "%d of %d addresses stay", kept, maxDirectory)
+	}
 }
 
 // Guards against roles that are computed anew for each look-up, and against
--- a/pkg/gateway/roles.go
+++ b/pkg/gateway/roles.go
@@ -18,7 +18,8 @@
 	// of the own region that have fallen silent.
 	named   []feed.VM
 	isNamed map[string]bool
-	// addresses are the caller addresses of the named VMs of each region.
+	// addresses are the caller addresses of the named VMs of each region. Those
+	// that are too many for one look-up are in an order that mixes the zones.
 	addresses map[string][]string
 	// readers are the VMs that read the store for the VMs of this region, and
 	// reads tells whether this VM reads for itself or others.
@@ -64,6 +65,11 @@
 			r.addresses[vm.Region] = append(r.addresses[vm.Region], vm.CallerAddress)
 		}
 	}
+	for region, list := range r.addresses {
+		if len(list) > maxDirectory {
+			r.addresses[region] = placement.Chosen("directory", list, len(list))
+		}
+	}
 }
 
 // chooseReaders chooses among the VMs of this region with fast links. On small
