--- a/pkg/steering/placement/choice.go
+++ b/pkg/steering/placement/choice.go
@@ -95,50 +95,80 @@
 	return best, place
 }
 
+// warmWaiting is the part of the requests at a target that are on objects which
+// it knows.
+const warmWaiting = 0.8
+
 // evaluate estimates the completion of a request at one target. The cost adds
-// to the expected time what else speaks against the target.
+// to the expected time what else speaks for or against the target.
 func (p *Picker) evaluate(s *pool, t *targets.Target, object string, place int, q Query) (*Choice, float64) {
 	g := s.known(t)
 	w := s.work.of(q.Route.Name, q.Route.Goal)
 	slow := p.slow(g, t, q.Now)
 	inFlight := g.inFlight(p.peers.at(t.ID, q.Now), q.Now)
 	warm := s.isWarm(object, t, place, q)
-	time1 := w.cold
-	if warm {
-		time1 = w.warm
+	work := w.at(t, warm, q.Now)
+	unscaled := w.waitFor(t, inFlight) * slow
+	wait := unscaled * s.waits.factor()
+	expected := p.delay(t.Region) + wait + work*slow
+	c := &Choice{
+		Target: t, Expected: duration(expected), InFlight: inFlight, Warm: warm, Rank: place, Wait: duration(wait),
+		unscaled: unscaled, route: q.Route, object: object, sent: q.Now, LoadAge: -1,
 	}
-	if t.Cold(q.Now) {
-		time1 *= coldFactor
+	if !g.reported.IsZero() {
+		c.LoadAge = q.Now.Sub(g.reported)
 	}
-	investment := 0.0
-	if !warm && place < replicas && s.sticky(q) {
-		worth := (s.spill.use - investmentUse) / (1 - investmentUse)
-		investment = (time1 - w.warm) * max(0, min(maxInvestment, worth))
+	cost := expected + p.penalty(g, t)
+	if !warm && s.sticky(q) {
+		cost -= s.investment(work - w.warm)
 	}
-	unscaled := 0.0
-	if free := float64(t.Slots) - inFlight; free < 1 {
-		mean := 0.8*w.warm + 0.2*w.cold
-		unscaled = (1 - free) * mean * slow / float64(t.Slots)
+	return c, cost
+}
+
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// at returns the time that a target works on a request, in seconds, if its
+// machine is not slow.
+func (w *work) at(t *targets.Target, warm bool, now time.Time) float64 {
+	work := w.cold
+	if warm {
+		work = w.warm
 	}
-	wait := unscaled * s.waits.factor()
-	delay := p.delay(t.Region)
-	expected := delay + wait + time1*slow
-	cost := expected - investment + g.failures*failureCost
+	if t.Cold(now) {
+		work *= coldFactor
+	}
+	return work
+}
+
+// waitFor returns the time until a target with requests in flight has a free
+// slot, in seconds, if its machine is not slow.
+func (w *work) waitFor(t *targets.Target, inFlight float64) float64 {
+	free := float64(t.Slots) - inFlight
+	if free >= 1 {
+		return 0
+	}
+	mean := warmWaiting*w.warm + (1-warmWaiting)*w.cold
+	return (1 - free) * mean / float64(t.Slots)
+}
+
+// investment returns the part of the additional work on an unknown object that
+// does not count, because the target knows the object from then on.
+func (s *pool) investment(additional float64) float64 {
+	worth := (s.spill.use - investmentUse) / (1 - investmentUse)
+	return additional * max(0, min(maxInvestment, worth))
+}
+
+// penalty returns what speaks against a target besides the expected time, in
+// seconds.
+func (p *Picker) penalty(g *gauge, t *targets.Target) float64 {
+	cost := g.failures * failureCost
 	if g.failures > grayFailures {
 		cost += failureCost
 	}
 	if t.Region != p.cfg.Region {
 		cost += remoteCost
 	}
-	c := &Choice{
-		Target: t, Expected: time.Duration(expected * float64(time.Second)), InFlight: inFlight, Warm: warm,
-		Rank: place, Wait: time.Duration(wait * float64(time.Second)), unscaled: unscaled,
-		route: q.Route, object: object, sent: q.Now, LoadAge: -1,
-	}
-	if !g.reported.IsZero() {
-		c.LoadAge = q.Now.Sub(g.reported)
-	}
-	return c, cost
+	return cost
 }
 
 func (p *Picker) slow(g *gauge, t *targets.Target, now time.Time) float64 {
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -233,7 +233,8 @@
 	}
 }
 
-// learn updates the work of the route and the objects that a target knows.
+// learn updates the work of the route, the scale of waits and the objects that a
+// target knows.
 func (s *pool) learn(c *Choice, slow float64, r Result) {
 	seconds := r.Now.Sub(c.sent).Seconds()
 	if c.unscaled > 0 && !c.Target.Cold(r.Now) {
@@ -242,9 +243,13 @@
 	if c.Wait == 0 && !c.Target.Cold(r.Now) {
 		s.work.of(c.route.Name, c.route.Goal).learn(seconds/max(1, slow), c.Warm)
 	}
-	if !c.route.Sticky {
-		return
+	if c.route.Sticky {
+		s.remember(c, r.Now)
 	}
+}
+
+// remember notes that a target knows an object.
+func (s *pool) remember(c *Choice, now time.Time) {
 	known := s.warm[c.object]
 	if known == nil {
 		if len(s.warm) >= maxWarm {
@@ -253,5 +258,5 @@
 		known = map[targets.Key]time.Time{}
 		s.warm[c.object] = known
 	}
-	known[c.Target.Key()] = r.Now
+	known[c.Target.Key()] = now
 }
