Keep the slot of a cancelled request until its target has ended it

Cause of TestScripts/owner_killed_under_load and pair_second_outage shedding requests on an overloaded machine: the loser of a hedge gave its slot back a fixed 10 ms after the cancellation, whether or not its target had noticed. A cancelled request now closes only the sending side; its reservation ends when the target closes the connection, at the latest at the deadline.

Also: a VM whose only owner missed one reply, or was reported dead by the members, refused all its requests for a second; such owners are now asked when no other is left. The registration keeps its lease before it writes the record, so a planned stop in between leaves none (TestLookupAndPlannedStop).

--- a/pkg/coordination/feed/vm_registry.go
+++ b/pkg/coordination/feed/vm_registry.go
@@ -58,8 +58,9 @@
 
 	// The fields below are guarded by follower.mu.
 
-	lease        platform.LeaseID
-	registeredAt time.Time // when the record was last written
+	lease        platform.LeaseID // the last one granted; 0 before the first
+	registered   bool             // the record was written under lease
+	registeredAt time.Time        // when the record was last written
 	deregistered bool
 	listed       map[string]VM // VMs in list, by ID
 	decoder      decoder[VM]
@@ -130,33 +131,47 @@
 	return !listed && v.cache.confirmedAt.Sub(v.registeredAt) > v.cfg.Timing.MaxCopyAge
 }
 
-// renew renews the lease, or registers this VM under a new one.
+// renew renews the lease, or registers this VM.
 func (v *VMRegistry) renew(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, v.cfg.Timing.CallTimeout)
 	defer cancel()
 	v.mu.Lock()
-	lease, deregistered, lost := v.lease, v.deregistered, v.recordLost()
+	lease, deregistered, mustWrite := v.lease, v.deregistered, !v.registered || v.recordLost()
 	v.mu.Unlock()
 	if deregistered {
 		return nil
 	}
-	if lease != 0 && !lost {
+	if lease != 0 {
 		err := v.cfg.Store.KeepAlive(ctx, lease)
-		if err == nil || !errors.Is(err, platform.ErrLeaseExpired) {
+		if err == nil && mustWrite {
+			err = v.writeRecord(ctx, lease)
+		}
+		if !errors.Is(err, platform.ErrLeaseExpired) {
 			return err
 		}
-		v.mu.Lock()
-		v.lease = 0
-		v.mu.Unlock()
 	}
 	return v.register(ctx)
 }
 
+// register writes the record of this VM under a new lease. The lease is stored
+// before the write, so that Deregister revokes it also during the write.
 func (v *VMRegistry) register(ctx context.Context) error {
 	lease, err := v.cfg.Store.Grant(ctx, v.cfg.Timing.LeaseTTL)
 	if err != nil {
 		return err
 	}
+	v.mu.Lock()
+	v.lease, v.registered = lease, false
+	deregistered := v.deregistered
+	v.mu.Unlock()
+	if deregistered {
+		return v.cfg.Store.Revoke(ctx, lease)
+	}
+	return v.writeRecord(ctx, lease)
+}
+
+// writeRecord writes the record of this VM under the lease.
+func (v *VMRegistry) writeRecord(ctx context.Context, lease platform.LeaseID) error {
 	value, err := json.Marshal(v.cfg.Self)
 	if err != nil {
 		return errors.Wrap(err, "encode the record of this VM")
@@ -174,7 +189,7 @@
 		return err
 	}
 	v.mu.Lock()
-	v.lease, v.registeredAt = lease, v.cfg.Now()
+	v.registered, v.registeredAt = true, v.cfg.Now()
 	v.mu.Unlock()
 	v.cfg.Logger.Log(EventVMRegistered, eventlog.Fields{"vm": v.cfg.Self.ID, "lease": int64(lease)})
 	return nil
--- a/pkg/entry/routing_view.go
+++ b/pkg/entry/routing_view.go
@@ -161,10 +161,13 @@
 	var list []steering.OwnerInfo
 	for _, o := range view.owners[serviceRegion{service, region}] {
 		m, found := members[o.address]
-		if found && (m.State == protocol.MemberDead || m.State == protocol.MemberLeft) {
+		if found && m.State == protocol.MemberLeft {
 			continue
 		}
-		info := steering.OwnerInfo{Address: o.address, Zone: o.zone, FreeSlots: m.FreeSlots[service]}
+		info := steering.OwnerInfo{
+			Address: o.address, Zone: o.zone, FreeSlots: m.FreeSlots[service],
+			SuspectedDead: found && m.State == protocol.MemberDead,
+		}
 		if o.address == v.cfg.PeerAddress {
 			info.FreeSlots = v.slotOwner.FreeSlots()[service]
 		}
--- a/pkg/entry/sender.go
+++ b/pkg/entry/sender.go
@@ -76,11 +76,12 @@
 		kind = steering.FailInternal
 	}
 	return &steering.SendError{
-		Kind:     kind,
-		Written:  failure.Written > 0,
-		NotRun:   failure.NotRun,
-		Draining: failure.Draining,
-		Err:      err,
+		Kind:         kind,
+		Written:      failure.Written > 0,
+		NotRun:       failure.NotRun,
+		Draining:     failure.Draining,
+		TargetClosed: failure.TargetClosed,
+		Err:          err,
 	}
 }
 
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -142,7 +142,7 @@
 	if err := v.buildTickets(); err != nil {
 		return err
 	}
-	v.targetClient = target.New(target.Config{Dial: v.cfg.Dial, Limiter: v.links})
+	v.targetClient = target.New(target.Config{Dial: v.cfg.Dial, Limiter: v.links, ConfirmCancel: true})
 	v.targetManager = &targetManager{
 		region: v.cfg.Region, seats: v.seats, slotOwner: v.slotOwner,
 		prober:        &target.Prober{Client: v.targetClient, LocalRegion: v.cfg.Region, Timeout: targetProbeTimeout},
--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -195,12 +195,26 @@
 	}
 	r.countAttempt(a, f.Kind.String())
 	r.reportDraining(a, f.Draining)
-	a.grant.release(r, releaseResult(f), r.cfg.Now().Sub(a.sentAt), f.Draining)
+	a.releaseFailed(f, r.cfg.Now().Sub(a.sentAt))
 	a.cancelExpiry()
 	a.cancel()
 	a.group.finished <- a
 }
 
+// releaseFailed releases the reservation of a failed attempt. A target that may
+// still run a cancelled request keeps its slot until it has ended it.
+func (a *attempt) releaseFailed(f *SendError, latency time.Duration) {
+	release := func() { a.grant.release(a.group.router, releaseResult(f), latency, f.Draining) }
+	if f.TargetClosed == nil {
+		release()
+		return
+	}
+	go func() {
+		<-f.TargetClosed
+		release()
+	}()
+}
+
 // releaseResult returns the result with which the reservation of a failed
 // attempt is released.
 func releaseResult(f *SendError) protocol.ReleaseResult {
--- a/pkg/steering/owners.go
+++ b/pkg/steering/owners.go
@@ -91,9 +91,9 @@
 	full     bool // reported no free slot within fullOwnerPause
 }
 
-// candidates merges gossiped counts with newer replies and leaves out owners
-// that did not reply.
-func (t *ownerTable) candidates(owners []OwnerInfo, self string, now time.Time) []candidate {
+// candidates merges gossiped counts with newer replies. Unless all is set, it
+// leaves out owners that did not reply or are suspected dead.
+func (t *ownerTable) candidates(owners []OwnerInfo, self string, all bool, now time.Time) []candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := make([]candidate, 0, len(owners))
@@ -102,7 +102,8 @@
 		if !state.updatedAt.IsZero() {
 			age = now.Sub(state.updatedAt)
 		}
-		if state.unresponsive && age < unresponsiveOwnerPause {
+		paused := o.SuspectedDead || state.unresponsive && age < unresponsiveOwnerPause
+		if paused && !all {
 			continue
 		}
 		if o.FreeSlots > state.peakFree && len(t.owners) < maxOwners {
--- a/pkg/steering/reserve.go
+++ b/pkg/steering/reserve.go
@@ -81,6 +81,10 @@
 	defer func() { r.metrics.reserveWait.Update(r.cfg.Now().Sub(start).Seconds()) }()
 	for round := 0; ; round++ {
 		regions := r.usableRegions(c)
+		if len(regions) == 0 && !c.asksAllOwners {
+			c.asksAllOwners = true
+			regions = r.usableRegions(c)
+		}
 		if len(regions) == 0 {
 			return nil, r.noRegionProblem(c)
 		}
@@ -91,12 +95,19 @@
 		if ctx.Err() != nil || !r.cfg.Now().Before(c.deadline) {
 			return nil, deadlineProblem(c)
 		}
-		if !queued {
+		if !queued && !r.mayAskAllOwners(c) {
 			return nil, noRoomProblem(c)
 		}
 	}
 }
 
+// mayAskAllOwners reports whether no owner is left to ask but those that are
+// unresponsive or suspected dead. They may have been slow only: a single missed
+// reply of the only owner would otherwise refuse all requests for a second.
+func (r *Router) mayAskAllOwners(c *call) bool {
+	return !c.asksAllOwners && len(r.usableRegions(c)) == 0
+}
+
 // reserveRound tries all regions once. Targets that are slow are avoided while
 // another target has a free slot or is about to have one. queued reports that
 // the request waited in a queue, so that another round is worthwhile.
@@ -167,7 +178,7 @@
 // candidates returns the owners in a region that may be asked.
 func (r *Router) candidates(c *call, region string) []candidate {
 	owners := r.cfg.Owners(c.req.Service, region)
-	return c.state.owners.candidates(owners, r.cfg.Self, r.cfg.Now())
+	return c.state.owners.candidates(owners, r.cfg.Self, c.asksAllOwners, r.cfg.Now())
 }
 
 // hasHeadroom reports whether the owners in a region have enough free slots for
--- a/pkg/steering/router.go
+++ b/pkg/steering/router.go
@@ -31,6 +31,9 @@
 	Address   string // peer address
 	FreeSlots int    // last gossiped count
 	Zone      string
+	// SuspectedDead means that the members report the owner as dead. It still
+	// holds its seats, so it is asked only if no other owner is left.
+	SuspectedDead bool
 }
 
 // SendRequest is the request of one attempt to one target.
@@ -205,6 +208,7 @@
 	startedAt time.Time
 
 	triedTargets   []string        // names of targets already tried
+	asksAllOwners  bool            // also asks owners that are unresponsive or suspected dead
 	skippedRegions map[string]bool // regions behind a full link
 	mayHaveRun     bool
 	reroutes       int // attempts after one that certainly did not run
--- a/pkg/steering/send_error.go
+++ b/pkg/steering/send_error.go
@@ -45,7 +45,10 @@
 	Written  bool // at least one byte of the request was written
 	NotRun   bool // the target refused the request before running it
 	Draining bool // the target has shown that it is draining
-	Err      error
+	// TargetClosed is closed once the target has ended a cancelled request, which
+	// uses its slot until then. It is nil if nothing is known about that.
+	TargetClosed <-chan struct{}
+	Err          error
 }
 
 // Error describes the failure.
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -113,6 +113,7 @@
 	echoed      bool
 	readSurplus bool // a response to an earlier request was read on the connection
 	resp        *http.Response
+	interrupted sync.Once
 	finished    sync.Once
 }
 
@@ -122,7 +123,7 @@
 		x.conn.deadline = end
 		_ = x.conn.SetDeadline(end)
 	}
-	x.stopCancel = context.AfterFunc(x.ctx, func() { _ = x.conn.Close() })
+	x.stopCancel = context.AfterFunc(x.ctx, x.interrupt)
 	if x.ctx.Err() != nil {
 		return nil, x.fail(KindTimeout, errDeadlinePassed)
 	}
@@ -277,6 +278,16 @@
 // abort stops the request body and closes the connection.
 func (x *exchange) abort() {
 	x.body.stop()
+	x.closeOrInterrupt()
+}
+
+// closeOrInterrupt closes the connection. After a cancellation that the target
+// has to confirm, it only interrupts it.
+func (x *exchange) closeOrInterrupt() {
+	if x.ctx.Err() != nil {
+		x.interrupt()
+		return
+	}
 	_ = x.conn.Close()
 }
 
@@ -295,6 +306,10 @@
 		f.Header = x.resp.Header
 		f.Draining = x.dialect().IsDraining(x.resp.Header)
 	}
+	if f.Kind == KindCancelled && x.confirmsCancel() && written > 0 {
+		f.TargetClosed = x.finishOnceTargetCloses()
+		return f
+	}
 	x.finish(false)
 	return f
 }
--- a/pkg/transport/target/failure.go
+++ b/pkg/transport/target/failure.go
@@ -58,7 +58,11 @@
 	Status   int  // status of the response, if there was one
 	// Header is the head of the response, if there was one.
 	Header http.Header
-	Err    error
+	// TargetClosed is closed once the target has closed the connection of a
+	// cancelled request, which it may still run until then. It is nil unless
+	// Config.ConfirmCancel is set and the request was written and cancelled.
+	TargetClosed <-chan struct{}
+	Err          error
 }
 
 // Error returns a message with the kind, the cause and the remedy.
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -97,6 +97,10 @@
 	// Limiter limits the traffic to and from targets in other regions; nil
 	// means no limit.
 	Limiter Limiter
+	// ConfirmCancel sets Failure.TargetClosed. A cancelled request then holds
+	// its connection until the target has closed it, at most until the deadline
+	// of the request.
+	ConfirmCancel bool
 }
 
 func (c Config) withDefaults() Config {
