Serve requests that have just been accepted at a planned stop

Cause: closing the listener reset the connections in its queue, a connection with an unread request counted as idle, and hickoryfront exited while a request had been read but not counted as in flight. The listener now drains its queue before it closes, idle connections end by a read timeout instead of a close, and both programs wait until all connections have ended. TestConnectionsInListenQueueAreServedAfterStop and TestUnreadRequestIsNotIdle fail on the code before (reset, use of a closed connection). hickoryd uses the same listener now.

--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -36,7 +36,7 @@
 		}
 		return nil
 	})
-	v.startServing("caller", func() error { return v.callerServer.Serve(withTLS(l.caller, v.cfg.CallerTLS)) })
+	v.startServing("caller", func() error { return v.callerServer.Serve(l.caller) })
 	v.startHTTPServer("operator", operatorListener(l.operator, v.cfg.OperatorTLS), operatorhttp.Handler(operatorBackend{v}, v.cfg.OperatorTokens))
 	if l.metrics != nil {
 		v.startHTTPServer("metrics", operatorListener(l.metrics, v.cfg.MetricsTLS), operatorhttp.MetricsHandler(operatorBackend{v}))
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -183,6 +183,7 @@
 		Metrics:         v.metrics,
 	})
 	v.callerServer = callerhttp.New(callerhttp.Config{
+		TLS:    v.cfg.CallerTLS,
 		Lookup: v, Tickets: v, Router: v, Log: v.log, Metrics: v.metrics,
 	})
 }
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -34,10 +34,11 @@
 
 // Stop performs a planned stop. It removes this VM from the VM list, accepts
 // requests until callers have received lookups without this VM, and returns once
-// no request is in flight or the grace period is nearly over. It calls stopAccepting,
-// more than once, when no new connections should be accepted and idle
-// connections should be closed.
-func (g *Gateway) Stop(ctx context.Context, stopAccepting func()) {
+// no request is in flight or the grace period is nearly over. It then calls
+// stopAccepting, which ends idle connections and accepts no new ones, until it
+// returns 0: a connection that is still open may carry a request that has not
+// been counted as in flight yet.
+func (g *Gateway) Stop(ctx context.Context, stopAccepting func() (open int)) {
 	began := g.cfg.Now()
 	g.stopping.begun.Store(true)
 	g.cfg.Logger.Log(EventStopping, eventlog.Fields{"in_flight": g.stopping.inFlight.Load()})
@@ -46,8 +47,10 @@
 	}
 	end := began.Add(g.cfg.GracePeriod - exitMargin)
 	wait.For(ctx, began.Add(time.Duration(acceptShare*float64(g.cfg.GracePeriod))).Sub(g.cfg.Now()))
-	for stopAccepting(); g.stopping.inFlight.Load() > 0 && g.cfg.Now().Before(end) && ctx.Err() == nil; stopAccepting() {
-		wait.For(ctx, idleCheckInterval)
+	for stopAccepting()+int(g.stopping.inFlight.Load()) > 0 && g.cfg.Now().Before(end) {
+		if !wait.For(ctx, idleCheckInterval) {
+			break
+		}
 	}
 	g.cfg.Logger.Log(EventStopped, eventlog.Fields{"cut": g.stopping.inFlight.Load()})
 }
--- a/pkg/transport/callerhttp/server.go
+++ b/pkg/transport/callerhttp/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"log"
@@ -11,10 +12,11 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/net/netutil"
 
+	"hickoryroute/internal/wait"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/transport/netconn"
 )
 
 // Defaults of Config.
@@ -35,6 +37,9 @@
 	// maxResponseTime bounds the time to respond to a request whose deadline is
 	// not yet known.
 	maxResponseTime = protocol.MaxDeadlineMs*time.Millisecond + writeGrace
+	// openConnsCheckInterval is the time between two checks for open connections
+	// during a planned stop.
+	openConnsCheckInterval = 10 * time.Millisecond
 	// maxListedRequests limits the request ids in one log event.
 	maxListedRequests = 50
 )
@@ -56,6 +61,9 @@
 	MaxHeaderBytes int
 	// MaxBodyBytes limits request bodies, which are kept in memory.
 	MaxBodyBytes int64
+	// TLS secures the connections of callers; nil means that they are not
+	// encrypted.
+	TLS *tls.Config
 	// MaxConns limits open connections. Further ones wait in the listen queue.
 	MaxConns int
 	// MaxInFlight limits requests in progress. Further ones are refused with
@@ -95,10 +103,11 @@
 
 // Server serves the HTTP requests of callers.
 type Server struct {
-	cfg     Config
-	http    *http.Server
-	leaving atomic.Bool
-	active  inFlightTracker
+	cfg      Config
+	http     *http.Server
+	listener atomic.Pointer[netconn.GracefulListener] // nil before Serve
+	leaving  atomic.Bool
+	active   inFlightTracker
 
 	instruments instruments
 }
@@ -112,6 +121,7 @@
 		IdleTimeout:       s.cfg.IdleTimeout,
 		MaxHeaderBytes:    s.cfg.MaxHeaderBytes + headerSlackBytes,
 		ErrorLog:          log.New(io.Discard, "", 0),
+		ConnState:         s.trackState,
 	}
 	return s
 }
@@ -119,13 +129,23 @@
 // Serve accepts connections from l until Shutdown or Close. It returns nil
 // after a shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(netutil.LimitListener(l, s.cfg.MaxConns))
-	if errors.Is(err, http.ErrServerClosed) {
+	graceful := netconn.NewGracefulListener(l, s.cfg.MaxConns)
+	s.listener.Store(graceful)
+	l = graceful
+	if s.cfg.TLS != nil {
+		l = tls.NewListener(l, s.cfg.TLS)
+	}
+	err := s.http.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.Leaving() {
 		return nil
 	}
 	return err
 }
 
+func (s *Server) trackState(c net.Conn, state http.ConnState) {
+	s.listener.Load().TrackState(c, state)
+}
+
 // SetLeaving marks all further responses with Hickory-Entry-Leaving and closes
 // each connection after its next response. Requests are still served.
 func (s *Server) SetLeaving() { s.leaving.Store(true) }
@@ -139,15 +159,24 @@
 // returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.SetLeaving()
-	_ = s.active.waitIdle(ctx) // http.Server.Shutdown handles the end of ctx
-	err := s.http.Shutdown(ctx)
-	if err == nil {
-		return nil
+	err := s.active.waitIdle(ctx)
+	for err == nil && s.stopAccepting() > 0 {
+		if !wait.For(ctx, openConnsCheckInterval) {
+			err = ctx.Err()
+		}
 	}
 	s.Close()
 	return err
 }
 
+// stopAccepting returns the number of connections that are still open.
+func (s *Server) stopAccepting() (open int) {
+	if l := s.listener.Load(); l != nil {
+		open = l.StopAccepting()
+	}
+	return open
+}
+
 // Close stops the server immediately and logs the interrupted requests.
 func (s *Server) Close() {
 	s.SetLeaving()
--- a/pkg/transport/netconn/graceful_listener.go
+++ b/pkg/transport/netconn/graceful_listener.go
@@ -1,61 +1,148 @@
 package netconn
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	// acceptDrainTime is how long the listener waits for one more connection
+	// after StopAccepting before it closes.
+	acceptDrainTime = 20 * time.Millisecond
+	// lateRequestTimeout bounds the time to read the rest of a request that
+	// arrived just as its connection was about to be closed as idle.
+	lateRequestTimeout = 10 * time.Second
 )
 
-// GracefulListener is a listener for an http.Server that can close idle
-// connections without interrupting a request. http.Server.Shutdown treats a
-// connection as idle while it reads a request, so it may close the connection
-// after the handler of that request has started.
+// GracefulListener is a listener for an http.Server that stops without
+// interrupting a request. http.Server.Shutdown resets the connections that the
+// system has accepted but the process has not, and it treats a connection as
+// idle while it reads a request.
 type GracefulListener struct {
 	net.Listener
+	connLimit *semaphore.Weighted // nil for no limit
 
-	mu    sync.Mutex
-	conns map[*trackedConn]bool
+	mu       sync.Mutex
+	conns    map[*trackedConn]bool
+	stopping bool
+	closed   bool // the listener has been closed
 }
 
 // NewGracefulListener wraps a listener. The ConnState of the server must be set
-// to TrackState.
-func NewGracefulListener(l net.Listener) *GracefulListener {
-	return &GracefulListener{Listener: l, conns: map[*trackedConn]bool{}}
+// to TrackState. A maxConns above 0 limits the open connections; further ones
+// wait in the listen queue.
+func NewGracefulListener(l net.Listener, maxConns int) *GracefulListener {
+	g := &GracefulListener{Listener: l, conns: map[*trackedConn]bool{}}
+	if maxConns > 0 {
+		g.connLimit = semaphore.NewWeighted(int64(maxConns))
+	}
+	return g
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After StopAccepting it returns the connections
+// that were waiting, and then net.ErrClosed.
 func (g *GracefulListener) Accept() (net.Conn, error) {
-	raw, err := g.Listener.Accept()
-	if err != nil {
-		return nil, err
+	if g.connLimit != nil {
+		_ = g.connLimit.Acquire(context.Background(), 1) // fails only if the context ends
 	}
-	c := &trackedConn{Conn: raw, listener: g}
+	c, err := g.acceptTracked()
+	if err != nil && g.connLimit != nil {
+		g.connLimit.Release(1)
+	}
+	return c, err
+}
+
+func (g *GracefulListener) acceptTracked() (net.Conn, error) {
+	for {
+		raw, err := g.Listener.Accept()
+		if err == nil {
+			return g.track(raw), nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !g.isStopping() {
+			return nil, err
+		}
+		if !isReadable(g.Listener) {
+			return nil, g.closeListener()
+		}
+		// A connection waits although the deadline has passed: this process got
+		// no processor time.
+		g.limitAccept()
+	}
+}
+
+func (g *GracefulListener) track(raw net.Conn) *trackedConn {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := &trackedConn{Conn: raw, listener: g}
 	g.conns[c] = true
-	g.mu.Unlock()
-	return c, nil
+	if g.stopping {
+		g.limitAccept()
+	}
+	return c
+}
+
+func (g *GracefulListener) isStopping() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stopping
+}
+
+// limitAccept lets Accept return if no connection arrives within
+// acceptDrainTime. It reports whether the listener supports that.
+func (g *GracefulListener) limitAccept() bool {
+	l, ok := g.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && l.SetDeadline(time.Now().Add(acceptDrainTime)) == nil
+}
+
+func (g *GracefulListener) closeListener() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	_ = g.Listener.Close() // an error means that it is already closed
+	return net.ErrClosed
 }
 
 // TrackState records that a connection has become idle. It has the type of
 // http.Server.ConnState.
 func (g *GracefulListener) TrackState(c net.Conn, state http.ConnState) {
+	if secure, ok := c.(interface{ NetConn() net.Conn }); ok { // a TLS connection
+		c = secure.NetConn()
+	}
 	if conn, ok := c.(*trackedConn); ok && state == http.StateIdle {
-		conn.mu.Lock()
-		conn.busy = false
-		conn.mu.Unlock()
+		conn.setIdle()
 	}
 }
 
-// StopAccepting closes the listener and the idle connections. Requests in
-// progress continue. It can be called again to close connections that have
-// become idle since.
-func (g *GracefulListener) StopAccepting() {
-	_ = g.Listener.Close() // an error means that it is already closed
+// StopAccepting closes the listener once no connection waits in its queue, and
+// ends the idle connections. Requests in progress continue. It must be called
+// again until it returns 0, the number of connections that are still open and of
+// listeners that may still accept one.
+func (g *GracefulListener) StopAccepting() (open int) {
+	g.mu.Lock()
+	first := !g.stopping
+	g.stopping = true
+	g.mu.Unlock()
+	if first && !g.limitAccept() {
+		_ = g.closeListener()
+	}
 	g.CloseIdle()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		open++
+	}
+	return open + len(g.conns)
 }
 
-// CloseIdle closes the connections on which no part of a request has been read.
-// A request that arrives at the same time is not handled.
+// CloseIdle lets the server close the connections on which no part of a request
+// has arrived.
 func (g *GracefulListener) CloseIdle() {
 	g.mu.Lock()
 	conns := make([]*trackedConn, 0, len(g.conns))
@@ -64,48 +151,71 @@
 	}
 	g.mu.Unlock()
 	for _, c := range conns {
-		c.closeIdle()
+		c.endIfIdle()
 	}
 }
 
-// trackedConn records whether a part of a request has been read.
+// aLongTimeAgo is a deadline that ends a blocked read immediately.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// trackedConn records whether a request is being read or served on a connection.
 type trackedConn struct {
 	net.Conn
-	listener *GracefulListener
+	listener  *GracefulListener
+	closeOnce sync.Once
 
 	mu     sync.Mutex
 	busy   bool // a part of a request was read, and its response is not complete
-	closed bool // closed while idle
+	ending bool // reads time out because the connection was idle
 }
 
-// Read implements net.Conn. Bytes that arrive after the connection was closed
-// while idle are dropped, so that their request is not handled.
+// Read implements net.Conn. It marks the connection as busy. Bytes that were
+// read while the connection was being ended still belong to a request that is
+// served.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	if n > 0 {
-		c.busy = true
+	c.busy = true
+	if c.ending {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lateRequestTimeout))
 	}
 	return n, err
 }
 
-func (c *trackedConn) closeIdle() {
+func (c *trackedConn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+}
+
+// endIfIdle lets the next read time out, so that the server closes the
+// connection, unless a part of a request has been read or is waiting. Closing
+// the connection here instead could discard a request that has just been read.
+func (c *trackedConn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.busy {
-		c.closed = true
-		_ = c.Conn.Close()
+	if c.busy || isReadable(c.Conn) {
+		return
 	}
+	c.ending = true
+	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
 }
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
+	c.closeOnce.Do(func() {
+		g := c.listener
+		g.mu.Lock()
+		delete(g.conns, c)
+		g.mu.Unlock()
+		if g.connLimit != nil {
+			g.connLimit.Release(1)
+		}
+	})
 	return c.Conn.Close()
 }
--- a/pkg/transport/netconn/graceful_listener_test.go
+++ b/pkg/transport/netconn/graceful_listener_test.go
@@ -21,7 +21,7 @@
 	for round := range 30 {
 		raw, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
-		g := NewGracefulListener(raw)
+		g := NewGracefulListener(raw, 0)
 		var mu sync.Mutex
 		handled := map[string]bool{}
 		server := &http.Server{ConnState: g.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -83,3 +83,105 @@
 		}
 	}
 }
+
+// startServer serves requests of l with their paths as bodies.
+func startServer(t *testing.T, g *GracefulListener) {
+	t.Helper()
+	server := &http.Server{ConnState: g.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+	})}
+	go func() { _ = server.Serve(g) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+func newListener(t *testing.T, maxConns int) *GracefulListener {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = raw.Close() })
+	return NewGracefulListener(raw, maxConns)
+}
+
+// sendRequest opens a connection and sends one request.
+func sendRequest(t *testing.T, g *GracefulListener) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", g.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprint(conn, "GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	return conn
+}
+
+func waitUntilStopped(t *testing.T, g *GracefulListener) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for g.StopAccepting() > 0 {
+		assert.Assert(t, time.Now().Before(deadline), "connections stay open")
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against requests that are reset because their connection waits in the
+// queue of the listener when a planned stop under load closes it.
+func TestConnectionsInListenQueueAreServedAfterStop(t *testing.T) {
+	g := newListener(t, 0)
+	var conns []net.Conn
+	for range 20 {
+		conns = append(conns, sendRequest(t, g))
+	}
+	g.StopAccepting()
+	time.Sleep(2 * acceptDrainTime) // the process gets no processor time to accept
+	startServer(t, g)
+	for _, conn := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 200)
+		_ = conn.Close()
+	}
+	waitUntilStopped(t, g)
+	_, err := net.Dial("tcp", g.Addr().String())
+	assert.Assert(t, err != nil, "the listener is closed")
+}
+
+// Guards against a request that has arrived on a new connection and is cut off
+// because the server has not read it yet when idle connections are closed.
+func TestUnreadRequestIsNotIdle(t *testing.T) {
+	g := newListener(t, 0)
+	sendRequest(t, g)
+	c, err := g.Accept()
+	assert.NilError(t, err)
+	for !isReadable(c.(*trackedConn).Conn) {
+		time.Sleep(time.Millisecond)
+	}
+	g.CloseIdle()
+	n, err := c.Read(make([]byte, 100))
+	assert.NilError(t, err)
+	assert.Assert(t, n > 0)
+}
+
+// Guards against a planned stop that waits for idle connections or leaves them
+// open, also while the number of connections is at its limit.
+func TestIdleConnectionsEndAtStop(t *testing.T) {
+	g := newListener(t, 2)
+	startServer(t, g)
+	conn := sendRequest(t, g)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_, _ = io.Copy(io.Discard, resp.Body)
+	silent, err := net.Dial("tcp", g.Addr().String())
+	assert.NilError(t, err)
+	defer silent.Close()
+	assert.NilError(t, silent.SetDeadline(time.Now().Add(10*time.Second)))
+	waitUntilStopped(t, g)
+	for _, c := range []net.Conn{conn, silent} {
+		_, err = c.Read(make([]byte, 1))
+		assert.Assert(t, err != nil && !isTimeoutError(err), "%v", err)
+	}
+}
+
+func isTimeoutError(err error) bool {
+	t, ok := err.(net.Error)
+	return ok && t.Timeout()
+}
