Bound responses without end, and count their targets as failed

A head is now bounded by 2 s from its first byte, a surplus response by 1 MiB, and a long body that does not end properly counts as a failure of its target (event 2112).

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -34,6 +34,8 @@
 		"a VM of the region has sent no message for after_ms, or sends messages again; lookups leave out an unresponsive VM")
 	EventCrashingRequest = eventlog.Define(2110, "crashing_request", logrus.WarnLevel,
 		"a request has broken the connections of the named target; after three targets it is refused on all VMs")
+	EventResponseCut = eventlog.Define(2112, "response_cut", logrus.WarnLevel,
+		"a long response ended before its end, after its head had gone to the caller; the caller's connection was closed, and target_failed says whether the target counts as failed")
 )
 
 // requestMetrics holds the metrics of this package.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -162,7 +162,7 @@
 		g.picker.Done(choice, placement.Result{Responded: true, Failed: true, Load: info.Load, Now: g.cfg.Now()})
 		return nil, errNotAuthentic
 	}
-	return g.bufferResponse(c, choice, resp, info)
+	return g.bufferResponse(ctx, c, choice, resp, info)
 }
 
 // errNotAuthentic means that a response does not come from the application of
@@ -171,7 +171,7 @@
 
 // bufferResponse reads the first part of a response and reports the result of
 // the attempt to the picker.
-func (g *Gateway) bufferResponse(c *call, choice *placement.Choice, resp *target.Response, info ResponseInfo) (*Response, error) {
+func (g *Gateway) bufferResponse(ctx context.Context, c *call, choice *placement.Choice, resp *target.Response, info ResponseInfo) (*Response, error) {
 	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
 		_ = resp.Body.Close()
@@ -190,7 +190,7 @@
 	}
 	response := &Response{Status: resp.Status, Header: resp.Header, Buffered: buffered, Length: resp.ContentLength}
 	if len(buffered) > maxBufferedResponse {
-		response.Rest = resp.Body
+		response.Rest = &longBody{ReadCloser: resp.Body, ctx: ctx, gateway: g, call: c, choice: choice, hasEnd: resp.ContentLength >= 0}
 		return response, nil
 	}
 	response.Length = int64(len(buffered))
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -242,6 +242,17 @@
 	}
 }
 
+// RecordBrokenBody records that the body of a response that Done has counted as
+// complete did not end properly.
+func (p *Picker) RecordBrokenBody(c *Choice) {
+	s := p.service(c.Target.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ts := s.targetStates[c.Target.Key()]; ts != nil {
+		ts.recordResponse(true)
+	}
+}
+
 // recordResponse updates the work estimate of the route, the wait scale and the
 // warm objects of the target after a successful response.
 func (s *serviceState) recordResponse(c *Choice, slowness float64, r Result) {
--- a/pkg/transport/target/cancel.go
+++ b/pkg/transport/target/cancel.go
@@ -35,7 +35,7 @@
 			_ = x.conn.Close()
 			return
 		}
-		_ = x.conn.SetDeadline(aLongTimeAgo)
+		x.conn.interrupt()
 		_ = x.conn.Conn.(writeCloser).CloseWrite()
 	})
 }
--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -69,9 +70,15 @@
 	charge   *linkCharge // nil for targets in the region of this VM
 	headLeft int64       // bytes left for the head of the response; negative for no limit
 	head     []byte      // bytes read while the head of the response is limited
-	deadline time.Time
-	readErr  error // last read error of the socket or the limiter
-	idle     *idleWatch
+	// headTimeout bounds the time from headBegan, when the first byte of a
+	// response was read, to the end of its head.
+	headTimeout time.Duration
+	headBegan   time.Time // zero between two heads
+	headLimited bool      // the read deadline is that of the head
+	interrupted atomic.Bool
+	deadline    time.Time
+	readErr     error // last read error of the socket or the limiter
+	idle        *idleWatch
 	// idleLimit is the idle timeout that the target announced in Keep-Alive;
 	// zero if it announced none.
 	idleLimit time.Duration
@@ -88,14 +95,50 @@
 }
 
 // begin resets the state of c for a new request.
-func (c *conn) begin(ch *linkCharge, maxHead int) {
+func (c *conn) begin(ch *linkCharge, cfg Config) {
 	c.charge = ch
 	c.written, c.writeErr, c.readErr = 0, nil, nil
-	c.headLeft = int64(maxHead)
+	c.headLeft, c.headTimeout = int64(cfg.MaxHeaderBytes), cfg.HeadTimeout
+	c.headBegan, c.headLimited = time.Time{}, false
 	c.head = c.head[:0]
 	c.deadline = time.Time{}
 }
 
+// interrupt lets all reads and writes return at once.
+func (c *conn) interrupt() {
+	c.interrupted.Store(true)
+	_ = c.SetDeadline(aLongTimeAgo)
+}
+
+// setReadDeadline sets the deadline of further reads unless the connection is
+// interrupted.
+func (c *conn) setReadDeadline(t time.Time) {
+	_ = c.SetReadDeadline(t)
+	if c.interrupted.Load() {
+		_ = c.SetReadDeadline(aLongTimeAgo)
+	}
+}
+
+// limitHead applies the time limit of a head of which a part has been read.
+func (c *conn) limitHead() {
+	if c.headBegan.IsZero() || c.headLimited {
+		return
+	}
+	end := c.headBegan.Add(c.headTimeout)
+	if c.deadline.IsZero() || end.Before(c.deadline) {
+		c.headLimited = true
+		c.setReadDeadline(end)
+	}
+}
+
+// endHead ends the time limit of a head that has been read completely.
+func (c *conn) endHead() {
+	if c.headLimited {
+		c.setReadDeadline(c.deadline)
+	}
+	c.headBegan, c.headLimited = time.Time{}, false
+}
+
 // send writes p and counts the bytes that the socket accepted.
 func (c *conn) send(p []byte) (int, error) {
 	c.writeMu.Lock()
@@ -174,13 +217,21 @@
 			return 0, err
 		}
 	}
+	if c.headLeft > 0 {
+		c.limitHead()
+	}
 	n, err := c.Conn.Read(p)
-	if err != nil {
+	if c.headLimited && isTimeout(err) && !c.interrupted.Load() {
+		err = errHeadTooSlow
+	} else if err != nil {
 		c.readErr = err
 	}
 	if c.headLeft > 0 {
 		c.headLeft -= int64(n)
 		c.head = append(c.head, p[:n]...)
+		if c.headBegan.IsZero() {
+			c.headBegan = time.Now()
+		}
 	}
 	if c.charge != nil {
 		c.charge.prepaid -= int64(n)
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -14,6 +14,7 @@
 	maxInterimResponses = 5
 	maxRefusalBodyBytes = 4 << 10 // after a longer refusal the connection is closed
 	maxSurplusResponses = 2       // responses to earlier requests that are discarded
+	maxSurplusBytes     = 1 << 20 // a longer one closes the connection
 	writerGrace         = 10 * time.Millisecond
 )
 
@@ -93,7 +94,7 @@
 		}
 		cn = newConn(nc, address)
 	}
-	cn.begin(ch, c.cfg.MaxHeaderBytes)
+	cn.begin(ch, c.cfg)
 	return &exchange{client: c, ctx: ctx, req: r, conn: cn, body: newStoppableBody(r)}, nil
 }
 
@@ -142,13 +143,13 @@
 
 // discardSurplusResponse discards a response to an earlier request. A target
 // may respond to a request twice, and the second response then precedes the
-// response to the next request. Only a response with a known length on a reused
-// connection is discarded, because the next response then starts at a known
-// place.
+// response to the next request. Only a response of a known and limited length on
+// a reused connection is discarded, because the next response then starts at a
+// known place.
 func (x *exchange) discardSurplusResponse() bool {
 	id := x.resp.Header.Get(x.dialect().RequestIDHeader)
 	if !x.dialect().SkipSurplusResponses || !x.conn.reused || id == "" || id == x.req.RequestID ||
-		x.resp.Close || x.resp.ContentLength < 0 {
+		x.resp.Close || x.resp.ContentLength < 0 || x.resp.ContentLength > maxSurplusBytes {
 		return false
 	}
 	n, err := io.Copy(io.Discard, x.resp.Body)
@@ -244,6 +245,7 @@
 		if err != nil {
 			return nil, err
 		}
+		x.conn.endHead()
 		if resp.StatusCode < 100 || resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errBadStatus
 		}
--- a/pkg/transport/target/failure.go
+++ b/pkg/transport/target/failure.go
@@ -79,6 +79,7 @@
 	errNotRunResponse = errors.New("the target reported that it did not run the request")
 	errUnknownEnd     = errors.New("the response has neither a length nor chunked coding")
 	errHeadTooLarge   = errors.New("the head of the response exceeds the size limit")
+	errHeadTooSlow    = errors.New("the head of the response was not complete in time")
 	errTooMany1xx     = errors.New("too many interim responses")
 	errBadStatus      = errors.New("the status of the response is below 100, or is 101 although no upgrade was requested")
 	errClosed         = errors.New("the client is closed")
--- a/pkg/transport/target/notrun_test.go
+++ b/pkg/transport/target/notrun_test.go
@@ -170,7 +170,7 @@
 	clientEnd, targetEnd := net.Pipe()
 	defer targetEnd.Close()
 	c := newConn(clientEnd, "target")
-	c.begin(nil, DefaultMaxHeaderBytes)
+	c.begin(nil, Config{}.withDefaults())
 	c.deadline = time.Now().Add(-time.Millisecond)
 	n, err := requestWriter{c}.Write([]byte("x"))
 	assert.Equal(t, n, 0)
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -60,6 +60,7 @@
 	DefaultMaxConnsPerTarget = 30 // 360 connections from 12 entry VMs
 	DefaultIdleTimeout       = 60 * time.Second
 	DefaultMaxHeaderBytes    = 64 << 10
+	DefaultHeadTimeout       = 2 * time.Second // several retransmissions of a lost packet
 )
 
 // Config holds the settings of a Client.
@@ -83,6 +84,10 @@
 	IdleTimeout time.Duration
 	// MaxHeaderBytes limits the head of a response, including 1xx responses.
 	MaxHeaderBytes int
+	// HeadTimeout bounds the time from the first byte of a response to the end
+	// of its head. A shorter time frees requests sooner from targets that send
+	// their head slowly or without end.
+	HeadTimeout time.Duration
 	// ReuseWithoutEcho allows the reuse of connections to targets that do not
 	// echo the request id. This saves a dial for each request, but a duplicated
 	// response of such a target can be taken for the response to a later
@@ -132,6 +137,9 @@
 	if c.MaxHeaderBytes <= 0 {
 		c.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
+	if c.HeadTimeout <= 0 {
+		c.HeadTimeout = DefaultHeadTimeout
+	}
 	return c
 }
 
