--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -69,6 +69,8 @@
 		c.testbed.addFinding("malformed response: %s", sent)
 	case o.Status == http.StatusOK && o.Err == nil && !o.Valid:
 		c.testbed.addFinding("response is truncated or belongs to another request: %s", sent)
+	case o.Err != nil && len(o.Body) == standin.MaxKeptBody:
+		// The body of FaultEndlessBody has no end, so it must not look complete.
 	case o.Err != nil:
 		c.checkNoResponse(sent)
 	case o.Status == http.StatusServiceUnavailable && o.RetryAfter <= 0:
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -334,12 +334,23 @@
 	standin.FaultGarbage, standin.FaultShed, standin.FaultNoResponse,
 }
 
+// endlessFaults take the last variants, so that the plans of earlier seeds keep
+// the other faults.
+var endlessFaults = []standin.InstanceFault{standin.FaultEndlessHead, standin.FaultEndlessBody}
+
+func targetFaultOf(variant int) standin.InstanceFault {
+	if firstEndless := faultVariants / len(targetFaults) * len(targetFaults); variant >= firstEndless {
+		return endlessFaults[variant%len(endlessFaults)]
+	}
+	return targetFaults[variant%len(targetFaults)]
+}
+
 func (b *testbed) injectTargetFault(e *endpoint, f fault) {
 	e.mu.Lock()
 	i := e.instance
 	e.mu.Unlock()
 	defer b.faults.begin(numberedScope(scopePrefixTarget, e.index))()
-	i.SetFault(targetFaults[f.variant%len(targetFaults)])
+	i.SetFault(targetFaultOf(f.variant))
 	time.Sleep(f.length)
 	i.SetFault(standin.FaultNone)
 	time.Sleep(routeTimeout) // requests without a response end in this time
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -63,6 +63,8 @@
 }
 
 const (
+	// faultVariants is the number of variants that a plan draws from.
+	faultVariants = 60
 	// firstFaultDelay is the time without faults at the start.
 	firstFaultDelay = time.Second
 	// seriesGap separates the faults of a series of the same kind.
@@ -86,7 +88,7 @@
 	var faults []fault
 	for at := firstFaultDelay; at < length; at += time.Duration(r.ExpFloat64() * float64(meanGap)) {
 		f := fault{
-			kind: drawKind(r), start: at, index: r.IntN(60), variant: r.IntN(60),
+			kind: drawKind(r), start: at, index: r.IntN(60), variant: r.IntN(faultVariants),
 			length: minFaultLength + time.Duration(r.Int64N(int64(faultLengthRange))),
 		}
 		faults = append(faults, f)
