Keep a panic while handling a peer call or a record to that call or record

net/rpc lets a panic of a service method end the process, so one malformed call could take a VM of either program down; the call now gets an error (event 1102). The same holds for a record whose decoder panics and for the YAML parser of the tree. TestPanicInHandlerEndsOnlyItsCall and TestEntryThatBreaksItsDecoderIsLeftOut end the test process on the code before.

--- a/pkg/coordination/feed/decoder.go
+++ b/pkg/coordination/feed/decoder.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"github.com/go-faster/errors"
+
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/transport/platform"
 )
@@ -40,7 +42,7 @@
 
 // decodeEntry decodes an entry and logs a decoding error.
 func (d *decoder[T]) decodeEntry(e platform.Entry) decodedEntry[T] {
-	value, err := d.decode(e)
+	value, err := d.decodeSafely(e)
 	if err != nil {
 		d.logger.Log(EventEntryUnreadable, eventlog.Fields{
 			"key": e.Key, "revision": e.Revision, "error": err.Error(),
@@ -48,3 +50,14 @@
 	}
 	return decodedEntry[T]{revision: e.Revision, value: value, valid: err == nil}
 }
+
+// decodeSafely returns a panic of decode as an error, so that an entry of another
+// writer cannot end the process.
+func (d *decoder[T]) decodeSafely(e platform.Entry) (value T, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Errorf("decoding failed unexpectedly: %v", p)
+		}
+	}()
+	return d.decode(e)
+}
--- a/pkg/coordination/feed/vm_registry_test.go
+++ b/pkg/coordination/feed/vm_registry_test.go
@@ -63,3 +63,11 @@
 	v.merge(Delta{Revision: 2})
 	assert.Equal(t, len(v.List()), 2)
 }
+
+// Guards against a record of another writer that ends the process, because its
+// decoding fails unexpectedly.
+func TestEntryThatBreaksItsDecoderIsLeftOut(t *testing.T) {
+	d := decoder[string]{logger: eventlog.Discard(), decode: func(e platform.Entry) (string, error) { return string(e.Value[:1]), nil }}
+	values := d.decodeAll(map[string]platform.Entry{"good": {Value: []byte("x")}, "bad": {}})
+	assert.DeepEqual(t, values, []string{"x"})
+}
--- a/pkg/state/settings/parse.go
+++ b/pkg/state/settings/parse.go
@@ -15,8 +15,21 @@
 const MaxTreeBytes = platform.MaxValueBytes
 
 // Parse parses and validates the YAML text of a tree. The error, if any, is an
-// ErrorList.
-func Parse(text []byte) (*Tree, error) {
+// ErrorList. A panic of the YAML library is such an error as well: all VMs read
+// the same text, so it would end them all.
+func Parse(text []byte) (tree *Tree, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			tree, err = nil, ErrorList{{
+				Message: fmt.Sprintf("the tree cannot be parsed: %v", p),
+				Remedy:  "write the tree in simpler YAML, without anchors, tags and merge keys",
+			}}
+		}
+	}()
+	return parse(text)
+}
+
+func parse(text []byte) (*Tree, error) {
 	if len(text) > MaxTreeBytes {
 		return nil, ErrorList{{
 			Message: fmt.Sprintf("tree has %d bytes, more than %d", len(text), MaxTreeBytes),
--- a/pkg/transport/peer/gateway.go
+++ b/pkg/transport/peer/gateway.go
@@ -31,16 +31,10 @@
 
 // Loads passes the call to the handler.
 func (s *gatewayService) Loads(req *protocol.LoadsRequest, reply *protocol.LoadsReply) error {
-	if s.server.stopping() {
-		return errStopping
-	}
-	return s.handler.Loads(s.ctx, req, reply)
+	return run(s.ctx, s.server, s.handler.Loads, req, reply)
 }
 
 // Copy passes the call to the handler.
 func (s *gatewayService) Copy(req *protocol.CopyRequest, reply *protocol.CopyReply) error {
-	if s.server.stopping() {
-		return errStopping
-	}
-	return s.handler.Copy(s.ctx, req, reply)
+	return run(s.ctx, s.server, s.handler.Copy, req, reply)
 }
--- a/pkg/transport/peer/peer.go
+++ b/pkg/transport/peer/peer.go
@@ -43,7 +43,7 @@
 		return fmt.Sprintf("peer %s did not reply, the call may have taken effect: %v; ask another peer or try again if the call is idempotent",
 			e.Address, e.Err)
 	}
-	return fmt.Sprintf("peer %s is not reachable, the call was not sent: %v; ask another peer or try again later",
+	return fmt.Sprintf("peer %s did not run the call: %v; ask another peer or try again later",
 		e.Address, e.Err)
 }
 
@@ -61,6 +61,10 @@
 	ErrKeyMismatch = errors.New("the other end has another shared key or none; configure the same key at both ends")
 )
 
+// errCallPanic is the reply to a call whose handler failed unexpectedly. The call
+// may have taken effect.
+var errCallPanic = errors.New("the peer failed while it handled the call; see its log for event peer_call_panic")
+
 // errStopping is the reply to calls that arrive while the server stops. Clients
 // compare its text, because net/rpc transmits errors as text, so the text must
 // not change.
--- a/pkg/transport/peer/peer_test.go
+++ b/pkg/transport/peer/peer_test.go
@@ -240,3 +240,43 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// panicHandler fails unexpectedly in each call.
+type panicHandler struct{ *fakeHandler }
+
+func (panicHandler) Reserve(context.Context, *protocol.ReserveRequest, *protocol.ReserveReply) error {
+	panic("fault")
+}
+
+func (panicHandler) Loads(context.Context, *protocol.LoadsRequest, *protocol.LoadsReply) error {
+	panic("fault")
+}
+
+func (panicHandler) Copy(context.Context, *protocol.CopyRequest, *protocol.CopyReply) error {
+	panic("fault")
+}
+
+// Guards against one call whose handler panics and ends the whole process, for
+// VMs of both programs. Later calls on the connection are still served.
+func TestPanicInHandlerEndsOnlyItsCall(t *testing.T) {
+	handler := panicHandler{&fakeHandler{}}
+	_, address := startServer(t, ServerConfig{}, handler)
+	client := newClient(t, ClientConfig{})
+	err := client.Call(t.Context(), address, protocol.MethodReserve, &protocol.ReserveRequest{}, &protocol.ReserveReply{})
+	assert.ErrorContains(t, err, "failed while it handled the call")
+	var unreachable *UnreachableError
+	assert.Assert(t, !errors.As(err, &unreachable), "the call may have taken effect")
+	assert.NilError(t, client.Call(t.Context(), address, protocol.MethodExchange, &protocol.ExchangeRequest{}, &protocol.ExchangeReply{}))
+
+	listener := listen(t)
+	server := NewServer(ServerConfig{})
+	go func() { _ = server.ServeGateway(listener, handler) }()
+	defer server.Close(t.Context())
+	for method, args := range map[string][2]any{
+		"Gateway.Loads": {&protocol.LoadsRequest{}, &protocol.LoadsReply{}},
+		"Gateway.Copy":  {&protocol.CopyRequest{}, &protocol.CopyReply{}},
+	} {
+		err := client.Call(t.Context(), listener.Addr().String(), method, args[0], args[1])
+		assert.ErrorContains(t, err, "failed while it handled the call")
+	}
+}
--- a/pkg/transport/peer/server.go
+++ b/pkg/transport/peer/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/rpc"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -18,6 +20,8 @@
 var (
 	eventRefused = eventlog.Define(1101, "peer_connection_refused", logrus.WarnLevel,
 		"A peer connection failed the handshake or exceeded the limit. Check the shared key and the number of VMs.")
+	eventCallPanic = eventlog.Define(1102, "peer_call_panic", logrus.ErrorLevel,
+		"The handler of a peer call failed unexpectedly. The call got an error and the process goes on. Report the stack as a defect.")
 )
 
 const (
@@ -271,45 +275,52 @@
 	handler Handler
 }
 
-// run calls method, or returns errStopping if the server is stopping.
-func run[Q, R any](s *peerService, method func(context.Context, *Q, *R) error, req *Q, reply *R) error {
-	if s.server.stopping() {
+// run calls method, or returns errStopping if the server is stopping. A panic of
+// the handler becomes an error: net/rpc would let it end the process.
+func run[Q, R any](ctx context.Context, s *Server, method func(context.Context, *Q, *R) error, req *Q, reply *R) (err error) {
+	if s.stopping() {
 		return errStopping
 	}
-	return method(s.ctx, req, reply)
+	defer func() {
+		if p := recover(); p != nil {
+			s.cfg.Logger.Log(eventCallPanic, eventlog.Fields{"call": fmt.Sprintf("%T", req), "panic": fmt.Sprint(p), "stack": string(debug.Stack())})
+			err = errCallPanic
+		}
+	}()
+	return method(ctx, req, reply)
 }
 
 // Exchange passes the call to the handler.
 func (s *peerService) Exchange(req *protocol.ExchangeRequest, reply *protocol.ExchangeReply) error {
-	return run(s, s.handler.Exchange, req, reply)
+	return run(s.ctx, s.server, s.handler.Exchange, req, reply)
 }
 
 // Notify passes the call to the handler.
 func (s *peerService) Notify(req *protocol.NotifyRequest, reply *protocol.NotifyReply) error {
-	return run(s, s.handler.Notify, req, reply)
+	return run(s.ctx, s.server, s.handler.Notify, req, reply)
 }
 
 // Reserve passes the call to the handler.
 func (s *peerService) Reserve(req *protocol.ReserveRequest, reply *protocol.ReserveReply) error {
-	return run(s, s.handler.Reserve, req, reply)
+	return run(s.ctx, s.server, s.handler.Reserve, req, reply)
 }
 
 // Release passes the call to the handler.
 func (s *peerService) Release(req *protocol.ReleaseRequest, reply *protocol.ReleaseReply) error {
-	return run(s, s.handler.Release, req, reply)
+	return run(s.ctx, s.server, s.handler.Release, req, reply)
 }
 
 // Execute passes the call to the handler.
 func (s *peerService) Execute(req *protocol.ExecuteRequest, reply *protocol.ExecuteReply) error {
-	return run(s, s.handler.Execute, req, reply)
+	return run(s.ctx, s.server, s.handler.Execute, req, reply)
 }
 
 // Borrow passes the call to the handler.
 func (s *peerService) Borrow(req *protocol.BorrowRequest, reply *protocol.BorrowReply) error {
-	return run(s, s.handler.Borrow, req, reply)
+	return run(s.ctx, s.server, s.handler.Borrow, req, reply)
 }
 
 // Settings passes the call to the handler.
 func (s *peerService) Settings(req *protocol.SettingsRequest, reply *protocol.SettingsReply) error {
-	return run(s, s.handler.Settings, req, reply)
+	return run(s.ctx, s.server, s.handler.Settings, req, reply)
 }
