Count suspended time against leases, reservations and deadlines

The monotonic clock stops while a machine is suspended. A VM that woke up held seats that others had claimed in the meantime, used reservations that had run out, and sent requests whose callers had given up. Seats and slots now use a clock that counts that time (CLOCK_BOOTTIME), and both programs check it before each send.

--- a/pkg/coordination/seat/manager.go
+++ b/pkg/coordination/seat/manager.go
@@ -46,8 +46,10 @@
 	// number divides shares more evenly and makes tables larger. The default
 	// is DefaultSeatCount.
 	SeatCount int
-	// Now returns the current time with its monotonic reading. The default is
-	// time.Now. Timers of package time must advance at the same pace.
+	// Now returns the current time with its monotonic reading. It must count the
+	// time for which the machine is suspended, in which leases run out. The
+	// default is time.Now. Timers of package time must advance at the same pace
+	// while the machine runs.
 	Now func() time.Time
 	// Rand adds jitter to the times of calls. It is used only by Run and
 	// Release. The default has a random seed.
--- a/pkg/coordination/slot/owner.go
+++ b/pkg/coordination/slot/owner.go
@@ -17,8 +17,9 @@
 // Config holds the dependencies of an Owner. A field may be left zero only if
 // its comment names a default.
 type Config struct {
-	// Now returns the current time with its monotonic reading. The default is
-	// time.Now. Timers of package time must advance at the same pace.
+	// Now returns the current time with its monotonic reading, from the same clock
+	// as TargetSpec.NoGrantsBefore. The default is time.Now. Timers of package
+	// time must advance at the same pace while the machine runs.
 	Now func() time.Time
 	// Rand seeds the tie breaking and the reservation ids. It is used only
 	// during calls of SetTargets. The default has a random seed.
--- a/pkg/entry/capacity_test.go
+++ b/pkg/entry/capacity_test.go
@@ -53,9 +53,9 @@
 		}
 		measure("new-tree", func() { view = v.buildView(snapshot, nil) })
 		measure("same-tree", func() { _ = v.buildView(snapshot, view) })
-		remoteManager := &targetManager{region: "elsewhere", seats: v.seats, slotOwner: v.slotOwner, now: time.Now, leaving: &v.leaving}
+		remoteManager := &targetManager{region: "elsewhere", seats: v.seats, slotOwner: v.slotOwner, now: time.Now, slotNow: time.Now, leaving: &v.leaving}
 		measure("scan-targets", func() { remoteManager.update(b.Context(), tree, 2) })
-		localManager := &targetManager{region: "sask", seats: v.seats, slotOwner: v.slotOwner, now: time.Now, leaving: &v.leaving}
+		localManager := &targetManager{region: "sask", seats: v.seats, slotOwner: v.slotOwner, now: time.Now, slotNow: time.Now, leaving: &v.leaving}
 		localManager.seats = seat.New(seat.Config{Region: "sask"}) // holds no seat
 		measure("own-region", func() { localManager.update(b.Context(), tree, 2) })
 		v.Kill()
--- a/pkg/entry/target_manager.go
+++ b/pkg/entry/target_manager.go
@@ -25,7 +25,8 @@
 	slotOwner     *slot.Owner
 	prober        *target.Prober
 	probeInterval time.Duration
-	now           func() time.Time
+	now           func() time.Time  // time of day, for overrides that expire
+	slotNow       func() time.Time  // clock of slotOwner
 	onLeaving     func(name string) // called when a health check shows that a target is leaving
 	// onHealthy is called when a health check shows that a target is healthy and
 	// not leaving.
@@ -146,7 +147,7 @@
 		default:
 			failures++
 			if failures >= maxFailedProbes {
-				m.slotOwner.SetHealth(ref.Name, slot.Health{}, m.now())
+				m.slotOwner.SetHealth(ref.Name, slot.Health{}, m.slotNow())
 			}
 		}
 		select {
@@ -158,7 +159,7 @@
 }
 
 func (m *targetManager) applyHealth(ref protocol.TargetRef, health target.Health) {
-	m.slotOwner.SetHealth(ref.Name, slot.Health{Ready: health.Healthy, Draining: health.Draining}, m.now())
+	m.slotOwner.SetHealth(ref.Name, slot.Health{Ready: health.Healthy, Draining: health.Draining}, m.slotNow())
 	switch {
 	case health.Draining:
 		m.onLeaving(ref.Name)
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
+	"hickoryroute/internal/suspend"
 	"hickoryroute/pkg/coordination/config"
 	"hickoryroute/pkg/coordination/linkcap"
 	"hickoryroute/pkg/coordination/member"
@@ -131,7 +132,7 @@
 	v.members = members
 	v.members.Subscribe(v.handleNotice)
 	v.seats = seat.New(v.seatConfig())
-	v.slotOwner = slot.New(slot.Config{Logger: v.log, MayGrant: v.mayGrant})
+	v.slotOwner = slot.New(slot.Config{Now: suspend.Now, Logger: v.log, MayGrant: v.mayGrant})
 	v.links = linkcap.New(linkcap.Config{
 		Peers: v.linkPeers, Borrow: v.requestLoan, SeatsValid: v.seats.Valid, Logger: v.log,
 	})
@@ -146,7 +147,7 @@
 	v.targetManager = &targetManager{
 		region: v.cfg.Region, seats: v.seats, slotOwner: v.slotOwner,
 		prober:        &target.Prober{Client: v.targetClient, LocalRegion: v.cfg.Region, Timeout: targetProbeTimeout},
-		probeInterval: v.cfg.Timing.TargetProbeInterval, now: time.Now,
+		probeInterval: v.cfg.Timing.TargetProbeInterval, now: time.Now, slotNow: suspend.Now,
 		onLeaving: v.handleTargetLeaving, onHealthy: v.handleTargetHealthy, leaving: &v.leaving, effects: effectLog{log: v.log},
 	}
 	v.buildRouter()
@@ -208,7 +209,7 @@
 	return seat.Config{
 		Store: v.cfg.Store, ListVMs: v.cfg.VMList.VMs, Self: v.cfg.PeerAddress,
 		Incarnation: v.incarnation, Region: v.cfg.Region, Zone: v.cfg.Zone,
-		SeatCount: v.cfg.SeatCount, Logger: v.log, Probe: v.fetchIncarnation,
+		SeatCount: v.cfg.SeatCount, Now: suspend.Now, Logger: v.log, Probe: v.fetchIncarnation,
 		IsIdle: v.isSeatIdle, OnChange: v.signalSeatsChanged, OnJoin: v.announceJoin,
 	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"hickoryroute/internal/suspend"
 	"hickoryroute/internal/wait"
 	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/eventlog"
@@ -65,6 +66,9 @@
 	DroppedLogLines func() uint64
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
+	// Suspended returns the time for which the machine has been suspended, which
+	// Now does not count; nil means suspend.Total.
+	Suspended func() time.Duration
 }
 
 const (
@@ -104,6 +108,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Suspended == nil {
+		cfg.Suspended = suspend.Total
+	}
 	g := &Gateway{cfg: cfg, coldLimits: limit.NewColdLimiter(), metrics: newRequestMetrics(), crashes: crash.NewTable()}
 	g.peers = newPeers(g)
 	g.metrics.set.NewGauge("hickory_log_lines_dropped", func() float64 {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -43,6 +43,7 @@
 	*Request
 	service     string
 	deadline    time.Time
+	suspended   time.Duration // Config.Suspended when deadline was last adjusted
 	excluded    map[string]bool
 	retries     int // further attempts after one that may have run
 	refusals    int // attempts that a target refused
@@ -58,7 +59,7 @@
 func (g *Gateway) Serve(ctx context.Context, r *Request) (*Response, *Refusal) {
 	c := &call{
 		Request: r, service: r.Route.ChooseService(rand.Float64()), excluded: map[string]bool{},
-		deadline:    earlier(r.Deadline, r.Received.Add(r.Route.Timeout)),
+		deadline: earlier(r.Deadline, r.Received.Add(r.Route.Timeout)), suspended: g.cfg.Suspended(),
 		fingerprint: crash.NewFingerprint(r.Host, r.Method, r.Path, r.Body.buffered),
 	}
 	g.resendBudget.CountRequest(c.service, g.cfg.Now())
@@ -79,6 +80,7 @@
 func (g *Gateway) attemptTargets(ctx context.Context, c *call) (*Response, *Refusal) {
 	for {
 		now := g.cfg.Now()
+		c.subtractSuspension(g.cfg.Suspended())
 		if refusal := g.checkBeforeAttempt(ctx, c, now); refusal != nil {
 			return nil, refusal
 		}
@@ -108,6 +110,13 @@
 	}
 }
 
+// subtractSuspension moves the deadline forward by the time for which the machine
+// was suspended. The caller has waited for that time as well.
+func (c *call) subtractSuspension(total time.Duration) {
+	c.deadline = c.deadline.Add(c.suspended - total)
+	c.suspended = total
+}
+
 // checkBeforeAttempt returns a refusal if the request must not be sent now, and
 // nil otherwise.
 func (g *Gateway) checkBeforeAttempt(ctx context.Context, c *call, now time.Time) *Refusal {
--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -122,7 +122,7 @@
 		resp, err = nil, &SendError{Kind: FailInternal, Written: true, Err: fmt.Errorf("sender panic: %v", p)}
 	})
 	req := a.sendRequest()
-	if !a.group.router.cfg.Now().Before(req.Deadline) {
+	if !a.group.router.now(a.group.call).Before(req.Deadline) {
 		return nil, &SendError{Kind: FailTimeout}
 	}
 	resp, err = a.group.router.cfg.Sender.Send(ctx, req)
--- a/pkg/steering/router.go
+++ b/pkg/steering/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"hickoryroute/internal/suspend"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/state/settings"
@@ -97,6 +98,9 @@
 	MaxLocalQueueWait time.Duration
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
+	// Suspended returns the time for which the machine has been suspended, which
+	// Now does not count; nil means suspend.Total.
+	Suspended func() time.Duration
 	// Rand returns a random number in [0,n). It is safe for concurrent use; nil
 	// means rand.IntN.
 	Rand func(n int) int
@@ -152,6 +156,9 @@
 
 // New returns a Router.
 func New(cfg Config) *Router {
+	if cfg.Suspended == nil {
+		cfg.Suspended = suspend.Total
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -206,6 +213,7 @@
 	deadline  time.Time
 	regions   []string
 	startedAt time.Time
+	suspended time.Duration // Config.Suspended at startedAt
 
 	triedTargets   []string        // names of targets already tried
 	asksAllOwners  bool            // also asks owners that are unresponsive or suspected dead
@@ -266,9 +274,16 @@
 		deadline:  effectiveDeadline(now, req.Deadline, rules.Deadline),
 		regions:   regions,
 		startedAt: now,
+		suspended: r.cfg.Suspended(),
 	}
 }
 
+// now returns the current time for comparisons with the deadlines of c. It counts
+// the time for which the machine was suspended since c began.
+func (r *Router) now(c *call) time.Time {
+	return r.cfg.Now().Add(r.cfg.Suspended() - c.suspended)
+}
+
 // attemptAll tries targets until one responds or no other may be tried.
 func (r *Router) attemptAll(ctx context.Context, c *call) (*attempt, *protocol.Problem) {
 	for {
