--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -1,21 +1,13 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"hickoryroute/pkg/state/route"
 )
 
-// maxBufferedBody limits the part of a request body that is buffered in memory,
-// so that the request can be resent to another target. The rest of a longer
-// body is streamed.
-const maxBufferedBody = 64 << 10
-
 // Request is one request of a caller.
 type Request struct {
 	ID     string // empty if the caller sent none
@@ -31,76 +23,6 @@
 	Received, Deadline time.Time
 }
 
-// Body is the body of a request: a buffered first part, and a stream for the
-// rest.
-type Body struct {
-	buffered []byte
-	rest     io.Reader // nil if the whole body is buffered
-	length   int64     // -1 if unknown
-	restUsed bool      // true once an attempt has read from rest
-}
-
-// ErrBodyTooLarge means that a request body exceeds the operator's limit.
-var ErrBodyTooLarge = errors.New("the request body exceeds the limit; send a smaller body")
-
-// ReadBody buffers the first part of a body. A length of -1 means that the
-// length is unknown, a limit of 0 that there is no limit.
-func ReadBody(source io.Reader, length, limit int64) (*Body, error) {
-	if limit > 0 && length > limit {
-		return nil, ErrBodyTooLarge
-	}
-	b := &Body{length: length}
-	if source == nil || length == 0 {
-		b.length = 0
-		return b, nil
-	}
-	buffered, err := io.ReadAll(io.LimitReader(source, maxBufferedBody+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read the request body")
-	}
-	b.buffered = buffered
-	if len(buffered) <= maxBufferedBody {
-		b.length = int64(len(buffered))
-		return b, nil
-	}
-	b.rest = source
-	if limit > 0 {
-		b.rest = &limitedReader{source: source, remaining: limit - int64(len(buffered))}
-	}
-	return b, nil
-}
-
-// limitedReader returns ErrBodyTooLarge once source has returned more than
-// remaining bytes.
-type limitedReader struct {
-	source    io.Reader
-	remaining int64
-}
-
-func (l *limitedReader) Read(p []byte) (int, error) {
-	n, err := l.source.Read(p)
-	l.remaining -= int64(n)
-	if l.remaining < 0 {
-		return 0, ErrBodyTooLarge
-	}
-	return n, err
-}
-
-// canSend reports whether the body can still be sent in full.
-func (b *Body) canSend() bool { return b.rest == nil || !b.restUsed }
-
-// newReader returns a reader of the whole body for one attempt.
-func (b *Body) newReader() io.Reader {
-	if b.length == 0 {
-		return nil
-	}
-	if b.rest == nil {
-		return bytes.NewReader(b.buffered)
-	}
-	b.restUsed = true
-	return io.MultiReader(bytes.NewReader(b.buffered), b.rest)
-}
-
 // Response is the response of a target.
 type Response struct {
 	Status int
