Read the store once for each reader when a large site starts

A VM now waits for the VM list and asks the readers first; at the first start of the whole system it waits 0.9 s for the others to register. One call to a reader fetches all kinds of entries, which three calls did before, so one VM in 48 reads instead of one in 16 with the same calls a reader.

--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -16,17 +16,27 @@
 
 // Copy implements peer.GatewayHandler.
 func (p *peers) Copy(_ context.Context, req *protocol.CopyRequest, reply *protocol.CopyReply) error {
-	var d feed.Delta
-	switch req.Kind {
-	case protocol.CopyOperatorEntries:
-		d = p.gateway.operatorFeed.DeltaSince(req.After)
-	case protocol.CopyTargetRecords:
-		d = p.gateway.targetFeed.DeltaSince(req.After)
-	case protocol.CopyVMRecords:
-		d = p.gateway.vmFeed.DeltaSince(req.After)
-	default:
-		return errors.Errorf("copy kind %d is not supported by this VM; upgrade it", req.Kind)
+	if err := p.copyKind(req.Kind, req.After, reply); err != nil {
+		return err
+	}
+	for _, other := range req.Others {
+		var r protocol.CopyReply
+		if err := p.copyKind(other.Kind, other.After, &r); err != nil {
+			return err
+		}
+		reply.Others = append(reply.Others, r)
+	}
+	return nil
+}
+
+// copyKind sets reply to the entries of one kind that have changed after a
+// revision.
+func (p *peers) copyKind(kind protocol.CopyKind, after int64, reply *protocol.CopyReply) error {
+	follower := p.followerOf(kind)
+	if follower == nil {
+		return errors.Errorf("copy kind %d is not supported by this VM; upgrade it", kind)
 	}
+	d := follower.DeltaSince(after)
 	reply.Revision, reply.Full, reply.Deleted = d.Revision, d.Full, d.Deleted
 	reply.AgeMs = d.Age.Milliseconds()
 	for _, e := range d.Entries {
@@ -36,6 +46,27 @@
 	return nil
 }
 
+// follower is what copies need of a follower of the store.
+type follower interface {
+	DeltaSince(after int64) feed.Delta
+	Revision() int64
+}
+
+// followerOf returns the follower of a kind of entries, or nil for an unknown
+// kind.
+func (p *peers) followerOf(kind protocol.CopyKind) follower {
+	switch kind {
+	case protocol.CopyOperatorEntries:
+		return p.gateway.operatorFeed
+	case protocol.CopyTargetRecords:
+		return p.gateway.targetFeed
+	case protocol.CopyVMRecords:
+		return p.gateway.vmFeed
+	default:
+		return nil
+	}
+}
+
 // fetchFromPeers returns a function that asks a few random VMs for the entries
 // of one kind that have changed after a revision.
 func (p *peers) fetchFromPeers(kind protocol.CopyKind) feed.PeerFetchFunc {
@@ -57,31 +88,29 @@
 	}
 }
 
-// fetchFromReader returns a function that asks the readers of this region for
-// the entries of one kind that have changed after a revision.
-func (p *peers) fetchFromReader(kind protocol.CopyKind) feed.ReaderFetchFunc {
-	return func(ctx context.Context, after int64, maxAge time.Duration) (feed.Delta, bool) {
-		r := p.currentRoles()
-		if r.selfReads {
-			return feed.Delta{}, false
-		}
-		for _, i := range rand.Perm(len(r.readers)) {
-			if d, ok := p.fetchCopy(ctx, r.readers[i], kind, after); ok && d.Age <= maxAge {
-				return d, true
-			}
-		}
+// fetchCopy asks one VM for the entries of one kind that have changed after a
+// revision. It returns false if the VM does not reply or has read none yet.
+func (p *peers) fetchCopy(ctx context.Context, vm feed.VM, kind protocol.CopyKind, after int64) (feed.Delta, bool) {
+	reply, err := p.callCopy(ctx, vm, &protocol.CopyRequest{Kind: kind, After: after})
+	if err != nil {
 		return feed.Delta{}, false
 	}
+	return p.decodeCopy(reply)
 }
 
-// fetchCopy asks one VM for the entries of one kind that have changed after a
-// revision. It returns false if the VM does not reply or has read none yet.
-func (p *peers) fetchCopy(ctx context.Context, vm feed.VM, kind protocol.CopyKind, after int64) (feed.Delta, bool) {
+// callCopy calls Copy of one VM.
+func (p *peers) callCopy(ctx context.Context, vm feed.VM, req *protocol.CopyRequest) (*protocol.CopyReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	var reply protocol.CopyReply
-	err := p.client.Call(ctx, vm.PeerAddress, "Gateway.Copy", &protocol.CopyRequest{Kind: kind, After: after}, &reply)
-	if err != nil || reply.Revision == 0 {
+	reply := &protocol.CopyReply{}
+	err := p.client.Call(ctx, vm.PeerAddress, "Gateway.Copy", req, reply)
+	return reply, err
+}
+
+// decodeCopy returns false if the VM that replied has read nothing yet, or if an
+// entry cannot be decompressed.
+func (p *peers) decodeCopy(reply *protocol.CopyReply) (feed.Delta, bool) {
+	if reply.Revision == 0 {
 		return feed.Delta{}, false
 	}
 	d := feed.Delta{
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -57,6 +57,9 @@
 	// MaxSpillChange limits by how much the share of requests that spill to other
 	// regions may change in one step.
 	MaxSpillChange float64
+	// FirstStart is true if the whole system starts for the first time, so that
+	// all VMs start at once.
+	FirstStart bool
 	// GracePeriod is the time between the signal to stop and the forced end of
 	// the process.
 	GracePeriod time.Duration
@@ -151,16 +154,16 @@
 	g.vmFeed = feed.NewVMRegistry(feed.VMRegistryConfig{
 		Store: cfg.Store, Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Self: cfg.Self,
 		Logger: cfg.Logger, Now: cfg.Now, ReadsForOthers: readsForOthers,
-		FetchFromPeers: g.peers.fetchFromPeers(protocol.CopyVMRecords), FetchFromReader: g.peers.fetchFromReader(protocol.CopyVMRecords),
+		FetchFromPeers: g.peers.fetchFromPeers(protocol.CopyVMRecords), FetchFromReader: g.peers.readerCopies.fetcher(protocol.CopyVMRecords),
 	})
 	g.operatorFeed = feed.NewOperatorFollower(feed.OperatorFollowerConfig{
 		Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Routes: &g.routes, Targets: g.targetSet,
 		Logger: cfg.Logger, Now: cfg.Now, ReadsForOthers: readsForOthers,
-		FetchFromPeers: g.peers.fetchFromPeers(protocol.CopyOperatorEntries), FetchFromReader: g.peers.fetchFromReader(protocol.CopyOperatorEntries),
+		FetchFromPeers: g.peers.fetchFromPeers(protocol.CopyOperatorEntries), FetchFromReader: g.peers.readerCopies.fetcher(protocol.CopyOperatorEntries),
 	})
 	g.targetFeed = feed.NewTargetFollower(feed.TargetFollowerConfig{
 		Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Targets: g.targetSet, Logger: cfg.Logger, Now: cfg.Now,
-		FetchFromPeers: g.peers.fetchFromPeers(protocol.CopyTargetRecords), FetchFromReader: g.peers.fetchFromReader(protocol.CopyTargetRecords),
+		FetchFromPeers: g.peers.fetchFromPeers(protocol.CopyTargetRecords), FetchFromReader: g.peers.readerCopies.fetcher(protocol.CopyTargetRecords),
 		OnRemoved:      func(t targets.Target) { g.picker.RemoveTarget(t.Service, t.Key()) },
 		ReadsForOthers: readsForOthers,
 	})
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -43,9 +43,9 @@
 	// minReaders is the least number of VMs of a region that read the store for
 	// the others on larger sites, because the rate limits of the store grow more
 	// slowly than the number of VMs. One reader is added for each vmsPerReader
-	// VMs: each VM asks its reader about seven times a second.
+	// VMs: each VM asks its reader about twice a second.
 	minReaders   = 2
-	vmsPerReader = 16
+	vmsPerReader = 48
 	// minReaderLinkShare is the bandwidth that the link of a reader must have, as
 	// a share of the fastest link in the region, because a reader passes on what
 	// it reads.
@@ -65,6 +65,7 @@
 	// roles caches the result of currentRoles.
 	roles atomic.Pointer[vmRoles]
 
+	readerCopies *readerCopies
 	// packed caches the compressed form of the newest large entry.
 	packed packed.Cache
 
@@ -73,13 +74,15 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{
+	p := &peers{
 		gateway:       g,
 		client:        peer.NewClient(peer.ClientConfig{DialTimeout: peerTimeout, MaxBackoff: time.Second}),
 		listVMs:       func() []feed.VM { return g.vmFeed.List() },
 		server:        peer.NewServer(peer.ServerConfig{Logger: g.cfg.Logger}),
 		lastMessageAt: map[string]time.Time{},
 	}
+	p.readerCopies = newReaderCopies(p, g.cfg.Now())
+	return p
 }
 
 // ServePeers serves the calls of other VMs until the listener is closed.
--- /dev/null
+++ b/pkg/gateway/readercopies.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hickoryroute/internal/wait"
+	"hickoryroute/pkg/coordination/feed"
+	"hickoryroute/pkg/protocol"
+)
+
+const (
+	// maxUnusedCopyAge is the time for which the copy of a kind that was fetched
+	// together with another kind waits for its follower. It is shorter than the
+	// time between two fetches of one follower.
+	maxUnusedCopyAge = 300 * time.Millisecond
+	// vmListWait is how long a VM that starts waits for the VM list, which tells
+	// whether others read the store for it.
+	vmListWait = 700 * time.Millisecond
+	// firstStartWait is how long a VM waits for the others to register when the
+	// whole system starts for the first time.
+	firstStartWait = 900 * time.Millisecond
+	// firstCopyWait is how long a VM that starts waits for a reader that has read
+	// the store. After it the VM reads the store itself.
+	firstCopyWait = 2 * time.Second
+	// firstCopyPause is the time between two attempts in firstCopyWait.
+	firstCopyPause = 100 * time.Millisecond
+)
+
+// readerCopies fetches what has changed in the store from the VMs that read it
+// for the others. One call fetches all kinds of entries, since their followers
+// ask at about the same times.
+type readerCopies struct {
+	peers     *peers
+	startedAt time.Time
+
+	mu        sync.Mutex // held during a call
+	fetchedAt time.Time
+	// unused holds the copies of the last call that their followers have not
+	// taken yet.
+	unused map[protocol.CopyKind]unusedCopy
+}
+
+// unusedCopy is the copy of one kind since a revision.
+type unusedCopy struct {
+	after int64
+	reply protocol.CopyReply
+}
+
+func newReaderCopies(p *peers, now time.Time) *readerCopies {
+	return &readerCopies{peers: p, startedAt: now, unused: map[protocol.CopyKind]unusedCopy{}}
+}
+
+// fetcher returns the function with which the follower of one kind asks the
+// readers of this region.
+func (c *readerCopies) fetcher(kind protocol.CopyKind) feed.ReaderFetchFunc {
+	return func(ctx context.Context, after int64, maxAge time.Duration) (feed.Delta, bool) {
+		if after == 0 && kind != protocol.CopyVMRecords {
+			return c.fetchFirst(ctx, kind, maxAge)
+		}
+		return c.fetch(ctx, kind, after, maxAge)
+	}
+}
+
+// fetchFirst fetches the first copy of a VM that starts. It waits for the VM list
+// and for the readers, because on a large site the store would be overrun if each
+// VM read everything itself.
+func (c *readerCopies) fetchFirst(ctx context.Context, kind protocol.CopyKind, maxAge time.Duration) (feed.Delta, bool) {
+	c.awaitVMList(ctx)
+	for {
+		if d, ok := c.fetch(ctx, kind, 0, maxAge); ok {
+			return d, true
+		}
+		selfReads := c.peers.currentRoles().selfReads
+		if selfReads || c.peers.gateway.cfg.Now().Sub(c.startedAt) >= firstCopyWait || !wait.For(ctx, firstCopyPause) {
+			return feed.Delta{}, false
+		}
+	}
+}
+
+// awaitVMList waits until this VM has read the VM list and, at the first start of
+// the whole system, until the others have had time to register.
+func (c *readerCopies) awaitVMList(ctx context.Context) {
+	g := c.peers.gateway
+	minWait := time.Duration(0)
+	if g.cfg.FirstStart {
+		minWait = firstStartWait
+	}
+	for {
+		age := g.cfg.Now().Sub(c.startedAt)
+		listed := !g.vmFeed.ConfirmedAt().IsZero() || age >= vmListWait
+		if listed && age >= minWait || !wait.For(ctx, readyCheckInterval) {
+			return
+		}
+	}
+}
+
+// fetch returns the changes of one kind after a revision. It returns false if this
+// VM reads the store itself, or if no reader has entries that were confirmed
+// within maxAge.
+func (c *readerCopies) fetch(ctx context.Context, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
+	roles := c.peers.currentRoles()
+	if roles.selfReads {
+		return feed.Delta{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d, ok := c.takeUnused(kind, after); ok && d.Age <= maxAge {
+		return d, true
+	}
+	req := c.newRequest(kind, after)
+	for _, i := range rand.Perm(len(roles.readers)) {
+		reply, err := c.peers.callCopy(ctx, roles.readers[i], req)
+		if err != nil {
+			continue
+		}
+		if d, ok := c.peers.decodeCopy(reply); ok && d.Age <= maxAge {
+			c.keepUnused(req, reply)
+			return d, true
+		}
+	}
+	return feed.Delta{}, false
+}
+
+// newRequest returns a request for one kind and for the changes that the followers
+// of the other kinds lack.
+func (c *readerCopies) newRequest(kind protocol.CopyKind, after int64) *protocol.CopyRequest {
+	req := &protocol.CopyRequest{Kind: kind, After: after}
+	for _, other := range []protocol.CopyKind{protocol.CopyOperatorEntries, protocol.CopyTargetRecords, protocol.CopyVMRecords} {
+		if other != kind {
+			req.Others = append(req.Others, protocol.CopyPosition{Kind: other, After: c.peers.followerOf(other).Revision()})
+		}
+	}
+	return req
+}
+
+func (c *readerCopies) keepUnused(req *protocol.CopyRequest, reply *protocol.CopyReply) {
+	clear(c.unused)
+	c.fetchedAt = c.peers.gateway.cfg.Now()
+	for i, other := range reply.Others {
+		if i < len(req.Others) {
+			c.unused[req.Others[i].Kind] = unusedCopy{after: req.Others[i].After, reply: other}
+		}
+	}
+}
+
+// takeUnused returns the copy of one kind that was fetched with another kind, if
+// it is recent and holds the changes after the revision.
+func (c *readerCopies) takeUnused(kind protocol.CopyKind, after int64) (feed.Delta, bool) {
+	copied, ok := c.unused[kind]
+	delete(c.unused, kind)
+	age := c.peers.gateway.cfg.Now().Sub(c.fetchedAt)
+	if !ok || copied.after != after || age > maxUnusedCopyAge {
+		return feed.Delta{}, false
+	}
+	d, ok := c.peers.decodeCopy(&copied.reply)
+	d.Age += age
+	return d, ok
+}
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -63,8 +63,16 @@
 )
 
 // CopyRequest asks for the entries of one kind that have changed after a
-// revision of the store.
+// revision of the store, and optionally for those of other kinds as well.
 type CopyRequest struct {
+	Kind   CopyKind
+	After  int64
+	Others []CopyPosition
+}
+
+// CopyPosition is the revision up to which the sender has the entries of one
+// kind.
+type CopyPosition struct {
 	Kind  CopyKind
 	After int64
 }
@@ -85,4 +93,7 @@
 	Entries []CopyEntry
 	Deleted []string
 	AgeMs   int64 // time since the store last confirmed the entries
+	// Others holds the replies for CopyRequest.Others, in their order. Peers of
+	// earlier versions leave it empty.
+	Others []CopyReply
 }
