--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -24,7 +24,7 @@
 	firstStartWait = 900 * time.Millisecond
 	// firstCopyWait is how long a VM that starts waits for a reader that has read
 	// the store. After it the VM reads the store itself.
-	firstCopyWait = 2 * time.Second
+	firstCopyWait = time.Second
 	// firstCopyPause is the time between two attempts in firstCopyWait.
 	firstCopyPause = 100 * time.Millisecond
 )
--- a/pkg/gateway/roles.go
+++ b/pkg/gateway/roles.go
@@ -75,7 +75,9 @@
 }
 
 // chooseReaders chooses the readers among the VMs of this region with fast
-// links. On small sites every VM reads the store itself.
+// links. On small sites every VM reads the store itself. Readers are chosen by
+// their addresses: after a power loss the list still holds the records of ended
+// processes, and the new process at the address of a reader must read.
 func (r *vmRoles) chooseReaders(self feed.VM) {
 	if len(r.list) <= maxVMsWithoutReaders {
 		r.selfReads = true
@@ -88,17 +90,19 @@
 			vmsInRegion++
 		}
 	}
-	byID := map[string]feed.VM{}
-	var ids []string
+	byAddress := map[string]feed.VM{}
+	var addresses []string
 	for _, vm := range r.list {
 		if vm.Region == self.Region && vm.LinkMbps >= fastest*minReaderLinkShare && !r.unresponsive[vm.ID] {
-			byID[vm.ID] = vm
-			ids = append(ids, vm.ID)
+			if _, listed := byAddress[vm.PeerAddress]; !listed {
+				addresses = append(addresses, vm.PeerAddress)
+			}
+			byAddress[vm.PeerAddress] = vm
 		}
 	}
-	for _, id := range placement.TopRanked("reader", ids, readerCount(vmsInRegion)) {
-		r.selfReads = r.selfReads || id == self.ID
-		r.readers = append(r.readers, byID[id])
+	for _, address := range placement.TopRanked("reader", addresses, readerCount(vmsInRegion)) {
+		r.selfReads = r.selfReads || address == self.PeerAddress
+		r.readers = append(r.readers, byAddress[address])
 	}
 }
 
