Drop the oldest entries of full tables, and remove unused code

The tables of owners, crashed targets, cached objects and work estimates were emptied when they were full, so one more object or owner than they hold made a VM forget all (TestFullTablesForgetTheOldestEntriesOnly fails on the code before).

--- a/pkg/coordination/config/run.go
+++ b/pkg/coordination/config/run.go
@@ -12,7 +12,6 @@
 // Intervals of Run.
 const (
 	compareInterval      = time.Second
-	pollInterval         = 2 * time.Second
 	watcherCheckInterval = time.Second // between two calls of IsWatcher
 	minWatchBackoff      = 250 * time.Millisecond
 	maxWatchBackoff      = 5 * time.Second
--- a/pkg/coordination/feed/sharedwatch_test.go
+++ b/pkg/coordination/feed/sharedwatch_test.go
@@ -13,14 +13,12 @@
 	"hickoryroute/pkg/transport/platform"
 )
 
-// countingFeed is a store that counts all watches and the running ones. While
-// stalled is set, watches do not return.
+// countingFeed is a store that counts all watches and the running ones.
 type countingFeed struct {
 	mu        sync.Mutex
 	calls     int
 	openCalls int
 	changes   []platform.Change
-	stalled   bool
 }
 
 func (c *countingFeed) write(key string, revision int64) {
@@ -49,11 +47,11 @@
 		defer c.mu.Unlock()
 		c.openCalls--
 	}()
-	for end := time.Now().Add(wait); time.Now().Before(end) || c.stalled; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if ctx.Err() != nil {
 			return platform.Changes{}, ctx.Err()
 		}
-		if found := c.since(prefix, after); len(found.Changes) > 0 && !c.stalled {
+		if found := c.since(prefix, after); len(found.Changes) > 0 {
 			return found, nil
 		}
 	}
--- a/pkg/coordination/feed/vm_registry.go
+++ b/pkg/coordination/feed/vm_registry.go
@@ -214,10 +214,8 @@
 		delete(next, v.cfg.Self.ID)
 	}
 	changed := len(next) != len(v.listed)
-	for id := range next {
-		if _, ok := v.listed[id]; !ok {
-			changed = true
-		}
+	for id, vm := range next {
+		changed = changed || v.listed[id] != vm
 	}
 	v.listed = next
 	if !changed {
--- a/pkg/coordination/linkcap/limiter.go
+++ b/pkg/coordination/linkcap/limiter.go
@@ -14,7 +14,6 @@
 	"sync"
 	"time"
 
-	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
 )
 
@@ -49,8 +48,6 @@
 	// each acquisition and loan, and must return quickly. The default returns
 	// true.
 	SeatsValid func() bool
-	// Logger receives events 1320 to 1329. The default discards them.
-	Logger *eventlog.Logger
 	// MetricsPrefix is the prefix of each metric name. The default is
 	// "hickory_link".
 	MetricsPrefix string
@@ -75,9 +72,6 @@
 	if cfg.SeatsValid == nil {
 		cfg.SeatsValid = func() bool { return true }
 	}
-	if cfg.Logger == nil {
-		cfg.Logger = eventlog.Discard()
-	}
 	if cfg.MetricsPrefix == "" {
 		cfg.MetricsPrefix = "hickory_link"
 	}
--- a/pkg/coordination/member/config.go
+++ b/pkg/coordination/member/config.go
@@ -25,8 +25,8 @@
 // CallFunc calls a method of the peer at address and fills reply.
 type CallFunc func(ctx context.Context, address, method string, args, reply any) error
 
-// Config configures a List. Start from DefaultLANConfig or DefaultTestConfig
-// and set Self and Call.
+// Config configures a List. Start from DefaultLANConfig and
+// set Self and Call.
 type Config struct {
 	// Self is the record of this process. Each process at the same address
 	// needs a higher Incarnation than the one before, because a record with a
@@ -129,19 +129,6 @@
 	}
 }
 
-// DefaultTestConfig returns DefaultLANConfig with shorter times, most of them a
-// tenth, for tests with real processes on one machine.
-func DefaultTestConfig() Config {
-	c := DefaultLANConfig()
-	c.ProbeInterval /= 10
-	c.ProbeTimeout /= 2
-	c.SuspectTimeout /= 10
-	c.GossipInterval /= 10
-	c.ReconnectInterval /= 10
-	c.PartnerLifetime /= 10
-	return c
-}
-
 // withDefaults fills the zero fields from DefaultLANConfig.
 func (c Config) withDefaults() Config {
 	d := DefaultLANConfig()
--- a/pkg/coordination/slot/health.go
+++ b/pkg/coordination/slot/health.go
@@ -90,16 +90,6 @@
 	})
 }
 
-// DelayGrants refuses grants on the target until the given time. It never
-// shortens an earlier delay.
-func (o *Owner) DelayGrants(name string, until time.Time) {
-	o.updateTarget(name, func(t *target, _ time.Time) {
-		if until.After(t.spec.NoGrantsBefore) {
-			t.spec.NoGrantsBefore = until
-		}
-	})
-}
-
 // updateTarget changes the state of an owned target under the lock of its shard
 // and grants waiting requests that now fit.
 func (o *Owner) updateTarget(name string, change func(*target, time.Time)) {
--- a/pkg/coordination/slot/queue.go
+++ b/pkg/coordination/slot/queue.go
@@ -20,7 +20,6 @@
 	waitUntil   time.Time // end of the wait
 	deadline    time.Time // end of the request and of its reservation
 	reservation *reservation
-	timedOut    bool          // the wait ended without a grant
 	done        chan struct{} // nil for a request that doesn't wait
 }
 
@@ -159,7 +158,6 @@
 			kept = append(kept, w)
 			continue
 		}
-		w.timedOut = true
 		if w.done != nil {
 			close(w.done)
 		}
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -134,7 +134,7 @@
 	v.seats = seat.New(v.seatConfig())
 	v.slotOwner = slot.New(slot.Config{Now: suspend.Now, Logger: v.log, MayGrant: v.mayGrant})
 	v.links = linkcap.New(linkcap.Config{
-		Peers: v.linkPeers, Borrow: v.requestLoan, SeatsValid: v.seats.Valid, Logger: v.log,
+		Peers: v.linkPeers, Borrow: v.requestLoan, SeatsValid: v.seats.Valid,
 	})
 	v.config = config.New(config.Config{
 		Store: v.cfg.Store, Peers: configPeers{v}, Logger: v.log, IsWatcher: v.isSettingsWatcher,
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -111,7 +111,7 @@
 
 func (g *Gateway) countOutcome(c *call, response *Response, refusal *Refusal) {
 	g.metrics.duration.Update(g.cfg.Now().Sub(c.Received).Seconds())
-	g.metrics.resends.Add(c.retries + c.refusals)
+	g.metrics.resends.Add(c.retries + c.refusals + c.unreached)
 	if c.choice != nil && c.choice.Spilled {
 		g.metrics.spilled.Inc()
 	}
--- a/pkg/steering/crash_table.go
+++ b/pkg/steering/crash_table.go
@@ -54,17 +54,9 @@
 	return &crashTable{limit: limit, entries: map[string]*crashEntry{}}
 }
 
-// raise raises a fingerprint to at least level for the time ttl and returns its
-// level. A level that has been reached before does not extend the time.
-func (t *crashTable) raise(fingerprint string, level int, ttl time.Duration, now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e, _ := t.raiseLocked(fingerprint, level, ttl, now)
-	return e.level
-}
-
-// raiseLocked does the same as raise with the lock held. It also reports
-// whether the level was lower before.
+// raiseLocked raises the level of a fingerprint, unless it is that high already,
+// and returns its entry. It also reports whether the level was lower before. The
+// caller holds the lock.
 func (t *crashTable) raiseLocked(fingerprint string, level int, ttl time.Duration, now time.Time) (*crashEntry, bool) {
 	e := t.unexpired(fingerprint, now)
 	if e == nil {
--- a/pkg/steering/crashed_targets.go
+++ b/pkg/steering/crashed_targets.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"hickoryroute/internal/lru"
 )
 
 const (
@@ -20,7 +22,7 @@
 // quarantined as well.
 type crashedTargets struct {
 	mu      sync.Mutex
-	crashes map[string]targetCrash
+	crashes *lru.Table[string, targetCrash]
 }
 
 // targetCrash is the request that crashed a target, and when.
@@ -29,7 +31,9 @@
 	at          time.Time
 }
 
-func newCrashedTargets() *crashedTargets { return &crashedTargets{crashes: map[string]targetCrash{}} }
+func newCrashedTargets() *crashedTargets {
+	return &crashedTargets{crashes: lru.New[string, targetCrash](maxCrashedTargets)}
+}
 
 // record records a crash of a target. It keeps the first request until the
 // target responds again, because later requests were sent to a target that was
@@ -37,22 +41,17 @@
 func (t *crashedTargets) record(target, fingerprint string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c, ok := t.crashes[target]; ok && now.Sub(c.at) < crashedTargetTTL {
+	if c, ok := t.crashes.Peek(target); ok && now.Sub(c.at) < crashedTargetTTL {
 		return
 	}
-	if len(t.crashes) >= maxCrashedTargets {
-		clear(t.crashes)
-	}
-	t.crashes[target] = targetCrash{fingerprint, now}
+	t.crashes.Add(target, targetCrash{fingerprint, now})
 }
 
 // remove drops the crash of a target that has responded.
 func (t *crashedTargets) remove(target string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.crashes) > 0 {
-		delete(t.crashes, target)
-	}
+	t.crashes.Remove(target)
 }
 
 // crashedByOther reports whether a different request has just crashed the
@@ -61,6 +60,6 @@
 func (t *crashedTargets) crashedByOther(target, fingerprint string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, ok := t.crashes[target]
+	c, ok := t.crashes.Peek(target)
 	return ok && c.fingerprint != fingerprint && now.Sub(c.at) < crashedTargetTTL
 }
--- a/pkg/steering/owners.go
+++ b/pkg/steering/owners.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"hickoryroute/internal/lru"
 )
 
 const (
@@ -23,7 +25,7 @@
 // last.
 type ownerTable struct {
 	mu     sync.Mutex
-	owners map[string]ownerState
+	owners *lru.Table[string, ownerState]
 }
 
 // ownerState is the last reported state of one owner.
@@ -34,17 +36,14 @@
 	unresponsive bool
 }
 
-func newOwnerTable() *ownerTable { return &ownerTable{owners: map[string]ownerState{}} }
+func newOwnerTable() *ownerTable { return &ownerTable{owners: lru.New[string, ownerState](maxOwners)} }
 
 // recordReply records the free count of a reply.
 func (t *ownerTable) recordReply(owner string, free int, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.owners) >= maxOwners {
-		clear(t.owners)
-	}
-	peak := max(t.owners[owner].peakFree, free)
-	t.owners[owner] = ownerState{free: free, peakFree: peak, updatedAt: now}
+	previous, _ := t.owners.Get(owner)
+	t.owners.Add(owner, ownerState{free: free, peakFree: max(previous.peakFree, free), updatedAt: now})
 }
 
 // takeSlot lowers the free count of an owner that is about to be asked, so that
@@ -52,11 +51,11 @@
 func (t *ownerTable) takeSlot(owner string, free int, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	state := t.owners[owner]
+	state, _ := t.owners.Get(owner)
 	state.peakFree = max(state.peakFree, free)
 	state.free = max(free-1, 0)
 	state.updatedAt = now
-	t.owners[owner] = state
+	t.owners.Add(owner, state)
 }
 
 // returnSlot raises the free count of an owner whose slot this VM returns.
@@ -65,22 +64,22 @@
 func (t *ownerTable) returnSlot(owner string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	state, ok := t.owners[owner]
+	state, ok := t.owners.Get(owner)
 	if !ok {
 		return
 	}
 	state.free = min(state.free+1, state.peakFree)
-	t.owners[owner] = state
+	t.owners.Add(owner, state)
 }
 
 // markUnresponsive records that an owner did not reply.
 func (t *ownerTable) markUnresponsive(owner string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	state := t.owners[owner]
+	state, _ := t.owners.Get(owner)
 	state.unresponsive = true
 	state.updatedAt = now
-	t.owners[owner] = state
+	t.owners.Add(owner, state)
 }
 
 // candidate is an owner that may be asked for a slot.
@@ -98,7 +97,8 @@
 	defer t.mu.Unlock()
 	list := make([]candidate, 0, len(owners))
 	for _, o := range owners {
-		state, age := t.owners[o.Address], replyMaxAge
+		state, _ := t.owners.Get(o.Address)
+		age := replyMaxAge
 		if !state.updatedAt.IsZero() {
 			age = now.Sub(state.updatedAt)
 		}
@@ -106,9 +106,9 @@
 		if paused && !all {
 			continue
 		}
-		if o.FreeSlots > state.peakFree && len(t.owners) < maxOwners {
+		if o.FreeSlots > state.peakFree {
 			state.peakFree = o.FreeSlots
-			t.owners[o.Address] = state
+			t.owners.Add(o.Address, state)
 		}
 		c := candidate{address: o.Address, free: o.FreeSlots, peakFree: state.peakFree}
 		if age < replyMaxAge && o.Address != self {
--- a/pkg/steering/owners_test.go
+++ b/pkg/steering/owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -111,3 +112,20 @@
 	}
 	return l.fakeReserver.Reserve(ctx, owner, req)
 }
+
+// Guards against a VM that forgets the free slots of all owners, or the crashes of
+// all targets, when one more comes than the tables hold.
+func TestFullTablesForgetTheOldestEntriesOnly(t *testing.T) {
+	now := time.Now()
+	owners, crashes := newOwnerTable(), newCrashedTargets()
+	for i := range maxOwners + 1 {
+		owners.recordReply(fmt.Sprint(i), 7, now)
+		crashes.record(fmt.Sprint(i), "request", now)
+	}
+	list := []OwnerInfo{{Address: "1"}, {Address: fmt.Sprint(maxOwners)}}
+	for _, c := range owners.candidates(list, "self", false, now) {
+		assert.Equal(t, c.free, 7, c.address)
+	}
+	assert.Assert(t, crashes.crashedByOther(fmt.Sprint(maxOwners), "other", now))
+	assert.Assert(t, crashes.crashedByOther(fmt.Sprint(maxOwners+1-maxCrashedTargets), "other", now))
+}
--- a/pkg/steering/placement/choice.go
+++ b/pkg/steering/placement/choice.go
@@ -194,6 +194,7 @@
 	if rank == 0 {
 		return true
 	}
-	usedAt, ok := s.warmObjects[object][t.Key()]
+	byTarget, _ := s.warmObjects.Peek(object)
+	usedAt, ok := byTarget[t.Key()]
 	return ok && q.Now.Sub(usedAt) < warmTTL
 }
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"hickoryroute/internal/lru"
 	"hickoryroute/pkg/state/targets"
 )
 
@@ -85,7 +86,8 @@
 	targetStates map[targets.Key]*targetState
 	work         workTable
 	waitScale    waitScale
-	warmObjects  map[string]map[targets.Key]time.Time
+	// warmObjects holds the time of the last use of an object by target.
+	warmObjects  *lru.Table[string, map[targets.Key]time.Time]
 	spill        spillController
 	utilizations map[string]regionUtilization
 	// split divides the most recent list of targets by region.
@@ -112,8 +114,8 @@
 	defer p.mu.Unlock()
 	if s = p.services[service]; s == nil {
 		s = &serviceState{
-			waitScale: newWaitScale(), targetStates: map[targets.Key]*targetState{}, work: workTable{routes: map[string]*workEstimate{}},
-			warmObjects: map[string]map[targets.Key]time.Time{}, utilizations: map[string]regionUtilization{},
+			waitScale: newWaitScale(), targetStates: map[targets.Key]*targetState{}, work: newWorkTable(),
+			warmObjects: lru.New[string, map[targets.Key]time.Time](maxWarmObjects), utilizations: map[string]regionUtilization{},
 		}
 		p.services[service] = s
 	}
@@ -150,7 +152,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.targetStates, key)
-	for _, byTarget := range s.warmObjects {
+	for _, byTarget := range s.warmObjects.Values() {
 		delete(byTarget, key)
 	}
 }
@@ -270,13 +272,10 @@
 
 // markWarm records that a target now has an object cached.
 func (s *serviceState) markWarm(c *Choice, now time.Time) {
-	byTarget := s.warmObjects[c.object]
-	if byTarget == nil {
-		if len(s.warmObjects) >= maxWarmObjects {
-			s.warmObjects = map[string]map[targets.Key]time.Time{}
-		}
+	byTarget, ok := s.warmObjects.Get(c.object)
+	if !ok {
 		byTarget = map[targets.Key]time.Time{}
-		s.warmObjects[c.object] = byTarget
+		s.warmObjects.Add(c.object, byTarget)
 	}
 	byTarget[c.Target.Key()] = now
 }
--- a/pkg/steering/placement/picker_test.go
+++ b/pkg/steering/placement/picker_test.go
@@ -158,7 +158,8 @@
 	complete(p, c, start)
 	s := p.service("s")
 	assert.Assert(t, s.targetStates[c.Target.Key()] == nil)
-	assert.Equal(t, len(s.warmObjects["x"]), 0)
+	byTarget, _ := s.warmObjects.Peek("x")
+	assert.Equal(t, len(byTarget), 0)
 }
 
 // One slow exchange must not raise the measured round trip to a region.
--- a/pkg/steering/placement/work.go
+++ b/pkg/steering/placement/work.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"hickoryroute/internal/lru"
+)
 
 const (
 	// workSmoothing is the weight of one response in the mean work of a route.
@@ -21,17 +25,20 @@
 type workEstimate struct{ warm, cold float64 } // seconds
 
 // workTable holds the work estimates by route name.
-type workTable struct{ routes map[string]*workEstimate }
+type workTable struct {
+	routes *lru.Table[string, *workEstimate]
+}
+
+func newWorkTable() workTable {
+	return workTable{routes: lru.New[string, *workEstimate](maxRoutes)}
+}
 
 // forRoute returns the estimate of a route and creates it if needed.
 func (t *workTable) forRoute(route string, goal time.Duration) *workEstimate {
-	w := t.routes[route]
-	if w == nil {
-		if len(t.routes) >= maxRoutes {
-			t.routes = map[string]*workEstimate{}
-		}
+	w, ok := t.routes.Get(route)
+	if !ok {
 		w = &workEstimate{warm: warmPrior * goal.Seconds(), cold: coldPrior * goal.Seconds()}
-		t.routes[route] = w
+		t.routes.Add(route, w)
 	}
 	return w
 }
--- a/pkg/steering/router_test.go
+++ b/pkg/steering/router_test.go
@@ -260,15 +260,15 @@
 func TestCrashTableIsBounded(t *testing.T) {
 	now := time.Now()
 	table := newCrashTable(8)
-	assert.Equal(t, table.raise("bad", 1, quarantineTime, now), 1)
-	assert.Equal(t, table.raise("bad", 1, quarantineTime, now), 1)
-	assert.Equal(t, table.raise("bad", 2, quarantineTime, now), 2)
+	assert.Equal(t, raiseLevel(table, "bad", 1, quarantineTime, now), 1)
+	assert.Equal(t, raiseLevel(table, "bad", 1, quarantineTime, now), 1)
+	assert.Equal(t, raiseLevel(table, "bad", 2, quarantineTime, now), 2)
 	for i := range 1000 {
-		table.raise(fmt.Sprint(i), 1, quarantineTime, now.Add(time.Duration(i)))
+		raiseLevel(table, fmt.Sprint(i), 1, quarantineTime, now.Add(time.Duration(i)))
 		assert.Assert(t, len(table.entries) <= 8)
 	}
 	assert.Assert(t, table.entries["bad"] != nil)
-	table.raise("late", 1, quarantineTime, now.Add(quarantineTime+time.Second))
+	raiseLevel(table, "late", 1, quarantineTime, now.Add(quarantineTime+time.Second))
 	assert.Equal(t, len(table.entries), 1)
 }
 
@@ -357,3 +357,11 @@
 	}
 	assert.Assert(t, len(tr.classes) <= maxClasses+1)
 }
+
+// raiseLevel raises the crash level of a fingerprint and returns its level.
+func raiseLevel(t *crashTable, fingerprint string, level int, ttl time.Duration, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, _ := t.raiseLocked(fingerprint, level, ttl, now)
+	return e.level
+}
