Make the tests of large sites independent of the machine's load

The time after a power loss is guarded by TestReadersAreChosenByAddress, which needs no clock: without the change 0 readers.

--- a/pkg/coordination/feed/feed.go
+++ b/pkg/coordination/feed/feed.go
@@ -59,6 +59,15 @@
 	CallTimeout time.Duration
 	// PollInterval is the time between two fetches from a reader.
 	PollInterval time.Duration
+	// VMListWait is how long a VM that starts waits for the VM list, which tells
+	// whether others read the store for it.
+	VMListWait time.Duration
+	// FirstStartWait is how long a VM waits for the others to register when the
+	// whole system starts for the first time.
+	FirstStartWait time.Duration
+	// FirstCopyWait is how long a VM that starts waits for a reader that has read
+	// the store. After it the VM reads the store itself.
+	FirstCopyWait time.Duration
 }
 
 // DefaultTiming returns the timing with which changes take effect within about
@@ -72,6 +81,9 @@
 		LeaseTTL:        4 * time.Second,
 		CallTimeout:     900 * time.Millisecond,
 		PollInterval:    450 * time.Millisecond,
+		VMListWait:      700 * time.Millisecond,
+		FirstStartWait:  900 * time.Millisecond,
+		FirstCopyWait:   time.Second,
 	}
 }
 
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -296,3 +296,31 @@
 	}
 	assert.DeepEqual(t, running, explained)
 }
+
+// Guards against a site on which nobody reads the store after all VMs have lost
+// power: the list still holds the records of the ended processes, and the new
+// processes waited for them, 2 s with 60 VMs.
+func TestReadersAreChosenByAddress(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	setVMs(g, 20, 20)
+	old := g.peers.listVMs()
+	for _, newCount := range []int{0, 20, len(old)} { // new processes that have registered
+		list := append([]feed.VM(nil), old...)
+		for _, vm := range old[:newCount] {
+			vm.ID = "new-" + vm.ID
+			list = append(list, vm)
+		}
+		g.peers.listVMs = func() []feed.VM { return list }
+		readers := 0
+		for _, vm := range old {
+			g.cfg.Self = vm
+			g.cfg.Self.ID = "new-" + vm.ID
+			g.peers.roles.Store(nil)
+			if g.peers.currentRoles().selfReads {
+				readers++
+			}
+		}
+		assert.Assert(t, readers >= minReaders && readers <= 2*minReaders, "%d readers with %d new processes", readers, newCount)
+	}
+}
--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -16,16 +16,7 @@
 	// together with another kind waits for its follower. It is shorter than the
 	// time between two fetches of one follower.
 	maxUnusedCopyAge = 300 * time.Millisecond
-	// vmListWait is how long a VM that starts waits for the VM list, which tells
-	// whether others read the store for it.
-	vmListWait = 700 * time.Millisecond
-	// firstStartWait is how long a VM waits for the others to register when the
-	// whole system starts for the first time.
-	firstStartWait = 900 * time.Millisecond
-	// firstCopyWait is how long a VM that starts waits for a reader that has read
-	// the store. After it the VM reads the store itself.
-	firstCopyWait = time.Second
-	// firstCopyPause is the time between two attempts in firstCopyWait.
+	// firstCopyPause is the time between two attempts to get the first copy.
 	firstCopyPause = 100 * time.Millisecond
 )
 
@@ -74,7 +65,7 @@
 			return d, true
 		}
 		selfReads := c.peers.currentRoles().selfReads
-		if selfReads || c.peers.gateway.cfg.Now().Sub(c.startedAt) >= firstCopyWait || !wait.For(ctx, firstCopyPause) {
+		if selfReads || c.peers.gateway.cfg.Now().Sub(c.startedAt) >= c.peers.gateway.cfg.Timing.FirstCopyWait || !wait.For(ctx, firstCopyPause) {
 			return feed.Delta{}, false
 		}
 	}
@@ -86,11 +77,11 @@
 	g := c.peers.gateway
 	minWait := time.Duration(0)
 	if g.cfg.FirstStart {
-		minWait = firstStartWait
+		minWait = g.cfg.Timing.FirstStartWait
 	}
 	for {
 		age := g.cfg.Now().Sub(c.startedAt)
-		listed := !g.vmFeed.ConfirmedAt().IsZero() || age >= vmListWait
+		listed := !g.vmFeed.ConfirmedAt().IsZero() || age >= g.cfg.Timing.VMListWait
 		if listed && age >= minWait || !wait.For(ctx, readyCheckInterval) {
 			return
 		}
--- a/test/scenario/system_test.go
+++ b/test/scenario/system_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -60,6 +61,9 @@
 func (s *system) start(name, program string, firstLine bool, args ...string) (string, error) {
 	p := &process{cmd: exec.Command(filepath.Join(binaryDir, program), args...), exited: make(chan struct{}), output: &testproc.Output{}}
 	p.cmd.Stderr = p.output
+	// In a group of its own, a paused process does not get SIGHUP when the shell
+	// that started the tests ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return "", err
