--- a/pkg/coordination/member/config.go
+++ b/pkg/coordination/member/config.go
@@ -25,8 +25,7 @@
 // CallFunc calls a method of the peer at address and fills reply.
 type CallFunc func(ctx context.Context, address, method string, args, reply any) error
 
-// Config configures a List. Start from DefaultLANConfig and
-// set Self and Call.
+// Config configures a List. Start from DefaultLANConfig and set Self and Call.
 type Config struct {
 	// Self is the record of this process. Each process at the same address
 	// needs a higher Incarnation than the one before, because a record with a
