--- /dev/null
+++ b/pkg/transport/target/accept.go
@@ -0,0 +1,82 @@
+package target
+
+import (
+	"io"
+	"net/http"
+)
+
+const (
+	maxRefusalBodyBytes = 4 << 10 // after a longer refusal the connection is closed
+	maxSurplusResponses = 2       // responses to earlier requests that are discarded
+	maxSurplusBytes     = 1 << 20 // a longer one closes the connection
+)
+
+// acceptResponse checks that the response belongs to the request and that its
+// end is known.
+func (x *exchange) acceptResponse() (*Response, *Failure) {
+	h := x.resp.Header
+	d := x.dialect()
+	id := h.Get(d.RequestIDHeader)
+	x.echoed = id != "" && id == x.req.RequestID
+	if id != "" && x.req.RequestID != "" && id != x.req.RequestID {
+		return nil, x.fail(KindMismatched, errMismatchedID)
+	}
+	if refusal := x.readRefusal(); refusal != nil {
+		return nil, refusal
+	}
+	if d.RequireEchoedID && !x.echoed {
+		return nil, x.fail(KindMismatched, errNotEchoed)
+	}
+	if !d.AllowCloseDelimited && x.resp.Body != http.NoBody && x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 {
+		return nil, x.fail(KindTruncated, errUnknownEnd)
+	}
+	x.conn.setIdleLimit(h)
+	StripHopByHop(h)
+	resp := &Response{
+		Status: x.resp.StatusCode, Header: h, ContentLength: x.resp.ContentLength,
+		Draining: d.IsDraining(h),
+	}
+	resp.Body = &responseBody{x: x}
+	return resp, nil
+}
+
+// readRefusal returns the Failure if the response states that the target did
+// not run the request, and nil otherwise.
+func (x *exchange) readRefusal() *Failure {
+	status := x.resp.StatusCode
+	if !x.dialect().IsNotRun(status, x.resp.Header) {
+		return nil
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(x.resp.Body, maxRefusalBodyBytes+1))
+	whole := err == nil && n <= maxRefusalBodyBytes
+	f := &Failure{Kind: KindRefused, NotRun: true, Status: status, Header: x.resp.Header, Err: errNotRunResponse}
+	f.Draining = x.dialect().IsDraining(x.resp.Header)
+	reusable := whole && x.reusable()
+	if !reusable {
+		x.abort()
+	}
+	f.Written, _ = x.conn.sent()
+	x.finish(reusable)
+	return f
+}
+
+// discardSurplusResponse discards a response to an earlier request. A target
+// may respond to a request twice, and the second response then precedes the
+// response to the next request. Only a response of a known and limited length on
+// a reused connection is discarded, because the next response then starts at a
+// known place.
+func (x *exchange) discardSurplusResponse() bool {
+	id := x.resp.Header.Get(x.dialect().RequestIDHeader)
+	if !x.dialect().SkipSurplusResponses || !x.conn.reused || id == "" || id == x.req.RequestID ||
+		x.resp.Close || x.resp.ContentLength < 0 || x.resp.ContentLength > maxSurplusBytes {
+		return false
+	}
+	n, err := io.Copy(io.Discard, x.resp.Body)
+	if err != nil || n != x.resp.ContentLength {
+		return false
+	}
+	x.conn.headLeft = int64(x.client.cfg.MaxHeaderBytes)
+	x.conn.head = x.conn.head[:0]
+	x.readSurplus = true
+	return true
+}
