Log the age and source of the routes with each decision on a request

Lines of requests and of requests without a route name the age of the routes on this VM (routes_ms) and not only their version, routes_in_force names where a version came from, and event 2113 tells of a process that did not run. Without them the logs of a VM cannot distinguish a version that the store has just confirmed from one that is several seconds old.

--- a/pkg/coordination/feed/feed.go
+++ b/pkg/coordination/feed/feed.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// Source says from where a VM got a copy of entries.
+type Source string
+
+// Sources of copies. A reader is a VM that reads the store for others; any other
+// VM is asked only while the store does not answer.
+const (
+	SourceStore  Source = "store"
+	SourceReader Source = "reader"
+	SourcePeer   Source = "other VM"
+)
+
 // PeerFetchFunc fetches the changes after a revision from some other VMs.
 type PeerFetchFunc func(ctx context.Context, after int64) []Delta
 
--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -53,6 +53,8 @@
 
 	mu    sync.Mutex
 	cache *entryCache
+	// source says where the entries of the cache came from last.
+	source Source
 	// cancelWatch cancels the running watch; nil if none runs.
 	cancelWatch context.CancelFunc
 	hintPending bool // another VM has a newer entry, which the watch may still deliver
@@ -77,11 +79,15 @@
 	return f.cache.revision
 }
 
-// ConfirmedAt returns the time at which the store last confirmed the copy.
-func (f *follower) ConfirmedAt() time.Time {
+// Age returns the time since the store last confirmed the copy, to this VM or to
+// the VM that the copy came from. It returns false before the first confirmation.
+func (f *follower) Age() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cache.confirmedAt
+	if f.cache.confirmedAt.IsZero() {
+		return 0, false
+	}
+	return f.cfg.now().Sub(f.cache.confirmedAt), true
 }
 
 // NewestRevision returns the revision of the newest entry.
@@ -139,7 +145,7 @@
 	for ctx.Err() == nil {
 		if d, ok := fetchFromReader(ctx, f.cfg.fetchFromReader, f.Revision(), f.cfg.timing.MaxCopyAge); ok {
 			f.recordResult(nil)
-			f.merge(d)
+			f.merge(d, SourceReader)
 			readAll = true
 			sleepJittered(ctx, f.cfg.timing.PollInterval)
 			continue
@@ -194,7 +200,7 @@
 	f.recordResult(nil)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cache.confirmedAt = f.cfg.now()
+	f.cache.confirmedAt, f.source = f.cfg.now(), SourceStore
 	if f.cache.replace(snapshot.Entries, snapshot.Revision) {
 		f.cfg.onChange()
 	}
@@ -226,7 +232,7 @@
 func (f *follower) applyChanges(changes platform.Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cache.confirmedAt = f.cfg.now()
+	f.cache.confirmedAt, f.source = f.cfg.now(), SourceStore
 	f.cache.apply(changes)
 	f.notify(len(changes.Changes) > 0)
 }
@@ -243,9 +249,10 @@
 }
 
 // merge adds the delta of another VM to the copy.
-func (f *follower) merge(d Delta) {
+func (f *follower) merge(d Delta, source Source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.source = source
 	f.cache.advanceConfirmedAt(f.cfg.now().Add(-d.Age))
 	newer := f.cache.merge(d)
 	f.notify(newer && (d.Full || len(d.Entries)+len(d.Deleted) > 0))
@@ -257,6 +264,6 @@
 		return
 	}
 	for _, d := range f.cfg.fetchFromPeers(ctx, f.Revision()) {
-		f.merge(d)
+		f.merge(d, SourcePeer)
 	}
 }
--- a/pkg/coordination/feed/operator_follower.go
+++ b/pkg/coordination/feed/operator_follower.go
@@ -68,6 +68,7 @@
 		if decoded.Config != nil && o.cfg.Routes.SetIfNewer(decoded.Config) {
 			o.cfg.Logger.Log(EventRoutesInForce, eventlog.Fields{
 				"version": decoded.Config.Version, "revision": e.Revision, "routes": len(decoded.Config.Routes),
+				"source": string(o.source),
 			})
 		}
 	}
--- a/pkg/coordination/feed/target_follower_test.go
+++ b/pkg/coordination/feed/target_follower_test.go
@@ -36,12 +36,12 @@
 	})
 	entries := []platform.Entry{{Key: "a", Revision: 1}, {Key: "bad", Revision: 2}, {Key: "b", Revision: 3}}
 	for revision := int64(3); revision < 6; revision++ {
-		f.merge(Delta{Revision: revision, Full: true, Entries: entries})
+		f.merge(Delta{Revision: revision, Full: true, Entries: entries}, SourcePeer)
 	}
 	assert.Equal(t, set.View().Len(), 2)
 	assert.DeepEqual(t, decodes, map[string]int{"a": 1, "b": 1, "bad": 1})
 
-	f.merge(Delta{Revision: 7, Entries: []platform.Entry{{Key: "b", Revision: 7}}, Deleted: []string{"a"}})
+	f.merge(Delta{Revision: 7, Entries: []platform.Entry{{Key: "b", Revision: 7}}, Deleted: []string{"a"}}, SourcePeer)
 	assert.Equal(t, set.View().Len(), 1)
 	assert.Equal(t, decodes["b"], 2)
 	assert.Equal(t, len(f.decoder.cache), 2, "deleted entries leave the cache")
--- a/pkg/coordination/feed/vm_registry_test.go
+++ b/pkg/coordination/feed/vm_registry_test.go
@@ -39,12 +39,12 @@
 	log.SetOutput(&out)
 	v := NewVMRegistry(VMRegistryConfig{Self: VM{ID: "self"}, Timing: DefaultTiming(), Logger: eventlog.New(log, nil), Now: time.Now})
 	entries := append(vmEntries(1, "a", "b"), platform.Entry{Key: "vm/bad", Revision: 1, Value: []byte("{")})
-	v.merge(Delta{Revision: 1, Full: true, Entries: entries})
+	v.merge(Delta{Revision: 1, Full: true, Entries: entries}, SourcePeer)
 	list := v.List()
 	assert.Equal(t, len(list), 3)
 	for revision := int64(2); revision < 6; revision++ {
-		v.merge(Delta{Revision: revision})
-		v.merge(Delta{Revision: revision, Full: true, Entries: entries})
+		v.merge(Delta{Revision: revision}, SourcePeer)
+		v.merge(Delta{Revision: revision, Full: true, Entries: entries}, SourcePeer)
 	}
 	assert.Equal(t, strings.Count(out.String(), "vm/bad"), 1, out.String())
 	assert.Assert(t, &list[0] == &v.List()[0], "an unchanged list is not rebuilt")
@@ -55,12 +55,12 @@
 func TestVMWithoutRecordIsDroppedAfterGracePeriod(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	v := NewVMRegistry(VMRegistryConfig{Self: VM{ID: "self"}, Timing: DefaultTiming(), Logger: eventlog.Discard(), Now: func() time.Time { return now }})
-	v.merge(Delta{Revision: 1, Full: true, Entries: vmEntries(1, "a", "gone")})
+	v.merge(Delta{Revision: 1, Full: true, Entries: vmEntries(1, "a", "gone")}, SourcePeer)
 	v.startGracePeriod()
-	v.merge(Delta{Revision: 2, Deleted: []string{"vm/gone"}})
+	v.merge(Delta{Revision: 2, Deleted: []string{"vm/gone"}}, SourcePeer)
 	assert.Equal(t, len(v.List()), 3, "a VM whose lease expired during the outage is kept")
 	now = now.Add(reregisterGrace)
-	v.merge(Delta{Revision: 2})
+	v.merge(Delta{Revision: 2}, SourcePeer)
 	assert.Equal(t, len(v.List()), 2)
 }
 
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -34,6 +34,8 @@
 		"a VM of the region has sent no message for after_ms, or sends messages again; lookups leave out an unresponsive VM")
 	EventCrashingRequest = eventlog.Define(2110, "crashing_request", logrus.WarnLevel,
 		"a request has broken the connections of the named target; after three targets it is refused on all VMs")
+	EventMachineResumed = eventlog.Define(2113, "machine_resumed", logrus.WarnLevel,
+		"this process did not run for paused_ms, because the machine was suspended or frozen or gave it no processor time")
 	EventResponseCut = eventlog.Define(2112, "response_cut", logrus.WarnLevel,
 		"a long response ended before its end, after its head had gone to the caller; the caller's connection was closed, and target_failed says whether the target counts as failed")
 )
@@ -79,7 +81,7 @@
 	fields := eventlog.Fields{
 		"request": c.ID, "route": c.Route.Name, "service": c.service, "object": c.Object,
 		"ms": now.Sub(c.Received).Milliseconds(), "sends": c.retries + 1, "refusals": c.refusals, "misses": c.unreached,
-		"left_ms": c.deadline.Sub(now).Milliseconds(), "listed_ms": now.Sub(g.targetFeed.ConfirmedAt()).Milliseconds(),
+		"left_ms": c.deadline.Sub(now).Milliseconds(), "listed_ms": ageMilliseconds(g.targetFeed.Age()), "routes_ms": ageMilliseconds(g.operatorFeed.Age()),
 	}
 	if table := g.routes.Load(); table != nil {
 		fields["version"] = table.Config.Version
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -197,6 +197,10 @@
 	})
 }
 
+// suspendAwareNow returns the current time of a clock that counts the time for which
+// the machine was suspended. It is compared with its own readings only.
+func (g *Gateway) suspendAwareNow() time.Time { return g.cfg.Now().Add(g.cfg.Suspended()) }
+
 // Ready reports whether this VM should get requests: it has read the routes and
 // the targets and is not stopping.
 func (g *Gateway) Ready() bool {
@@ -261,7 +265,7 @@
 
 // LogNoRoute logs a request that no route matches.
 func (g *Gateway) LogNoRoute(id, host, path string) {
-	fields := eventlog.Fields{"request": id, "host": host, "path": path}
+	fields := eventlog.Fields{"request": id, "host": host, "path": path, "routes_ms": ageMilliseconds(g.operatorFeed.Age())}
 	if table := g.routes.Load(); table != nil {
 		fields["version"] = table.Config.Version
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -95,6 +95,7 @@
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
 	loggedSpills, loggedUnresponsive := map[string]float64{}, map[string]bool{}
+	pauses := newPauseDetector(p.gateway.suspendAwareNow())
 	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
@@ -102,6 +103,9 @@
 			return
 		case <-ticker.C:
 		}
+		if pause := pauses.check(p.gateway.suspendAwareNow()); pause > 0 {
+			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{"paused_ms": pause.Milliseconds()})
+		}
 		full, brief := p.selectPeers(tick)
 		for _, vm := range full {
 			go p.exchange(ctx, vm, false)
--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -81,7 +81,8 @@
 	}
 	for {
 		age := g.cfg.Now().Sub(c.startedAt)
-		listed := !g.vmFeed.ConfirmedAt().IsZero() || age >= g.cfg.Timing.VMListWait
+		_, confirmed := g.vmFeed.Age()
+		listed := confirmed || age >= g.cfg.Timing.VMListWait
 		if listed && age >= minWait || !wait.For(ctx, readyCheckInterval) {
 			return
 		}
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -14,12 +14,11 @@
 // Status returns the state of this VM: the routes in force, the services and
 // the other VMs.
 func (g *Gateway) Status() protocol.FrontStatus {
-	now := g.cfg.Now()
 	s := protocol.FrontStatus{
 		VM: g.cfg.Self.ID, Zone: g.cfg.Self.Zone, Region: g.cfg.Self.Region, Ready: g.Ready(), Stopping: g.Stopping(),
 		Evacuated: g.targetSet.EvacuatedZones(), VMs: g.vmStatus(),
-		RoutesAgeSeconds: ageSeconds(now, g.operatorFeed.ConfirmedAt()), TargetsAgeSeconds: ageSeconds(now, g.targetFeed.ConfirmedAt()),
-		VMsAgeSeconds: ageSeconds(now, g.vmFeed.ConfirmedAt()),
+		RoutesAgeSeconds: ageSeconds(g.operatorFeed.Age()), TargetsAgeSeconds: ageSeconds(g.targetFeed.Age()),
+		VMsAgeSeconds: ageSeconds(g.vmFeed.Age()),
 	}
 	table := g.routes.Load()
 	if table == nil {
@@ -33,12 +32,20 @@
 	return s
 }
 
-// ageSeconds returns the seconds from at to now, or -1 if at is the zero time.
-func ageSeconds(now, at time.Time) float64 {
-	if at.IsZero() {
+// ageSeconds returns an age in seconds, or -1 if it is not known.
+func ageSeconds(age time.Duration, known bool) float64 {
+	if !known {
 		return -1
 	}
-	return now.Sub(at).Seconds()
+	return age.Seconds()
+}
+
+// ageMilliseconds returns an age in milliseconds, or -1 if it is not known.
+func ageMilliseconds(age time.Duration, known bool) int64 {
+	if !known {
+		return -1
+	}
+	return age.Milliseconds()
 }
 
 func routeStatus(r route.Route) protocol.FrontRoute {
