--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -104,7 +104,9 @@
 		case <-ticker.C:
 		}
 		if pause := pauses.check(p.gateway.suspendAwareNow()); pause > 0 {
-			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{"paused_ms": pause.Milliseconds()})
+			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{
+				"paused_ms": pause.Milliseconds(), "suspended_ms": p.gateway.cfg.Suspended().Milliseconds(),
+			})
 		}
 		full, brief := p.selectPeers(tick)
 		for _, vm := range full {
