Refuse requests without a route while the routes are unconfirmed

Callers got 404, which is final for them, from VMs whose version was old: the store had not answered them for seconds, or a reader of the site that had been suspended had told them that its copy was recent (CONFIG "refused with 404 as an older version says").

A VM denied by whatever version it had, without regard to its age. Now it denies only if the store has confirmed the version within 1.5 s, which is less than the 2 s within which a site expects a version to be in force. Requests that match a known route are still served, since the store may be away for everyone.

--- a/pkg/coordination/feed/feed.go
+++ b/pkg/coordination/feed/feed.go
@@ -50,6 +50,10 @@
 	ReaderWatchWait time.Duration
 	// MaxCopyAge is the largest age at which a VM still uses a reader's copy.
 	MaxCopyAge time.Duration
+	// MaxDenialAge is the largest age of the routes at which a request without a
+	// route is denied. It is shorter than the time within which users expect a
+	// version to be in force everywhere.
+	MaxDenialAge time.Duration
 	// RenewInterval is the time between two renewals of this VM's lease.
 	RenewInterval time.Duration
 	// LeaseTTL is the time without a renewal after which the store removes a
@@ -77,6 +81,7 @@
 		WatchWait:       2 * time.Second,
 		ReaderWatchWait: time.Second,
 		MaxCopyAge:      1600 * time.Millisecond,
+		MaxDenialAge:    1500 * time.Millisecond,
 		RenewInterval:   1300 * time.Millisecond,
 		LeaseTTL:        4 * time.Second,
 		CallTimeout:     900 * time.Millisecond,
--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/singleflight"
 
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/transport/platform"
@@ -50,6 +51,8 @@
 type follower struct {
 	cfg   followerConfig
 	store dependency // used by Run alone
+	// confirming joins the concurrent calls of Confirm.
+	confirming singleflight.Group
 
 	mu    sync.Mutex
 	cache *entryCache
@@ -191,20 +194,59 @@
 }
 
 func (f *follower) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.timing.CallTimeout)
-	defer cancel()
-	snapshot, err := f.cfg.feed.Snapshot(ctx, f.cfg.prefix, platform.CurrentRead)
+	snapshot, begun, err := f.readSnapshot(ctx)
 	if err != nil {
 		return err
 	}
 	f.recordResult(nil)
+	f.applySnapshot(snapshot, begun)
+	return nil
+}
+
+// readSnapshot reads all entries from the store and returns when the call began.
+func (f *follower) readSnapshot(ctx context.Context) (platform.Snapshot, time.Time, error) {
+	begun := f.cfg.now()
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.timing.CallTimeout)
+	defer cancel()
+	snapshot, err := f.cfg.feed.Snapshot(ctx, f.cfg.prefix, platform.CurrentRead)
+	return snapshot, begun, err
+}
+
+// applySnapshot replaces the copy by the result of a read. The store has confirmed
+// the entries when the read began or later.
+func (f *follower) applySnapshot(snapshot platform.Snapshot, begun time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cache.confirmedAt, f.source = f.cfg.now(), SourceStore
+	f.cache.advanceConfirmedAt(begun)
+	f.source = SourceStore
 	if f.cache.replace(snapshot.Entries, snapshot.Revision) {
 		f.cfg.onChange()
 	}
-	return nil
+}
+
+// Confirm reports whether the store confirmed the copy at most maxAge ago. If it
+// did not, Confirm reads the entries and waits for the result at most for the
+// duration wait.
+func (f *follower) Confirm(ctx context.Context, maxAge, wait time.Duration) bool {
+	if age, known := f.Age(); known && age <= maxAge {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	// The read does not end with one caller, since others may wait for it.
+	read := f.confirming.DoChan("", func() (any, error) {
+		snapshot, begun, err := f.readSnapshot(context.WithoutCancel(ctx))
+		if err == nil {
+			f.applySnapshot(snapshot, begun)
+		}
+		return nil, err
+	})
+	select {
+	case result := <-read:
+		return result.Err == nil
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // watchWait returns the longest wait of one watch.
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -25,7 +25,7 @@
 	EventReady = eventlog.Define(2106, "vm_ready", logrus.InfoLevel,
 		"the routes and the targets have been read")
 	EventNoRoute = eventlog.Define(2107, "no_route", logrus.WarnLevel,
-		"no route of the version in force matches the request")
+		"no route of the version in force matches the request; if denied is false, the store has not confirmed that version for routes_ms, and the caller was asked to come back")
 	EventTargetEjected = eventlog.Define(2108, "target_passed_over", logrus.WarnLevel,
 		"a connection to the target failed; the target is ejected for a time that grows with each failure, and counts as cold after it")
 	EventSpillChanged = eventlog.Define(2109, "spill_changed", logrus.InfoLevel,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -263,15 +263,6 @@
 // HasSynced reports whether this VM has read the routes and the targets.
 func (g *Gateway) HasSynced() bool { return g.routes.Load() != nil && g.targetSet.View() != nil }
 
-// LogNoRoute logs a request that no route matches.
-func (g *Gateway) LogNoRoute(id, host, path string) {
-	fields := eventlog.Fields{"request": id, "host": host, "path": path, "routes_ms": ageMilliseconds(g.operatorFeed.Age())}
-	if table := g.routes.Load(); table != nil {
-		fields["version"] = table.Config.Version
-	}
-	g.cfg.Logger.Log(EventNoRoute, fields)
-}
-
 // TargetCount returns the number of listed targets.
 func (g *Gateway) TargetCount() int { return g.targetSet.View().Len() }
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -40,17 +40,20 @@
 
 // Reasons of a Refusal.
 const (
-	ReasonNoTarget        Reason = "no target may take the request now"
-	ReasonNoCapacity      Reason = "no target can answer in time"
-	ReasonNotReady        Reason = "this VM does not know the routes yet"
-	ReasonRefused         Reason = "the targets refused the request before running it"
-	ReasonUnreachable     Reason = "no target could be reached"
-	ReasonResponseLost    Reason = "the target's answer was lost; the request may have run"
-	ReasonBadResponse     Reason = "the target's answer was not usable; the request may have run"
-	ReasonTimeout         Reason = "the time of the request has passed; it may have run"
-	ReasonExpired         Reason = "the time of the request had passed before it was sent"
-	ReasonCallerGone      Reason = "the caller has left"
-	ReasonCrashingRequest Reason = "the request has crashed the targets that ran it"
+	ReasonNoTarget   Reason = "no target may take the request now"
+	ReasonNoCapacity Reason = "no target can answer in time"
+	ReasonNotReady   Reason = "this VM does not know the routes yet"
+	// ReasonRoutesUnconfirmed means that no known route matches and that the store
+	// has not confirmed the routes recently.
+	ReasonRoutesUnconfirmed Reason = "this VM has no route for the request and cannot tell whether its routes are current"
+	ReasonRefused           Reason = "the targets refused the request before running it"
+	ReasonUnreachable       Reason = "no target could be reached"
+	ReasonResponseLost      Reason = "the target's answer was lost; the request may have run"
+	ReasonBadResponse       Reason = "the target's answer was not usable; the request may have run"
+	ReasonTimeout           Reason = "the time of the request has passed; it may have run"
+	ReasonExpired           Reason = "the time of the request had passed before it was sent"
+	ReasonCallerGone        Reason = "the caller has left"
+	ReasonCrashingRequest   Reason = "the request has crashed the targets that ran it"
 )
 
 // Refusal is the outcome of a request that ended without a response from a
