Replace silent connections between VMs by the time without a byte

A connection was replaced after three calls that each went unanswered for 500 ms or more. The exchanges between VMs time out after 300 ms, so none of them ever counted. Now the time since the first call that timed out counts, over any number of calls, as long as no byte is received: 1.5 s by default and 0.7 s between entry VMs.

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -32,6 +32,10 @@
 	// peerTimeout limits one call to a peer. It exceeds a round trip between
 	// regions.
 	peerTimeout = 300 * time.Millisecond
+	// maxPeerSilence is the time without a received byte after which the connection
+	// to a peer that does not reply is replaced. It exceeds peerTimeout, and it is
+	// short so that VMs hear of newer versions again soon.
+	maxPeerSilence = 700 * time.Millisecond
 	// copyTimeout limits the transfer of a copy. A large configuration takes
 	// several hundred milliseconds over the link of a small VM.
 	copyTimeout = 1500 * time.Millisecond
@@ -76,7 +80,7 @@
 func newPeers(g *Gateway) *peers {
 	p := &peers{
 		gateway:       g,
-		client:        peer.NewClient(peer.ClientConfig{DialTimeout: peerTimeout, MaxBackoff: time.Second}),
+		client:        peer.NewClient(peer.ClientConfig{DialTimeout: peerTimeout, MaxBackoff: time.Second, MaxSilence: maxPeerSilence}),
 		listVMs:       func() []feed.VM { return g.vmFeed.List() },
 		server:        peer.NewServer(peer.ServerConfig{Logger: g.cfg.Logger}),
 		lastMessageAt: map[string]time.Time{},
--- a/pkg/transport/peer/client.go
+++ b/pkg/transport/peer/client.go
@@ -25,14 +25,11 @@
 	// DefaultMaxPending limits the unanswered calls to one peer.
 	DefaultMaxPending = 4096
 
-	// maxUnansweredCalls is the number of successive calls without a reply, and
-	// without any byte received in the meantime, after which new calls use a new
-	// connection. After a network partition a connection may receive nothing for
-	// minutes, because the intervals between TCP retransmissions grow.
-	maxUnansweredCalls = 3
-	// minUnansweredTime is the shortest time after which a call that ends
-	// without a reply counts as unanswered.
-	minUnansweredTime = 500 * time.Millisecond
+	// DefaultMaxSilence is the time without a received byte after which new calls
+	// use a new connection, if calls have timed out meanwhile. After a network
+	// partition a connection may receive nothing for minutes, because the intervals
+	// between TCP retransmissions grow.
+	DefaultMaxSilence = 1500 * time.Millisecond
 	// retireTimeout is the time after which a retired connection is closed even
 	// if calls are pending on it. It exceeds the longest deadline of a request.
 	retireTimeout = time.Minute
@@ -55,6 +52,10 @@
 	// connections open and opens more new ones, each of which sends the gob type
 	// descriptions again.
 	IdleTimeout time.Duration
+	// MaxSilence is the time without a received byte after which a connection on
+	// which calls time out is replaced. It exceeds a round trip, and it may exceed
+	// the timeouts of the calls.
+	MaxSilence time.Duration
 	// MinBackoff and MaxBackoff bound the wait after failed connection attempts.
 	// Calls during the wait fail immediately.
 	MinBackoff, MaxBackoff time.Duration
@@ -87,6 +88,9 @@
 	if cfg.IdleTimeout == 0 {
 		cfg.IdleTimeout = DefaultClientIdleTimeout
 	}
+	if cfg.MaxSilence == 0 {
+		cfg.MaxSilence = DefaultMaxSilence
+	}
 	if cfg.MinBackoff == 0 {
 		cfg.MinBackoff = DefaultMinBackoff
 	}
--- a/pkg/transport/peer/connection.go
+++ b/pkg/transport/peer/connection.go
@@ -100,7 +100,7 @@
 		return nil, errors.Wrap(err, "handshake")
 	}
 	conn.readTimeout, conn.writeTimeout = c.cfg.IdleTimeout, c.cfg.WriteTimeout
-	return &connection{conn: conn, rpc: rpc.NewClient(conn), pendingSlots: make(chan struct{}, c.cfg.MaxPending)}, nil
+	return &connection{conn: conn, rpc: rpc.NewClient(conn), pendingSlots: make(chan struct{}, c.cfg.MaxPending), maxSilence: c.cfg.MaxSilence}, nil
 }
 
 // backoff returns the wait after the given number of earlier failures. Half of
@@ -152,17 +152,21 @@
 	rpc          *rpc.Client
 	pendingSlots chan struct{} // one element for each pending call
 
-	mu             sync.Mutex
-	pending        int
-	unanswered     int   // successive calls without a reply or any received byte
-	receivedBefore int64 // bytes received when unanswered was last reset
-	retired        bool
+	maxSilence time.Duration
+
+	mu      sync.Mutex
+	pending int
+	// unansweredSince is the start of the first call that timed out since the last
+	// byte was received.
+	unansweredSince time.Time
+	silent          bool // calls timed out, and nothing was received for maxSilence
+	retired         bool
 }
 
 func (c *connection) usable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.retired && c.unanswered < maxUnansweredCalls && !c.conn.broken.Load()
+	return !c.retired && !c.silent && !c.conn.broken.Load()
 }
 
 // call makes one call. It sends the call in another goroutine, because a peer
@@ -186,8 +190,8 @@
 	case call := <-done:
 		return c.recordResult(call.Error)
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && time.Since(started) >= minUnansweredTime {
-			c.recordUnanswered()
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.recordUnanswered(started, time.Now())
 		}
 		return &callError{err: ctx.Err(), sent: true}
 	}
@@ -198,24 +202,22 @@
 func (c *connection) recordResult(err error) error {
 	var remoteErr rpc.ServerError
 	if err == nil || errors.As(err, &remoteErr) {
-		c.mu.Lock()
-		c.unanswered = 0
-		c.mu.Unlock()
 		return err
 	}
 	c.conn.broken.Store(true)
 	return &callError{err: err, sent: true}
 }
 
-// recordUnanswered counts a call that ended without a reply.
-func (c *connection) recordUnanswered() {
+// recordUnanswered records a call that timed out. The time without a received
+// byte counts over several calls, since a call may be shorter than maxSilence.
+func (c *connection) recordUnanswered(started, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if received := c.conn.received.Load(); received != c.receivedBefore {
-		c.receivedBefore = received
-		c.unanswered = 0
+	lastByte := clockStart.Add(time.Duration(c.conn.lastReceived.Load()))
+	if !c.unansweredSince.After(lastByte) {
+		c.unansweredSince = started
 	}
-	c.unanswered++
+	c.silent = c.unansweredSince.After(lastByte) && now.Sub(c.unansweredSince) >= c.maxSilence
 }
 
 func (c *connection) callStarted() {
--- a/pkg/transport/peer/peer.go
+++ b/pkg/transport/peer/peer.go
@@ -75,12 +75,15 @@
 	bytesOut = metrics.GetOrCreateCounter(`hickory_peer_bytes_total{direction="out"}`)
 )
 
+// clockStart is the zero of monotonic times that are kept as numbers.
+var clockStart = time.Now()
+
 // meteredConn counts bytes and bounds the time of reads and writes.
 type meteredConn struct {
 	net.Conn
 	readTimeout  time.Duration // longest time without a received byte; 0 means no limit
 	writeTimeout time.Duration // longest time for one write; 0 means no limit
-	received     atomic.Int64  // bytes received
+	lastReceived atomic.Int64  // nanoseconds from clockStart until bytes were last received
 	broken       atomic.Bool   // a read or write failed
 }
 
@@ -93,7 +96,9 @@
 	}
 	n, err := c.Conn.Read(p)
 	bytesIn.Add(n)
-	c.received.Add(int64(n))
+	if n > 0 {
+		c.lastReceived.Store(int64(time.Since(clockStart)))
+	}
 	if err != nil {
 		c.broken.Store(true)
 	}
