Bound the time until a VM reads the store after silent connections

Timeouts stood in a row: a follower waited 1.5 s for each of two readers, the three followers of a VM waited for each other's calls, a watch had 0.9 s beyond its wait, the read after it could go out on an idle connection that was silent as well, and copies of two other VMs were fetched one after the other. Now the second reader is called 0.3 s after the first, a fetch that failed answers all followers that waited for it, a watch has 0.5 s beyond its wait, a full read opens a new connection, and copies of other VMs are fetched at once. The age of a copy counts from the call for it, so that a slow reply does not look recent.

--- a/pkg/coordination/feed/feed.go
+++ b/pkg/coordination/feed/feed.go
@@ -59,8 +59,11 @@
 	// LeaseTTL is the time without a renewal after which the store removes a
 	// VM's record.
 	LeaseTTL time.Duration
-	// CallTimeout bounds one call, in addition to the wait of a watch.
+	// CallTimeout bounds one call that does not wait.
 	CallTimeout time.Duration
+	// WatchSlack is the time after the wait of a watch within which its reply must
+	// arrive.
+	WatchSlack time.Duration
 	// PollInterval is the time between two fetches from a reader.
 	PollInterval time.Duration
 	// VMListWait is how long a VM that starts waits for the VM list, which tells
@@ -85,6 +88,7 @@
 		RenewInterval:   1300 * time.Millisecond,
 		LeaseTTL:        4 * time.Second,
 		CallTimeout:     900 * time.Millisecond,
+		WatchSlack:      500 * time.Millisecond,
 		PollInterval:    450 * time.Millisecond,
 		VMListWait:      700 * time.Millisecond,
 		FirstStartWait:  900 * time.Millisecond,
--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -259,7 +259,7 @@
 
 func (f *follower) readChanges(ctx context.Context) error {
 	wait := f.watchWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.timing.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.timing.WatchSlack)
 	defer cancel()
 	f.setCancelWatch(cancel)
 	defer f.setCancelWatch(nil)
--- a/pkg/coordination/feed/sharedwatch.go
+++ b/pkg/coordination/feed/sharedwatch.go
@@ -21,8 +21,9 @@
 	platform.Feed
 	// Prefix is the common prefix of all entries that are followed.
 	Prefix string
-	// CallTimeout bounds a watch, in addition to its wait.
-	CallTimeout time.Duration
+	// Slack is the time after the wait of a watch within which its reply must
+	// arrive.
+	Slack time.Duration
 	// ReadsStore reports whether this VM regularly reads the store, for itself
 	// or for others; nil means that it does.
 	ReadsStore func() bool
@@ -44,12 +45,19 @@
 	err     error
 }
 
-// Snapshot implements platform.Feed. While the store fails, all followers
-// together read it at growing intervals.
+// idleCloser is implemented by feeds that keep connections.
+type idleCloser interface{ CloseIdleConnections() }
+
+// Snapshot implements platform.Feed. It uses a new connection, because it is called
+// when a call has got no reply, and the idle connections may have gone silent as
+// well. While the store fails, all followers together read it at growing intervals.
 func (s *SharedWatch) Snapshot(ctx context.Context, prefix string, freshness platform.Freshness) (platform.Snapshot, error) {
 	if !s.backoff.allow(time.Now()) {
 		return platform.Snapshot{}, errBackingOff
 	}
+	if f, ok := s.Feed.(idleCloser); ok {
+		f.CloseIdleConnections()
+	}
 	snapshot, err := s.Feed.Snapshot(ctx, prefix, freshness)
 	maxPause := maxBackoff
 	if s.ReadsStore != nil && !s.ReadsStore() {
@@ -94,7 +102,7 @@
 			return s.current
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), maxWait+s.CallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), maxWait+s.Slack)
 	call := &watchCall{after: after, cancel: cancel, waiters: 1, done: make(chan struct{})}
 	s.current = call
 	go s.run(ctx, call, maxWait, batchDelay-time.Since(s.lastFound))
--- a/pkg/coordination/feed/sharedwatch_test.go
+++ b/pkg/coordination/feed/sharedwatch_test.go
@@ -76,7 +76,7 @@
 func TestFollowersShareOneWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &countingFeed{}
-		s := &SharedWatch{Feed: c, CallTimeout: time.Second}
+		s := &SharedWatch{Feed: c, Slack: time.Second}
 		ctx, cancel := context.WithCancel(t.Context())
 		seen := map[string][]string{}
 		var mu sync.Mutex
@@ -124,7 +124,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &countingFeed{}
 		c.write("b/1", 3)
-		s := &SharedWatch{Feed: c, CallTimeout: time.Second}
+		s := &SharedWatch{Feed: c, Slack: time.Second}
 		done := make(chan error, 1)
 		go func() {
 			_, err := s.Changes(t.Context(), "a/", 5, 2*time.Second)
@@ -147,7 +147,7 @@
 func TestBurstOfChangesCostsFewWatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := &countingFeed{}
-		s := &SharedWatch{Feed: c, CallTimeout: time.Second}
+		s := &SharedWatch{Feed: c, Slack: time.Second}
 		go func() {
 			for revision := int64(1); revision <= 46; revision++ {
 				c.write("a/1", revision)
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -71,40 +71,46 @@
 // of one kind that have changed after a revision.
 func (p *peers) fetchFromPeers(kind protocol.CopyKind) feed.PeerFetchFunc {
 	return func(ctx context.Context, after int64) []feed.Delta {
-		list := slices.Clone(p.listVMs())
+		list := slices.DeleteFunc(slices.Clone(p.listVMs()), func(vm feed.VM) bool { return vm.ID == p.gateway.cfg.Self.ID })
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-		var deltas []feed.Delta
-		called := 0
+		list = list[:min(len(list), maxCopyPeers)]
+		ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+		defer cancel()
+		results := make(chan copyResult, len(list))
 		for _, vm := range list {
-			if vm.ID == p.gateway.cfg.Self.ID || called == maxCopyPeers {
-				continue
-			}
-			called++
-			if d, ok := p.fetchCopy(ctx, vm, kind, after); ok {
-				deltas = append(deltas, d)
+			go func() { results <- p.callCopy(ctx, vm, &protocol.CopyRequest{Kind: kind, After: after}) }()
+		}
+		var deltas []feed.Delta
+		for range list {
+			if r := <-results; r.ok {
+				deltas = append(deltas, r.delta)
 			}
 		}
 		return deltas
 	}
 }
 
-// fetchCopy asks one VM for the entries of one kind that have changed after a
-// revision. It returns false if the VM does not reply or has read none yet.
-func (p *peers) fetchCopy(ctx context.Context, vm feed.VM, kind protocol.CopyKind, after int64) (feed.Delta, bool) {
-	reply, err := p.callCopy(ctx, vm, &protocol.CopyRequest{Kind: kind, After: after})
-	if err != nil {
-		return feed.Delta{}, false
-	}
-	return p.decodeCopy(reply)
+// copyResult is the result of one call of Copy.
+type copyResult struct {
+	reply *protocol.CopyReply
+	// askedAt is when the call began.
+	askedAt time.Time
+	// delta is the copy of the requested kind. Its age counts from askedAt, so that
+	// a slow reply does not look more recent than it is.
+	delta feed.Delta
+	// ok is false if the VM did not reply or has read no entries yet.
+	ok bool
 }
 
 // callCopy calls Copy of one VM.
-func (p *peers) callCopy(ctx context.Context, vm feed.VM, req *protocol.CopyRequest) (*protocol.CopyReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	reply := &protocol.CopyReply{}
-	err := p.client.Call(ctx, vm.PeerAddress, "Gateway.Copy", req, reply)
-	return reply, err
+func (p *peers) callCopy(ctx context.Context, vm feed.VM, req *protocol.CopyRequest) copyResult {
+	result := copyResult{reply: &protocol.CopyReply{}, askedAt: p.gateway.suspendAwareNow()}
+	if err := p.client.Call(ctx, vm.PeerAddress, "Gateway.Copy", req, result.reply); err != nil {
+		return result
+	}
+	result.delta, result.ok = p.decodeCopy(result.reply)
+	result.delta.Age += p.gateway.suspendAwareNow().Sub(result.askedAt)
+	return result
 }
 
 // decodeCopy returns false if the VM that replied has read nothing yet, or if an
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -147,7 +147,7 @@
 // createFeeds creates the feeds that follow the store. They share one watch.
 func (g *Gateway) createFeeds() {
 	cfg := g.cfg
-	watch := &feed.SharedWatch{Feed: cfg.Feed, Prefix: cfg.Layout.CommonPrefix, CallTimeout: cfg.Timing.CallTimeout,
+	watch := &feed.SharedWatch{Feed: cfg.Feed, Prefix: cfg.Layout.CommonPrefix, Slack: cfg.Timing.WatchSlack,
 		ReadsStore: func() bool { return g.peers.currentRoles().selfReads },
 	}
 	readsForOthers := func() bool { return len(g.vmFeed.List()) > maxVMsWithoutReaders }
--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -16,6 +16,9 @@
 	// together with another kind waits for its follower. It is shorter than the
 	// time between two fetches of one follower.
 	maxUnusedCopyAge = 300 * time.Millisecond
+	// readerHedgeDelay is the time without a reply of a reader after which another
+	// one is called too. It exceeds a round trip and the reply of a busy reader.
+	readerHedgeDelay = 300 * time.Millisecond
 	// firstCopyPause is the time between two attempts to get the first copy.
 	firstCopyPause = 100 * time.Millisecond
 )
@@ -27,8 +30,10 @@
 	peers     *peers
 	startedAt time.Time
 
-	mu        sync.Mutex // held during a call
-	fetchedAt time.Time
+	mu sync.Mutex // held during the calls of one fetch
+	// askedAt and fetchedAt are the begin and the end of the last successful call,
+	// and failedAt is the end of the last fetch that failed.
+	askedAt, fetchedAt, failedAt time.Time
 	// unused holds the copies of the last call that their followers have not
 	// taken yet.
 	unused map[protocol.CopyKind]unusedCopy
@@ -97,23 +102,54 @@
 	if roles.selfReads {
 		return feed.Delta{}, false
 	}
+	began := c.peers.gateway.suspendAwareNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.failedAt.After(began) {
+		return feed.Delta{}, false // another follower has just waited for the readers
+	}
 	if d, ok := c.takeUnused(kind, after); ok && d.Age <= maxAge {
 		return d, true
 	}
 	req := c.newRequest(kind, after)
-	for _, i := range rand.Perm(len(roles.readers)) {
-		reply, err := c.peers.callCopy(ctx, roles.readers[i], req)
-		if err != nil {
-			continue
-		}
-		if d, ok := c.peers.decodeCopy(reply); ok && d.Age <= maxAge {
-			c.keepUnused(req, reply)
-			return d, true
+	result := c.callReaders(ctx, roles.readers, req, maxAge)
+	if !result.ok {
+		c.failedAt = c.peers.gateway.suspendAwareNow()
+		return feed.Delta{}, false
+	}
+	c.keepUnused(req, result)
+	return result.delta, true
+}
+
+// callReaders calls the readers in random order, each next one when the previous
+// ones have not replied within readerHedgeDelay or have no recent copy. It returns
+// the first recent copy.
+func (c *readerCopies) callReaders(ctx context.Context, readers []feed.VM, req *protocol.CopyRequest, maxAge time.Duration) copyResult {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	results := make(chan copyResult, len(readers))
+	order := rand.Perm(len(readers))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for pending := len(order); pending > 0; {
+		select {
+		case <-next.C:
+			if len(order) == 0 {
+				continue
+			}
+			reader := readers[order[0]]
+			order = order[1:]
+			go func() { results <- c.peers.callCopy(ctx, reader, req) }()
+			next.Reset(readerHedgeDelay)
+		case result := <-results:
+			pending--
+			if result.ok && result.delta.Age <= maxAge {
+				return result
+			}
+			next.Reset(0)
 		}
 	}
-	return feed.Delta{}, false
+	return copyResult{}
 }
 
 // newRequest returns a request for one kind and for the changes that the followers
@@ -128,10 +164,10 @@
 	return req
 }
 
-func (c *readerCopies) keepUnused(req *protocol.CopyRequest, reply *protocol.CopyReply) {
+func (c *readerCopies) keepUnused(req *protocol.CopyRequest, result copyResult) {
 	clear(c.unused)
-	c.fetchedAt = c.peers.gateway.cfg.Now()
-	for i, other := range reply.Others {
+	c.askedAt, c.fetchedAt = result.askedAt, c.peers.gateway.suspendAwareNow()
+	for i, other := range result.reply.Others {
 		if i < len(req.Others) {
 			c.unused[req.Others[i].Kind] = unusedCopy{after: req.Others[i].After, reply: other}
 		}
@@ -143,11 +179,11 @@
 func (c *readerCopies) takeUnused(kind protocol.CopyKind, after int64) (feed.Delta, bool) {
 	copied, ok := c.unused[kind]
 	delete(c.unused, kind)
-	age := c.peers.gateway.cfg.Now().Sub(c.fetchedAt)
-	if !ok || copied.after != after || age > maxUnusedCopyAge {
+	now := c.peers.gateway.suspendAwareNow()
+	if !ok || copied.after != after || now.Sub(c.fetchedAt) > maxUnusedCopyAge {
 		return feed.Delta{}, false
 	}
 	d, ok := c.peers.decodeCopy(&copied.reply)
-	d.Age += age
+	d.Age += now.Sub(c.askedAt)
 	return d, ok
 }
