Count suspended time in the age of copies of the store

The age of a copy was measured by the monotonic clock, which stops during a suspension. A VM that woke took its copy for recent, and a VM that reads the store for others told them so. It also waited for the end of the watch from before the suspension, whose reply may be lost. Now the age of each copy counts suspended time, and a process that has not run for a second or more reads all entries at once.

--- a/pkg/coordination/feed/confirm_test.go
+++ b/pkg/coordination/feed/confirm_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/state/route"
 )
 
@@ -42,3 +43,20 @@
 		assert.Assert(t, !o.Confirm(t.Context(), time.Second, 100*time.Millisecond))
 	})
 }
+
+// Guards against a reader that was suspended and hands its copy to other VMs as
+// recent.
+func TestAgeOfCopyCountsSuspendedTime(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	suspended := time.Duration(0)
+	f := newFollower(followerConfig{
+		logger: eventlog.Discard(), timing: DefaultTiming(), onChange: func() {},
+		now: ageClock(func() time.Time { return now.Add(suspended) }, func() time.Time { return now }),
+	})
+	f.merge(Delta{Revision: 1, Full: true}, SourceReader)
+	suspended = 10 * time.Second
+	assert.Equal(t, f.DeltaSince(0).Age, suspended)
+	age, known := f.Age()
+	assert.Assert(t, known)
+	assert.Equal(t, age, suspended)
+}
--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -61,13 +61,21 @@
 	// cancelWatch cancels the running watch; nil if none runs.
 	cancelWatch context.CancelFunc
 	hintPending bool // another VM has a newer entry, which the watch may still deliver
-	behind      bool // the watch did not deliver the hinted entry within hintDelay
+	behind      bool // the watch may have missed changes
 }
 
 func newFollower(cfg followerConfig) follower {
 	return follower{cfg: cfg, store: dependency{name: cfg.name, logger: cfg.logger}, cache: newEntryCache()}
 }
 
+// ageClock returns the clock by which the age of a copy is measured.
+func ageClock(ageNow, now func() time.Time) func() time.Time {
+	if ageNow != nil {
+		return ageNow
+	}
+	return now
+}
+
 // DeltaSince returns the changes after a revision.
 func (f *follower) DeltaSince(after int64) Delta {
 	f.mu.Lock()
@@ -117,17 +125,29 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hintPending = false
-	if revision <= f.cache.newestRevision() {
-		return
+	if revision > f.cache.newestRevision() {
+		f.interruptWatch()
 	}
+}
+
+// Recheck lets the follower read all entries now, because its watch may have
+// missed changes.
+func (f *follower) Recheck() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interruptWatch()
+}
+
+// interruptWatch lets the follower read all entries in place of the running watch.
+// The caller holds the lock.
+func (f *follower) interruptWatch() {
 	f.behind = true
 	if f.cancelWatch != nil {
 		f.cancelWatch()
 	}
 }
 
-// resetBehind reports whether a hint has shown since the last call that this VM
-// is behind.
+// resetBehind reports whether the watch was interrupted since the last call.
 func (f *follower) resetBehind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/coordination/feed/operator_follower.go
+++ b/pkg/coordination/feed/operator_follower.go
@@ -18,6 +18,9 @@
 	Targets *targets.Set
 	Logger  *eventlog.Logger
 	Now     func() time.Time
+	// AgeNow returns the time by which the age of the copy is measured. It counts the
+	// time for which the machine was suspended; nil means Now.
+	AgeNow func() time.Time
 	// FetchFromPeers fetches the copies of other VMs. It is used while the store
 	// does not answer; nil disables it.
 	FetchFromPeers PeerFetchFunc
@@ -43,7 +46,7 @@
 	o := &OperatorFollower{cfg: cfg}
 	o.follower = newFollower(followerConfig{
 		name: "store: operator entries", prefix: cfg.Layout.OperatorPrefix, feed: cfg.Feed, timing: cfg.Timing,
-		logger: cfg.Logger, now: cfg.Now,
+		logger: cfg.Logger, now: ageClock(cfg.AgeNow, cfg.Now),
 		fetchFromPeers: cfg.FetchFromPeers, fetchFromReader: cfg.FetchFromReader, readsForOthers: cfg.ReadsForOthers,
 		onChange: o.applyEntries,
 	})
--- a/pkg/coordination/feed/target_follower.go
+++ b/pkg/coordination/feed/target_follower.go
@@ -18,6 +18,9 @@
 	Targets *targets.Set
 	Logger  *eventlog.Logger
 	Now     func() time.Time
+	// AgeNow returns the time by which the age of the copy is measured. It counts the
+	// time for which the machine was suspended; nil means Now.
+	AgeNow func() time.Time
 	// FetchFromPeers fetches the copies of other VMs. It is used while the store
 	// does not answer; nil disables it.
 	FetchFromPeers PeerFetchFunc
@@ -46,7 +49,7 @@
 	t := &TargetFollower{cfg: cfg, decoder: decoder[targets.Record]{decode: cfg.Layout.DecodeTarget, logger: cfg.Logger}}
 	t.follower = newFollower(followerConfig{
 		name: "store: target records", prefix: cfg.Layout.TargetPrefix, feed: cfg.Feed, timing: cfg.Timing,
-		logger: cfg.Logger, now: cfg.Now,
+		logger: cfg.Logger, now: ageClock(cfg.AgeNow, cfg.Now),
 		fetchFromPeers: cfg.FetchFromPeers, fetchFromReader: cfg.FetchFromReader, readsForOthers: cfg.ReadsForOthers,
 		onChange: t.publish, onUnchanged: t.dropExpired,
 		onRegained: func() { cfg.Targets.StartGracePeriod(cfg.Now()) },
--- a/pkg/coordination/feed/vm_registry.go
+++ b/pkg/coordination/feed/vm_registry.go
@@ -38,7 +38,9 @@
 	Timing Timing
 	Self   VM
 	Logger *eventlog.Logger
-	Now    func() time.Time
+	// Now returns the time by which the age of the list and of the registration is
+	// measured. It counts the time for which the machine was suspended.
+	Now func() time.Time
 	// FetchFromPeers and FetchFromReader are used as by an OperatorFollower.
 	FetchFromPeers  PeerFetchFunc
 	FetchFromReader ReaderFetchFunc
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -153,16 +153,16 @@
 	readsForOthers := func() bool { return len(g.vmFeed.List()) > maxVMsWithoutReaders }
 	g.vmFeed = feed.NewVMRegistry(feed.VMRegistryConfig{
 		Store: cfg.Store, Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Self: cfg.Self,
-		Logger: cfg.Logger, Now: cfg.Now, ReadsForOthers: readsForOthers,
+		Logger: cfg.Logger, Now: g.suspendAwareNow, ReadsForOthers: readsForOthers,
 		FetchFromPeers: g.peers.fetchFromPeers(protocol.CopyVMRecords), FetchFromReader: g.peers.readerCopies.fetcher(protocol.CopyVMRecords),
 	})
 	g.operatorFeed = feed.NewOperatorFollower(feed.OperatorFollowerConfig{
 		Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Routes: &g.routes, Targets: g.targetSet,
-		Logger: cfg.Logger, Now: cfg.Now, ReadsForOthers: readsForOthers,
+		Logger: cfg.Logger, Now: cfg.Now, AgeNow: g.suspendAwareNow, ReadsForOthers: readsForOthers,
 		FetchFromPeers: g.peers.fetchFromPeers(protocol.CopyOperatorEntries), FetchFromReader: g.peers.readerCopies.fetcher(protocol.CopyOperatorEntries),
 	})
 	g.targetFeed = feed.NewTargetFollower(feed.TargetFollowerConfig{
-		Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Targets: g.targetSet, Logger: cfg.Logger, Now: cfg.Now,
+		Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Targets: g.targetSet, Logger: cfg.Logger, Now: cfg.Now, AgeNow: g.suspendAwareNow,
 		FetchFromPeers: g.peers.fetchFromPeers(protocol.CopyTargetRecords), FetchFromReader: g.peers.readerCopies.fetcher(protocol.CopyTargetRecords),
 		OnRemoved:      func(t targets.Target) { g.picker.RemoveTarget(t.Service, t.Key()) },
 		ReadsForOthers: readsForOthers,
@@ -180,6 +180,13 @@
 	g.targetClient.Close()
 }
 
+// recheckFeeds reads the entries of the store again.
+func (g *Gateway) recheckFeeds() {
+	g.operatorFeed.Recheck()
+	g.targetFeed.Recheck()
+	g.vmFeed.Recheck()
+}
+
 // readyCheckInterval is the time between two checks of HasSynced.
 const readyCheckInterval = 50 * time.Millisecond
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -111,6 +111,7 @@
 			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{
 				"paused_ms": pause.Milliseconds(), "suspended_ms": p.gateway.cfg.Suspended().Milliseconds(),
 			})
+			p.gateway.recheckFeeds()
 		}
 		full, brief := p.selectPeers(tick)
 		for _, vm := range full {
