--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,6 +34,9 @@
 	// ColdLeft is the time for which the target stays cold, or 0 if it reports
 	// none.
 	ColdLeft time.Duration
+	// RateLimit is the number of requests a second that the target takes from all
+	// VMs together, or nil if it states none.
+	RateLimit *float64
 	// WrongTarget is true if another target listens at the address.
 	WrongTarget bool
 }
