Keep to the limits that targets name

No code knew the limit.

The limit of a target is divided evenly among the VMs of its region that lookups name, each with a token bucket; where a limit is too small for each VM to send one request at once, some VMs are chosen by the target's ranking. VMs tell each other the limits that targets stated to them, so a VM without a part knows them too; a limit ends with the first answer without one, or after 5 s without a statement. Targets out of tokens are left out of the choice, and a refusal names the time of the next token.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -98,6 +98,7 @@
 	picker       *placement.Picker
 	resendBudget *limit.ResendLimiter
 	coldLimits   *limit.ColdLimiter
+	targetLimits *limit.TargetLimiter
 	targetClient *target.Client
 	vmFeed       *feed.VMRegistry
 	operatorFeed *feed.OperatorFollower
@@ -117,7 +118,7 @@
 	if cfg.Suspended == nil {
 		cfg.Suspended = suspend.Total
 	}
-	g := &Gateway{cfg: cfg, coldLimits: limit.NewColdLimiter(), metrics: newRequestMetrics(), crashes: crash.NewTable()}
+	g := &Gateway{cfg: cfg, coldLimits: limit.NewColdLimiter(), targetLimits: limit.NewTargetLimiter(), metrics: newRequestMetrics(), crashes: crash.NewTable()}
 	g.peers = newPeers(g)
 	g.metrics.set.NewGauge("hickory_log_lines_dropped", func() float64 {
 		if cfg.DroppedLogLines == nil {
@@ -133,7 +134,7 @@
 	cfg.Resends.VMs = func() int { return len(g.vmFeed.List()) }
 	g.resendBudget = limit.NewResendLimiter(cfg.Resends)
 	g.picker = placement.New(placement.Config{
-		Region: cfg.Self.Region, DemandShare: g.demandShare, AllowCold: g.allowColdTarget, MaxSpillChange: cfg.MaxSpillChange,
+		Region: cfg.Self.Region, DemandShare: g.demandShare, AllowCold: g.allowColdTarget, AllowLimited: g.allowLimitedTarget, MaxSpillChange: cfg.MaxSpillChange,
 	})
 	dialer := netconn.Dialer{Timeout: dialTimeout}
 	g.targetClient = target.New(target.Config{
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -155,7 +155,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	self := p.gateway.cfg.Self
-	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Newest: p.gateway.operatorFeed.NewestRevision(), Brief: brief}
+	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Newest: p.gateway.operatorFeed.NewestRevision(), Brief: brief, Limits: p.ownLimits()}
 	switch {
 	case vm.Region != self.Region:
 		req.Uses = p.ownUtilization()
@@ -171,6 +171,7 @@
 	p.gateway.picker.RecordRoundTrip(vm.Region, p.gateway.cfg.Now().Sub(began))
 	p.applyPeerState(reply.From, reply.Region, brief, reply.Loads, reply.Uses)
 	p.mergeCrashes(reply.Crashes)
+	p.mergeLimits(reply.Limits)
 	p.gateway.operatorFeed.HintRevision(reply.Newest)
 	return true
 }
@@ -242,9 +243,11 @@
 func (p *peers) Loads(_ context.Context, req *protocol.LoadsRequest, reply *protocol.LoadsReply) error {
 	p.applyPeerState(req.From, req.Region, req.Brief, req.Loads, req.Uses)
 	p.mergeCrashes(req.Crashes)
+	p.mergeLimits(req.Limits)
 	p.gateway.operatorFeed.HintRevision(req.Newest)
 	self := p.gateway.cfg.Self
 	reply.From, reply.Region = self.ID, self.Region
+	reply.Limits = p.ownLimits()
 	reply.Crashes, reply.Newest = p.recentCrashes(), p.gateway.operatorFeed.NewestRevision()
 	switch {
 	case req.Region != self.Region:
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -89,7 +89,7 @@
 			Excluded: c.excluded, Now: now,
 		})
 		if !ok {
-			return nil, c.newRefusal(ReasonNoTarget, minRetryAfter*3)
+			return nil, c.newRefusal(ReasonNoTarget, g.waitForTarget(c, now))
 		}
 		c.choice = choice
 		maxWait := min(placement.MaxWait(c.Route, choice), c.deadline.Sub(now)-minSendTime)
@@ -100,6 +100,7 @@
 		if choice.Target.Cold(now) {
 			g.coldLimits.Take(choice.Target.ID, now)
 		}
+		g.targetLimits.Take(choice.Target.ID, now)
 		response, err := g.attempt(ctx, c, choice)
 		if err == nil {
 			return response, nil
@@ -166,6 +167,7 @@
 		return nil, err
 	}
 	info := g.cfg.ParseResponseHead(resp.Status, resp.Header)
+	g.recordStatements(choice.Target, info, g.cfg.Now())
 	if !info.Authentic && resp.Status < http.StatusInternalServerError {
 		_ = resp.Body.Close()
 		g.picker.Done(choice, placement.Result{Responded: true, Failed: true, Load: info.Load, Now: g.cfg.Now()})
@@ -187,9 +189,6 @@
 		return nil, err
 	}
 	now := g.cfg.Now()
-	if info.ColdLeft > 0 {
-		g.targetSet.MarkCold(choice.Target.ID, info.ColdLeft, now)
-	}
 	g.crashes.RecordResponse(c.fingerprint)
 	failed := resp.Status >= http.StatusInternalServerError
 	g.picker.Done(choice, placement.Result{Responded: true, Failed: failed, Load: info.Load, Now: now})
@@ -299,6 +298,7 @@
 	result := placement.Result{Now: now}
 	if f.Header != nil {
 		info := g.cfg.ParseResponseHead(f.Status, f.Header)
+		g.recordStatements(choice.Target, info, now)
 		result.Load = info.Load
 		if info.WrongTarget {
 			result.ConnectionFailed = true
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -11,6 +11,14 @@
 	SlownessAgeMs   int
 }
 
+// TargetLimit is the number of requests a second that a target takes from all VMs
+// together. The target has stated it to the sender AgeMs ago.
+type TargetLimit struct {
+	Target    string
+	PerSecond float64
+	AgeMs     int64
+}
+
 // ServiceUse is the utilization of the slots of a service in one region. It
 // exceeds 1 while requests are queued.
 type ServiceUse struct {
@@ -29,6 +37,8 @@
 	Brief bool
 	Loads []TargetLoad
 	Uses  []ServiceUse
+	// Limits lists the targets that have stated a limit to the sender.
+	Limits []TargetLimit
 	// Newest is the revision of the newest operator entry that the sender has.
 	Newest int64
 	// Crashes lists requests that have recently crashed targets.
@@ -41,6 +51,7 @@
 	Region  string
 	Loads   []TargetLoad
 	Uses    []ServiceUse
+	Limits  []TargetLimit
 	Newest  int64
 	Crashes []CrashNotice
 }
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -60,6 +60,9 @@
 	// AllowCold reports whether this VM may send one more request to a cold
 	// target now.
 	AllowCold func(t *targets.Target, now time.Time) bool
+	// AllowLimited reports whether this VM may send one more request now to a
+	// target that may have stated a limit; nil means that no target has one.
+	AllowLimited func(t *targets.Target, now time.Time) bool
 	// MaxSpillChange is the largest part of a region's requests that may move
 	// to another region within a window of two seconds.
 	MaxSpillChange float64
@@ -194,11 +197,14 @@
 }
 
 // isUsable reports whether a target may get a request: it is not ejected and, if
-// it is cold, this VM may send it one more request.
+// it is cold or has a limit, this VM may send it one more request.
 func (p *Picker) isUsable(s *serviceState, t *targets.Target, now time.Time) bool {
 	if s.peekState(t).isEjected(now) {
 		return false
 	}
+	if p.cfg.AllowLimited != nil && !p.cfg.AllowLimited(t, now) {
+		return false
+	}
 	return !t.Cold(now) || p.cfg.AllowCold(t, now)
 }
 
