Send nothing more to a target whose answers say that it leaves

A target that leaves says so in its answers (Server-Leaving), possibly before its record does or without any change of its record. The header was ignored, so such a target got requests until the store told this VM.

The start of the target is now marked as leaving when the answer arrives and stays so over later records; another start of the same target is not affected. The last 4,096 such starts are kept.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,6 +34,8 @@
 	// ColdLeft is the time for which the target stays cold, or 0 if it reports
 	// none.
 	ColdLeft time.Duration
+	// Leaving is true if the target is about to end and takes no new requests.
+	Leaving bool
 	// RateLimit is the number of requests a second that the target takes from all
 	// VMs together, or nil if it states none.
 	RateLimit *float64
--- a/pkg/gateway/target_limits.go
+++ b/pkg/gateway/target_limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/state/targets"
@@ -21,6 +22,11 @@
 	if info.ColdLeft > 0 {
 		g.targetSet.MarkCold(t.ID, info.ColdLeft, now)
 	}
+	if info.Leaving && g.targetSet.MarkLeaving(t.Key()) {
+		g.cfg.Logger.Log(feed.EventTargetLeaving, eventlog.Fields{
+			"target": t.ID, "service": t.Service, "zone": t.Zone, "address": t.Address, "source": "response",
+		})
+	}
 	if info.RateLimit == nil && !info.Authentic {
 		return // a response of an intermediary does not end a limit
 	}
--- a/pkg/state/targets/set.go
+++ b/pkg/state/targets/set.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"hickoryroute/internal/lru"
 )
 
 // outageGracePeriod is the time after an outage of the store within which
@@ -13,6 +15,10 @@
 // gives two seconds.
 const outageGracePeriod = 2 * time.Second
 
+// maxLeavingStarts limits the starts of targets that are known to leave. Targets
+// that have ended stay among them.
+const maxLeavingStarts = 4096
+
 // Config holds the functions that a Set calls.
 type Config struct {
 	// RegionOf returns the region of an availability zone.
@@ -35,8 +41,11 @@
 	returnedZones map[string]coldMark
 	// suspectedRestarts holds the ids of targets that may have restarted.
 	suspectedRestarts map[string]coldMark
-	revision          int64 // revision of the last full listing
-	loaded            bool
+	// leavingStarts holds the starts of targets that have told this VM that they
+	// leave. Their records may say so later or not at all.
+	leavingStarts *lru.Table[Key, struct{}]
+	revision      int64 // revision of the last full listing
+	loaded        bool
 	// graceEnd is the end of the grace period after an outage.
 	graceEnd       time.Time
 	retainsMissing bool // targets without a record may be listed
@@ -53,7 +62,7 @@
 func NewSet(cfg Config) *Set {
 	return &Set{
 		cfg: cfg, all: map[string]*Target{}, evacuated: map[string]bool{},
-		returnedZones: map[string]coldMark{}, suspectedRestarts: map[string]coldMark{},
+		returnedZones: map[string]coldMark{}, suspectedRestarts: map[string]coldMark{}, leavingStarts: lru.New[Key, struct{}](maxLeavingStarts),
 	}
 }
 
@@ -122,6 +131,9 @@
 		}
 		d.Left = append(d.Left, *old)
 		delete(s.suspectedRestarts, id)
+		if old.StartID == 0 { // its next start has the same key
+			s.leavingStarts.Remove(old.Key())
+		}
 	}
 	s.all = next
 	s.loaded = true
@@ -157,6 +169,7 @@
 	case !sameStart && s.loaded && r.ColdLeft < 0:
 		t.ColdUntil = now.Add(s.cfg.ColdTime(r.Service))
 	}
+	t.Leaving = t.Leaving || s.leavingStarts.Contains(t.Key())
 	s.applyColdMark(t, s.returnedZones[r.Zone])
 	s.applyColdMark(t, s.suspectedRestarts[r.ID])
 	return t
@@ -191,6 +204,25 @@
 	s.updateTarget(t, func(t *Target) { s.applyColdMark(t, m) })
 }
 
+// MarkLeaving records that a target has told this VM that it leaves. It gets no new
+// requests until it starts again. MarkLeaving reports whether that was not known.
+func (s *Set) MarkLeaving(key Key) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.leavingStarts.Contains(key)
+	s.leavingStarts.Add(key, struct{}{})
+	old := s.all[key.ID]
+	if known || old == nil || old.StartID != key.StartID || old.Leaving {
+		return false
+	}
+	t := *old
+	t.Leaving = true
+	s.all = maps.Clone(s.all)
+	s.all[t.ID] = &t
+	s.publish()
+	return true
+}
+
 // MarkCold records that a target reported that it stays cold for the remaining
 // time.
 func (s *Set) MarkCold(id string, remaining time.Duration, now time.Time) {
--- a/pkg/state/targets/set_test.go
+++ b/pkg/state/targets/set_test.go
@@ -127,3 +127,35 @@
 		}
 	})
 }
+
+// Guards against DRAIN: a target that has told this VM that it leaves got requests
+// until its record said so. Neither a newer record of the same start nor a listing
+// without the target ends that; another start does.
+func TestTargetThatToldItLeavesGetsNoRequests(t *testing.T) {
+	s := newTestSet()
+	first, second := record("a", 1), record("a", 9)
+	first.StartID, second.StartID = 100, 200
+	s.Replace([]Record{first, record("b", 2)}, 2, start)
+	assert.Assert(t, s.MarkLeaving(Key{"a", 100}))
+	assert.Assert(t, !s.MarkLeaving(Key{"a", 100}), "known already")
+	assert.DeepEqual(t, usableIDs(s.View()), []string{"b"})
+	first.Revision = 4
+	s.Replace([]Record{first, record("b", 2)}, 4, start)
+	s.Replace([]Record{record("b", 2)}, 5, start)
+	s.Replace([]Record{first, record("b", 2)}, 6, start)
+	assert.DeepEqual(t, usableIDs(s.View()), []string{"b"})
+	s.Replace([]Record{second, record("b", 2)}, 9, start)
+	assert.DeepEqual(t, usableIDs(s.View()), []string{"a", "b"})
+	assert.Assert(t, !s.MarkLeaving(Key{"a", 100}), "an answer of the earlier start")
+	assert.DeepEqual(t, usableIDs(s.View()), []string{"a", "b"})
+}
+
+// Guards against a target without a start id that stays leaving for ever.
+func TestTargetWithoutStartIDReturns(t *testing.T) {
+	s := newTestSet()
+	s.Replace([]Record{record("a", 1)}, 1, start)
+	assert.Assert(t, s.MarkLeaving(Key{ID: "a"}))
+	s.Replace(nil, 2, start)
+	s.Replace([]Record{record("a", 3)}, 3, start)
+	assert.DeepEqual(t, usableIDs(s.View()), []string{"a"})
+}
