Leave a target alone for the Retry-After of its refusal

A target that refuses a request with 503 may name a time (Retry-After) for which it wants nothing from this VM. The header was ignored: the target stayed a candidate for each request.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -36,6 +36,8 @@
 	ColdLeft time.Duration
 	// Leaving is true if the target is about to end and takes no new requests.
 	Leaving bool
+	// Pause is the time for which the target wants no requests of this VM, or 0.
+	Pause time.Duration
 	// RateLimit is the number of requests a second that the target takes from all
 	// VMs together, or nil if it states none.
 	RateLimit *float64
--- a/pkg/gateway/target_limits.go
+++ b/pkg/gateway/target_limits.go
@@ -22,6 +22,12 @@
 	if info.ColdLeft > 0 {
 		g.targetSet.MarkCold(t.ID, info.ColdLeft, now)
 	}
+	if info.Pause > 0 {
+		g.picker.Pause(t, now.Add(info.Pause))
+		g.cfg.Logger.Log(EventTargetPaused, eventlog.Fields{
+			"target": t.ID, "service": t.Service, "zone": t.Zone, "pause_ms": info.Pause.Milliseconds(),
+		})
+	}
 	if info.Leaving && g.targetSet.MarkLeaving(t.Key()) {
 		g.cfg.Logger.Log(feed.EventTargetLeaving, eventlog.Fields{
 			"target": t.ID, "service": t.Service, "zone": t.Zone, "address": t.Address, "source": "response",
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -196,10 +196,11 @@
 	return best, true
 }
 
-// isUsable reports whether a target may get a request: it is not ejected and, if
+// isUsable reports whether a target may get a request: it is not ejected, has not
+// asked for a pause and, if
 // it is cold or has a limit, this VM may send it one more request.
 func (p *Picker) isUsable(s *serviceState, t *targets.Target, now time.Time) bool {
-	if s.peekState(t).isEjected(now) {
+	if ts := s.peekState(t); ts.isEjected(now) || ts.isPaused(now) {
 		return false
 	}
 	if p.cfg.AllowLimited != nil && !p.cfg.AllowLimited(t, now) {
@@ -250,6 +251,16 @@
 	}
 }
 
+// Pause records that a target wants no requests of this VM until a time.
+func (p *Picker) Pause(t *targets.Target, until time.Time) {
+	s := p.service(t.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ts := s.stateOf(t); until.After(ts.pausedUntil) {
+		ts.pausedUntil = until
+	}
+}
+
 // RecordBrokenBody records that the body of a response that Done has counted as
 // complete did not end properly.
 func (p *Picker) RecordBrokenBody(c *Choice) {
--- a/pkg/steering/placement/picker_test.go
+++ b/pkg/steering/placement/picker_test.go
@@ -171,3 +171,32 @@
 	assert.Assert(t, p.roundTrip("away") < 0.025)
 	assert.Equal(t, p.roundTrip("home"), localRoundTrip)
 }
+
+// Guards against requests to a target that has asked this VM for a pause, and
+// against a pause that ends with the response to an earlier request.
+func TestPausedTargetGetsNoRequests(t *testing.T) {
+	p, list, now := newTestPicker(true), testTargets("home", 1), start
+	inFlight, ok := p.Pick(list, query("o", now))
+	assert.Assert(t, ok)
+	p.Pause(list[0], now.Add(2*time.Second))
+	p.Pause(list[0], now.Add(time.Second)) // a shorter one asked for later
+	complete(p, inFlight, now)
+	_, ok = p.Pick(list, query("o", now.Add(1900*time.Millisecond)))
+	assert.Assert(t, !ok)
+	_, ok = p.Pick(list, query("o", now.Add(2*time.Second)))
+	assert.Assert(t, ok)
+}
+
+// Guards against LIMIT: a target to which this VM may send nothing more now gets no
+// request, and the next target of the object serves it.
+func TestTargetBeyondItsLimitIsLeftOut(t *testing.T) {
+	list, limited := testTargets("home", 3), ""
+	p := newTestPicker(true)
+	p.cfg.AllowLimited = func(t *targets.Target, _ time.Time) bool { return t.ID != limited }
+	first, ok := p.Pick(list, query("o", start))
+	assert.Assert(t, ok)
+	complete(p, first, start)
+	limited = first.Target.ID
+	next, ok := p.Pick(list, query("o", start))
+	assert.Assert(t, ok && next.Target.ID != limited)
+}
--- a/pkg/steering/placement/target_state.go
+++ b/pkg/steering/placement/target_state.go
@@ -44,6 +44,7 @@
 	failureRate                      float64 // moving average
 	connectionFailures               int     // consecutive connection failures
 	ejectedUntil                     time.Time
+	pausedUntil                      time.Time // the target wants no requests of this VM
 }
 
 // decayFactor returns the weight that is left of a value of the given age.
@@ -117,4 +118,8 @@
 	ts.ejectedUntil = now.Add(pause)
 }
 
+// isPaused reports whether the target wants no requests of this VM. Responses to
+// requests that were in flight do not end a pause.
+func (ts *targetState) isPaused(now time.Time) bool { return now.Before(ts.pausedUntil) }
+
 func (ts *targetState) isEjected(now time.Time) bool { return now.Before(ts.ejectedUntil) }
