Deny no unknown service by unconfirmed settings in hickoryd

If the platform has not confirmed the settings within 90 s, the age above which readyz calls them old, the answer is now 503 with the outcome not_run. The age counts suspended time.

TestUnconfirmedSettingsDenyNoService and TestAgeCountsSuspendedTime guard both; the second did not compile before (no clock to count by).

--- a/pkg/coordination/config/bootstrap.go
+++ b/pkg/coordination/config/bootstrap.go
@@ -37,7 +37,7 @@
 func (m *Manager) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	askedAt := m.config.Now()
+	askedAt := m.ageNow()
 	head, err := m.config.Store.Get(ctx, HeadKey)
 	if err != nil {
 		return err
@@ -71,7 +71,7 @@
 func (m *Manager) FetchFromPeer(ctx context.Context, peer string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	askedAt := m.config.Now()
+	askedAt := m.ageNow()
 	reply, err := m.config.Peers.FetchSettings(ctx, peer, m.Current().Revision, m.highestSeenRevision())
 	if err != nil {
 		m.config.Logger.Log(eventPeerFailed, eventlog.Fields{"peer": peer, "error": err.Error()})
--- a/pkg/coordination/config/confirm.go
+++ b/pkg/coordination/config/confirm.go
@@ -14,9 +14,13 @@
 	if at == nil {
 		return 0, false
 	}
-	return max(m.config.Now().Sub(*at), 0), true
+	return max(m.ageNow().Sub(*at), 0), true
 }
 
+// ageNow returns the time by which the age of the settings is measured. It counts
+// the time for which the machine was suspended.
+func (m *Manager) ageNow() time.Time { return m.config.Now().Add(m.config.Suspended()) }
+
 // recordConfirmation records that at the given time the platform held no
 // revision above the highest one seen by this VM.
 func (m *Manager) recordConfirmation(at time.Time) {
--- a/pkg/coordination/config/confirm_test.go
+++ b/pkg/coordination/config/confirm_test.go
@@ -97,3 +97,15 @@
 		assert.Assert(t, timeline.Compare(written, last.Time) < 0)
 	})
 }
+
+// Guards against a VM that takes its settings for recent after a suspension.
+func TestAgeCountsSuspendedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, m := newStoreWithRevision(t)
+		before, _ := m.Age()
+		m.config.Suspended = func() time.Duration { return time.Hour }
+		age, known := m.Age()
+		assert.Assert(t, known)
+		assert.Equal(t, age, before+time.Hour)
+	})
+}
--- a/pkg/coordination/config/manager.go
+++ b/pkg/coordination/config/manager.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"hickoryroute/internal/suspend"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/state/settings"
@@ -54,6 +55,9 @@
 	IsWatcher func() bool
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
+	// Suspended returns the time for which the machine has been suspended, which
+	// Now does not count; nil means suspend.Total.
+	Suspended func() time.Duration
 	// Rand adds jitter to the pauses between retries. It is used under a lock.
 	// nil means a generator with a random seed.
 	Rand *rand.Rand
@@ -116,6 +120,9 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.Suspended == nil {
+		config.Suspended = suspend.Total
+	}
 	if config.Rand == nil {
 		config.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/pkg/coordination/config/propose.go
+++ b/pkg/coordination/config/propose.go
@@ -118,7 +118,7 @@
 // readHead reads the head, applies it and returns it. It returns a zero entry
 // if there is no head.
 func (m *Manager) readHead(ctx context.Context) (platform.Entry, error) {
-	askedAt := m.config.Now()
+	askedAt := m.ageNow()
 	head, err := m.config.Store.Get(ctx, HeadKey)
 	if errors.Is(err, platform.ErrNotFound) {
 		return platform.Entry{}, nil
@@ -248,7 +248,7 @@
 // only one of the attempts can take effect.
 func (m *Manager) writeHead(ctx context.Context, p *proposal) (int64, error) {
 	for {
-		askedAt := m.config.Now()
+		askedAt := m.ageNow()
 		if p.sentAt == (eventlog.Timestamp{}) {
 			p.sentAt = m.config.Logger.Now()
 		}
--- a/pkg/coordination/config/run.go
+++ b/pkg/coordination/config/run.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	answeredAt := m.config.Now()
+	answeredAt := m.ageNow()
 	for _, e := range entries {
 		if e.Key == HeadKey {
 			_ = m.Apply(e.Revision, e.Value) // an invalid document is recorded in Current
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -14,6 +14,7 @@
 	"hickoryroute/pkg/state/settings"
 	"hickoryroute/pkg/steering"
 	"hickoryroute/pkg/transport/callerhttp"
+	"hickoryroute/pkg/transport/operatorhttp"
 )
 
 // Lookup implements callerhttp.LookupService.
@@ -23,7 +24,7 @@
 		return nil, v.notReadyProblem()
 	}
 	if !view.hasService(r.Service) {
-		return nil, unknownServiceProblem(r.Service)
+		return nil, v.unknownServiceProblem(r.Service)
 	}
 	entries := view.blocks.EntryVMs(r.Service, r.Client, r.Zone, v.aliveMembers.get(time.Now(), v.members.Alive), view.rules)
 	reply := &callerhttp.LookupResponse{
@@ -46,7 +47,7 @@
 		return nil, v.notReadyProblem()
 	}
 	if !view.hasService(service) {
-		return nil, unknownServiceProblem(service)
+		return nil, v.unknownServiceProblem(service)
 	}
 	reply := &callerhttp.TicketsResponse{
 		ExpiresInMs: v.issuer.Lifetime().Milliseconds(),
@@ -65,7 +66,7 @@
 		return nil, v.notReadyProblem()
 	}
 	if !view.hasService(r.Service) {
-		return nil, unknownServiceProblem(r.Service)
+		return nil, v.unknownServiceProblem(r.Service)
 	}
 	rules := view.rules(r.Service, v.cfg.Region)
 	if !slices.Contains(rules.IdempotentMethods, r.Method) {
@@ -117,7 +118,15 @@
 		"this entry VM has no settings yet", "use another entry VM or try again in a second")
 }
 
-func unknownServiceProblem(service string) *protocol.Problem {
+// unknownServiceProblem denies a request for a service that the settings lack. If
+// the platform has not confirmed the settings for long, newer ones may have the
+// service, and the request is refused without a denial.
+func (v *VM) unknownServiceProblem(service string) *protocol.Problem {
+	if age, known := v.config.Age(); !known || age > operatorhttp.MaxSettingsAge {
+		return protocol.NewProblem(http.StatusServiceUnavailable, protocol.CodeNotReady, protocol.OutcomeNotRun,
+			fmt.Sprintf("the settings contain no service %q, and the platform has not confirmed them recently", service),
+			"use another entry VM or try again later")
+	}
 	return protocol.NewProblem(http.StatusNotFound, protocol.CodeUnknownService, protocol.OutcomeNotRun,
 		fmt.Sprintf("the settings contain no service %q", service), "check the name; hickoryroute show lists the services")
 }
--- a/pkg/entry/vm_test.go
+++ b/pkg/entry/vm_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"hickoryroute/pkg/coordination/config"
+	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/transport/operatorhttp"
 )
@@ -87,3 +89,16 @@
 	_, err := net.DialTimeout("tcp", f.vms[2].CallerAddress(), time.Second)
 	assert.Assert(t, err != nil)
 }
+
+// Guards against a request that is denied for good by settings which the platform
+// has not confirmed: newer ones may have the service.
+func TestUnconfirmedSettingsDenyNoService(t *testing.T) {
+	f := newFleet(t, fleetConfig{vms: 1, targets: 1})
+	f.waitUntilServing(t)
+	assert.Equal(t, f.vms[0].unknownServiceProblem("new").Status, http.StatusNotFound)
+
+	unconfirmed := &VM{config: config.New(config.Config{Store: f.vms[0].cfg.Store, Logger: eventlog.Discard()})}
+	problem := unconfirmed.unknownServiceProblem("new")
+	assert.Equal(t, problem.Status, http.StatusServiceUnavailable)
+	assert.Equal(t, problem.Outcome, protocol.OutcomeNotRun)
+}
--- a/pkg/transport/operatorhttp/server.go
+++ b/pkg/transport/operatorhttp/server.go
@@ -20,11 +20,11 @@
 // tree with its JSON escapes.
 const maxBodyBytes = 4 << 20
 
-// maxSettingsAge is the age above which /readyz reports the settings as old. A
+// MaxSettingsAge is the age above which /readyz reports the settings as old. A
 // watch without changes confirms them every 30 s, and one lost watch can add its
 // timeout of 60 s. The VM stays ready, because the settings in force are still
 // valid.
-const maxSettingsAge = 90 * time.Second
+const MaxSettingsAge = 90 * time.Second
 
 // Tokens maps operator names to their bearer tokens. If it is empty, everyone has
 // access as "anonymous".
@@ -117,7 +117,7 @@
 		}
 		writeJSON(w, status, readiness{
 			Ready: ready, Reason: reason,
-			SettingsAgeSeconds: age.Seconds(), SettingsOld: age > maxSettingsAge,
+			SettingsAgeSeconds: age.Seconds(), SettingsOld: age > MaxSettingsAge,
 		})
 	})
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
