Count cancelled calls towards a silent connection

A fetch from a silent reader is cancelled as soon as the other reader has replied, and only calls that timed out counted towards replacing the connection. So each second fetch would have waited 0.3 s for as long as the connection stayed silent. Cancelled calls count now too; a byte that is received meanwhile still proves the connection. First copies, which hold all entries, are asked of a second reader after 0.75 s only, so that a start of many VMs does not double the load of the readers.

TestSilentConnectionIsReplaced has the case of cancelled calls.

--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -18,7 +18,9 @@
 	maxUnusedCopyAge = 300 * time.Millisecond
 	// readerHedgeDelay is the time without a reply of a reader after which another
 	// one is called too. It exceeds a round trip and the reply of a busy reader.
+	// firstHedgeDelay is the same for the first copy, which holds all entries.
 	readerHedgeDelay = 300 * time.Millisecond
+	firstHedgeDelay  = 750 * time.Millisecond
 	// firstCopyPause is the time between two attempts to get the first copy.
 	firstCopyPause = 100 * time.Millisecond
 )
@@ -122,11 +124,15 @@
 }
 
 // callReaders calls the readers in random order, each next one when the previous
-// ones have not replied within readerHedgeDelay or have no recent copy. It returns
-// the first recent copy.
+// ones have not replied in time or have no recent copy. It returns the first
+// recent copy.
 func (c *readerCopies) callReaders(ctx context.Context, readers []feed.VM, req *protocol.CopyRequest, maxAge time.Duration) copyResult {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
+	hedgeDelay := readerHedgeDelay
+	if req.After == 0 {
+		hedgeDelay = firstHedgeDelay
+	}
 	results := make(chan copyResult, len(readers))
 	order := rand.Perm(len(readers))
 	next := time.NewTimer(0)
@@ -140,7 +146,7 @@
 			reader := readers[order[0]]
 			order = order[1:]
 			go func() { results <- c.peers.callCopy(ctx, reader, req) }()
-			next.Reset(readerHedgeDelay)
+			next.Reset(hedgeDelay)
 		case result := <-results:
 			pending--
 			if result.ok && result.delta.Age <= maxAge {
--- a/pkg/transport/peer/client.go
+++ b/pkg/transport/peer/client.go
@@ -26,7 +26,7 @@
 	DefaultMaxPending = 4096
 
 	// DefaultMaxSilence is the time without a received byte after which new calls
-	// use a new connection, if calls have timed out meanwhile. After a network
+	// use a new connection, if calls have got no reply meanwhile. After a network
 	// partition a connection may receive nothing for minutes, because the intervals
 	// between TCP retransmissions grow.
 	DefaultMaxSilence = 1500 * time.Millisecond
@@ -53,7 +53,7 @@
 	// descriptions again.
 	IdleTimeout time.Duration
 	// MaxSilence is the time without a received byte after which a connection on
-	// which calls time out is replaced. It exceeds a round trip, and it may exceed
+	// which calls time out or are cancelled is replaced. It exceeds a round trip, and it may exceed
 	// the timeouts of the calls.
 	MaxSilence time.Duration
 	// MinBackoff and MaxBackoff bound the wait after failed connection attempts.
--- a/pkg/transport/peer/connection.go
+++ b/pkg/transport/peer/connection.go
@@ -156,10 +156,10 @@
 
 	mu      sync.Mutex
 	pending int
-	// unansweredSince is the start of the first call that timed out since the last
+	// unansweredSince is the start of the first call without a reply since the last
 	// byte was received.
 	unansweredSince time.Time
-	silent          bool // calls timed out, and nothing was received for maxSilence
+	silent          bool // calls got no reply, and nothing was received for maxSilence
 	retired         bool
 }
 
@@ -190,9 +190,7 @@
 	case call := <-done:
 		return c.recordResult(call.Error)
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.recordUnanswered(started, time.Now())
-		}
+		c.recordUnanswered(started, time.Now())
 		return &callError{err: ctx.Err(), sent: true}
 	}
 }
@@ -208,7 +206,7 @@
 	return &callError{err: err, sent: true}
 }
 
-// recordUnanswered records a call that timed out. The time without a received
+// recordUnanswered records a call that timed out or was cancelled. The time without a received
 // byte counts over several calls, since a call may be shorter than maxSilence.
 func (c *connection) recordUnanswered(started, now time.Time) {
 	c.mu.Lock()
--- a/pkg/transport/peer/silent_test.go
+++ b/pkg/transport/peer/silent_test.go
@@ -14,16 +14,31 @@
 // Guards against a connection that has gone silent and is used for ever, because
 // all calls on it have shorter timeouts than those that count as unanswered. On
 // lantern-hunt-grown VMs then had no news of newer versions for the rest of the
-// day.
+// day. A call that is cancelled because another VM has replied counts as well.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	listener, err := testnet.Listen()
 	assert.NilError(t, err)
 	server := NewServer(ServerConfig{})
 	go func() { _ = server.Serve(listener, &fakeHandler{}) }()
 	t.Cleanup(func() { _ = listener.Close() })
+	for name, endCall := range map[string]func(context.Context) (context.Context, context.CancelFunc){
+		"timeout": func(ctx context.Context) (context.Context, context.CancelFunc) {
+			return context.WithTimeout(ctx, 300*time.Millisecond)
+		},
+		"cancelled": func(ctx context.Context) (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(ctx)
+			time.AfterFunc(300*time.Millisecond, cancel)
+			return ctx, cancel
+		},
+	} {
+		t.Run(name, func(t *testing.T) { testSilentConnection(t, listener, endCall) })
+	}
+}
+
+func testSilentConnection(t *testing.T, listener *testnet.Listener, endCall func(context.Context) (context.Context, context.CancelFunc)) {
 	client := newClient(t, ClientConfig{})
 	call := func() error {
-		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		ctx, cancel := endCall(t.Context())
 		defer cancel()
 		return client.Call(ctx, listener.Addr().String(), protocol.MethodExchange, &protocol.ExchangeRequest{}, &protocol.ExchangeReply{})
 	}
