--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -256,7 +256,7 @@
 	s := p.service(t.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ts := s.stateOf(t); until.After(ts.pausedUntil) {
+	if ts := s.targetStates[t.Key()]; ts != nil && until.After(ts.pausedUntil) {
 		ts.pausedUntil = until
 	}
 }
