--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -104,6 +104,10 @@
 	case vmReload:
 		b.reloadVM(v)
 	case vmStoreLink:
+		if f.variant >= firstSilentVariant {
+			b.silenceLink(v.store, numberedScope(scopePrefixStoreLink, v.index))
+			return
+		}
 		b.impairLink(v.store, numberedScope(scopePrefixStoreLink, v.index), f)
 	case callerLink:
 		b.impairLink(v.caller, numberedScope(scopePrefixCallerLink, v.index), f)
@@ -218,6 +222,18 @@
 	p.setState(linkPass, 0)
 }
 
+// firstSilentVariant is the first variant of a fault of a store link that silences
+// its open connections. It is high, so that the plans of earlier seeds keep most of
+// the other faults.
+const firstSilentVariant = faultVariants - faultVariants/6
+
+// silenceLink silences the open connections of a link. The bounds hold again
+// settleTime after it.
+func (b *testbed) silenceLink(p *proxy, scope string) {
+	defer b.faults.begin(scope)()
+	p.silenceConnections()
+}
+
 func (b *testbed) impairStore(f fault) {
 	defer b.faults.begin(scopeStore)()
 	faults := standin.StoreFaults{}
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -38,6 +38,8 @@
 	delay   time.Duration
 	conns   map[net.Conn]bool
 	closed  bool
+	// silenced is closed when the connections that are open go silent for good.
+	silenced chan struct{}
 }
 
 func newProxy(backend string) (*proxy, error) {
@@ -45,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, backend: backend, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, backend: backend, conns: map[net.Conn]bool{}, silenced: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -70,6 +72,15 @@
 	p.resetConnections()
 }
 
+// silenceConnections lets the open connections carry no more data, without a
+// reset, while new ones work.
+func (p *proxy) silenceConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.silenced)
+	p.silenced = make(chan struct{})
+}
+
 func (p *proxy) resetConnections() {
 	for c := range p.conns {
 		reset(c)
@@ -124,7 +135,7 @@
 		return
 	}
 	p.mu.Lock()
-	backend := p.backend
+	backend, silenced := p.backend, p.silenced
 	p.mu.Unlock()
 	server, err := net.DialTimeout("tcp", backend, dialTimeout)
 	if err != nil {
@@ -133,22 +144,28 @@
 	}
 	defer p.track(server)()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.forward(server, caller, false) })
-	wg.Go(func() { p.forward(caller, server, true) })
+	wg.Go(func() { p.forward(server, caller, silenced, false) })
+	wg.Go(func() { p.forward(caller, server, silenced, true) })
 	wg.Wait()
 	_ = caller.Close()
 	_ = server.Close()
 }
 
-// forward copies data in one direction. It forwards an orderly end as such, and
-// the end of a broken connection as a reset.
-func (p *proxy) forward(to, from net.Conn, toCaller bool) {
+// forward copies data in one direction until the connection is silenced, after
+// which it discards the data. It forwards an orderly end as such, and the end of a
+// broken connection as a reset.
+func (p *proxy) forward(to, from net.Conn, silenced <-chan struct{}, toCaller bool) {
 	buffer := make([]byte, proxyBufferBytes)
 	for {
 		n, err := from.Read(buffer)
 		if !p.delayBytes(toCaller) {
 			return
 		}
+		select {
+		case <-silenced:
+			n = 0
+		default:
+		}
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				reset(from)
