Count a suspension during the body of a request against its deadline

hickoryfront read the suspended time when it had read the body, so a suspension between head and body was not counted: the request ran after its caller had given up. It is now read together with the time of the head.

TestSuspensionDuringTheBodyCountsAgainstTheDeadline failed before (200, 503 expected).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -188,6 +188,9 @@
 	g.targetClient.Close()
 }
 
+// Suspended returns the time for which the machine has been suspended so far.
+func (g *Gateway) Suspended() time.Duration { return g.cfg.Suspended() }
+
 // recheckFeeds reads the entries of the store again.
 func (g *Gateway) recheckFeeds() {
 	g.operatorFeed.Recheck()
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -21,6 +21,8 @@
 	// Received is when the head of the request was read. Deadline is when the
 	// caller stops waiting.
 	Received, Deadline time.Time
+	// Suspended is the result of Gateway.Suspended when the head was read.
+	Suspended time.Duration
 }
 
 // Response is the response of a target.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -59,7 +59,7 @@
 func (g *Gateway) Serve(ctx context.Context, r *Request) (*Response, *Refusal) {
 	c := &call{
 		Request: r, service: r.Route.ChooseService(rand.Float64()), excluded: map[string]bool{},
-		deadline: earlier(r.Deadline, r.Received.Add(r.Route.Timeout)), suspended: g.cfg.Suspended(),
+		deadline: earlier(r.Deadline, r.Received.Add(r.Route.Timeout)), suspended: r.Suspended,
 		fingerprint: crash.NewFingerprint(r.Host, r.Method, r.Path, r.Body.buffered),
 	}
 	g.resendBudget.CountRequest(c.service, g.cfg.Now())
