--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -34,14 +34,14 @@
 		"a VM of the region has sent no message for after_ms, or sends messages again; lookups leave out an unresponsive VM")
 	EventCrashingRequest = eventlog.Define(2110, "crashing_request", logrus.WarnLevel,
 		"a request has broken the connections of the named target; after three targets it is refused on all VMs")
+	EventResponseCut = eventlog.Define(2112, "response_cut", logrus.WarnLevel,
+		"a long response ended before its end, after its head had gone to the caller; the caller's connection was closed, and target_failed says whether the target counts as failed")
 	EventMachineResumed = eventlog.Define(2113, "machine_resumed", logrus.WarnLevel,
 		"this process did not run for paused_ms, because the machine was suspended or frozen or gave it no processor time; suspended_ms is the time of all suspensions. The entries of the store are read again")
-	EventTargetPaused = eventlog.Define(2115, "target_paused", logrus.WarnLevel,
-		"a target refused a request and wants none of this VM for pause_ms")
 	EventTargetLimited = eventlog.Define(2114, "target_limited", logrus.WarnLevel,
 		"a target began or ceased to state a limit (per_second) on the requests of all VMs together; each VM keeps to its part")
-	EventResponseCut = eventlog.Define(2112, "response_cut", logrus.WarnLevel,
-		"a long response ended before its end, after its head had gone to the caller; the caller's connection was closed, and target_failed says whether the target counts as failed")
+	EventTargetPaused = eventlog.Define(2115, "target_paused", logrus.WarnLevel,
+		"a target refused a request and wants none of this VM for pause_ms")
 )
 
 // requestMetrics holds the metrics of this package.
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -197,8 +197,8 @@
 }
 
 // isUsable reports whether a target may get a request: it is not ejected, has not
-// asked for a pause and, if
-// it is cold or has a limit, this VM may send it one more request.
+// asked for a pause and, if it is cold or has a limit, this VM may send it one more
+// request.
 func (p *Picker) isUsable(s *serviceState, t *targets.Target, now time.Time) bool {
 	if ts := s.peekState(t); ts.isEjected(now) || ts.isPaused(now) {
 		return false
--- a/pkg/transport/peer/client.go
+++ b/pkg/transport/peer/client.go
@@ -53,8 +53,8 @@
 	// descriptions again.
 	IdleTimeout time.Duration
 	// MaxSilence is the time without a received byte after which a connection on
-	// which calls time out or are cancelled is replaced. It exceeds a round trip, and it may exceed
-	// the timeouts of the calls.
+	// which calls time out or are cancelled is replaced. It exceeds a round trip and
+	// may exceed the timeouts of the calls.
 	MaxSilence time.Duration
 	// MinBackoff and MaxBackoff bound the wait after failed connection attempts.
 	// Calls during the wait fail immediately.
--- a/pkg/transport/peer/connection.go
+++ b/pkg/transport/peer/connection.go
@@ -206,8 +206,9 @@
 	return &callError{err: err, sent: true}
 }
 
-// recordUnanswered records a call that timed out or was cancelled. The time without a received
-// byte counts over several calls, since a call may be shorter than maxSilence.
+// recordUnanswered records a call that timed out or was cancelled. The time without
+// a received byte counts over several calls, since a call may be shorter than
+// maxSilence.
 func (c *connection) recordUnanswered(started, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
