--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -260,17 +260,7 @@
 // allowColdTarget reports whether this VM is one of the VMs that send to a cold
 // target and has not used up its part of the target's rate.
 func (g *Gateway) allowColdTarget(t *targets.Target, now time.Time) bool {
-	var inRegion, all []string
-	for _, vm := range g.vmFeed.List() {
-		all = append(all, vm.ID)
-		if vm.Region == t.Region {
-			inRegion = append(inRegion, vm.ID)
-		}
-	}
-	if len(inRegion) == 0 {
-		inRegion = all
-	}
-	for _, id := range placement.TopRanked(t.ID, inRegion, sendersPerColdTarget) {
+	for _, id := range placement.TopRanked(t.ID, idsForRegion(g.vmFeed.List(), t.Region), sendersPerColdTarget) {
 		if id == g.cfg.Self.ID {
 			return g.coldLimits.Allowed(t.ID, g.serviceConfig(t.Service).ColdPerSecond/sendersPerColdTarget, now)
 		}
