--- a/pkg/state/targets/set.go
+++ b/pkg/state/targets/set.go
@@ -215,10 +215,7 @@
 	if known || old == nil || old.StartID != key.StartID || old.Leaving {
 		return false
 	}
-	t := *old
-	t.Leaving = true
-	s.all = maps.Clone(s.all)
-	s.all[t.ID] = &t
+	s.replaceTarget(old, func(t *Target) { t.Leaving = true })
 	s.publish()
 	return true
 }
@@ -236,13 +233,20 @@
 // updateTarget publishes a change of one target. The change must not affect
 // whether the target is usable or its position in the view.
 func (s *Set) updateTarget(old *Target, change func(*Target)) {
+	t := s.replaceTarget(old, change)
+	if s.loaded {
+		s.view.Store(s.View().withTarget(t, s.all))
+	}
+}
+
+// replaceTarget replaces a target by a changed copy, which it returns. Published
+// views keep the old one.
+func (s *Set) replaceTarget(old *Target, change func(*Target)) *Target {
 	t := *old
 	change(&t)
 	s.all = maps.Clone(s.all)
 	s.all[t.ID] = &t
-	if s.loaded {
-		s.view.Store(s.View().withTarget(&t, s.all))
-	}
+	return &t
 }
 
 // SetEvacuatedZones sets the zones whose targets get no requests. Targets of a
