--- a/review/bed/zone.go
+++ b/review/bed/zone.go
@@ -26,7 +26,7 @@
 	b.publish(7, 13, routeRow{name: "clue-read", prefix: "/clues/", kind: "safe", service: "cluebook", timeoutMs: 3000, goalMs: 400, priority: 2, sticky: false})
 	var lost []*instance
 	for n := range 6 {
-		i := b.newInstance(fmt.Sprintf("i-%d", n+1), "cluebook", []string{"za", "zb"}[n%2], 4, 300*time.Millisecond)
+		i := b.newInstance(fmt.Sprintf("i-%d", n+1), "cluebook", []string{"za", "zb"}[n%2], 4, 450*time.Millisecond)
 		i.register()
 		if i.zone == "zb" {
 			lost = append(lost, i)
