--- a/review/bed/stop.go
+++ b/review/bed/stop.go
@@ -16,9 +16,10 @@
 
 const (
 	graceTime = 6 * time.Second
-	// longWork is the time of a long request: five times the usual work, where
-	// the site names seven times for 3 in 100.
-	longWork   = 3400 * time.Millisecond
+	// longWork and nextWork are the times of two requests: five times and three
+	// times the usual work, where the site names seven times for 3 in 100.
+	longWork   = 3800 * time.Millisecond
+	nextWork   = 2100 * time.Millisecond
 	usualWork  = 700 * time.Millisecond
 	stopLanes  = 4
 	budgetMs   = 4000
@@ -31,8 +32,11 @@
 	for n := range 2 {
 		i := b.newInstance(fmt.Sprintf("i-%d", n+1), "answer-desk", []string{"za", "zb"}[n], 4, usualWork)
 		i.work = func(r *http.Request) time.Duration {
-			if strings.HasSuffix(r.URL.Path, "/long") {
+			switch r.URL.Path {
+			case "/answers/long":
 				return longWork
+			case "/answers/next":
+				return nextWork
 			}
 			return usualWork
 		}
@@ -96,7 +100,7 @@
 	}
 	<-termSent
 	sent := time.Now()
-	how, _ = submit(b, conn, reader, lane, "/answers/next/long")
+	how, _ = submit(b, conn, reader, lane, "/answers/next")
 	ended := time.Now()
 	if strings.HasPrefix(how, "cut") && b.trouble && ended.Sub(sent) < budgetMs*time.Millisecond {
 		b.breaks("client %d: request sent %.3f s after SIGTERM and passed on was cut %.3f s after SIGTERM, %.3f s after it was sent",
--- a/review/bed/zone.go
+++ b/review/bed/zone.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -64,7 +65,7 @@
 		requests.Add(1)
 		go func() {
 			defer requests.Done()
-			how := fetchClue(b, client, f)
+			how := ask(b, client, f, http.MethodGet, "/clues/map", "")
 			mu.Lock()
 			defer mu.Unlock()
 			counts[how]++
@@ -88,16 +89,17 @@
 	}
 }
 
-// fetchClue is one request for the map. It returns its status or "000".
-func fetchClue(b *bed, client *http.Client, f *front) string {
+// ask sends one request. It returns its status or "000".
+func ask(b *bed, client *http.Client, f *front, method, path, body string) string {
 	id := b.newID()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.caller+"/clues/map", nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.caller+path, strings.NewReader(body))
 	if err != nil {
 		panic(cannotRun(err.Error()))
 	}
 	req.Host = callerHost
+	req.GetBody = nil // keeps the client from sending the request again
 	req.Header.Set("Hickoryroute-Request-Id", id)
 	req.Header.Set("Hickoryroute-Deadline-Ms", strconv.Itoa(3000))
 	resp, err := client.Do(req)
@@ -111,9 +113,9 @@
 		return "000"
 	}
 	if resp.StatusCode != http.StatusOK {
-		b.log("client: %s %d %s", id, resp.StatusCode, text)
+		b.log("client: %s %s %d %s", id, path, resp.StatusCode, strings.TrimSpace(string(text)))
 	} else {
-		b.log("client: %s 200", id)
+		b.log("client: %s %s 200", id, path)
 	}
 	return strconv.Itoa(resp.StatusCode)
 }
