--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -39,6 +39,7 @@
 	hosts   int
 	ids     atomic.Int64
 	broken  []string
+	unfit   []string // why the case did not show what it is for
 }
 
 func newBed(folder string) (*bed, error) {
@@ -74,9 +75,14 @@
 	b.log("trouble: %v", b.trouble)
 	b.startStore()
 	run(b)
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if len(b.broken) > 0 {
 		return 1
 	}
+	if len(b.unfit) > 0 {
+		return 2
+	}
 	return 0
 }
 
@@ -109,6 +115,16 @@
 	b.broken = append(b.broken, text)
 }
 
+// cannot records that a part of the case could not run. The exit status is then 2
+// unless the rule was broken.
+func (b *bed) cannot(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	b.log("CANNOT RUN %s", text)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unfit = append(b.unfit, text)
+}
+
 func (b *bed) onClose(f func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/review/bed/crash.go
+++ b/review/bed/crash.go
@@ -100,7 +100,10 @@
 		b.log("%s: %d", how, n)
 	}
 	if len(crashes) < 3 {
-		b.log("%d crashes", len(crashes))
+		b.log("%d crashes, %d arrivals of the request", len(crashes), len(arrivals))
+		if b.trouble || len(arrivals) <= maxRetries {
+			b.cannot("%d crashes and %d arrivals", len(crashes), len(arrivals))
+		}
 		return
 	}
 	late := 0
--- a/review/bed/early.go
+++ b/review/bed/early.go
@@ -104,17 +104,22 @@
 	f.awaitReady()
 	time.Sleep(time.Second)
 
-	foreign, denied := 0, 0
+	foreign, denied, answered := 0, 0, 0
 	for n := range earlyRounds {
 		switch uploadAndAsk(b, f, n%2 == 0) {
 		case "foreign":
 			foreign++
 		case "denied":
 			denied++
+		case "answered":
+			answered++
 		}
 	}
 	requests := 2 * earlyRounds
 	b.log("%d requests, %d answered with the answer of another request, %d denied with a 400", requests, foreign, denied)
+	if !b.trouble && answered < earlyRounds {
+		b.cannot("%d of %d pairs of requests were answered", answered, earlyRounds)
+	}
 	if foreign > 0 {
 		b.breaks("MIXED: %d requests were answered with an answer that belongs to another request", foreign)
 	}
--- a/review/bed/late.go
+++ b/review/bed/late.go
@@ -161,6 +161,9 @@
 		how = fmt.Sprintf("%d %q", resp.StatusCode, text)
 	}
 	b.log("client: %s ends after %.3f s: %s", id, ended.Sub(sent).Seconds(), how)
+	if !b.trouble && own {
+		b.cannot("%s got %s without the disruption", id, how)
+	}
 	for _, i := range instances {
 		if own && i.worksOn(id) {
 			b.breaks("request sent %.3f s after SIGTERM was broken off %.3f s later while %s was at work on it, and answered %s", sent.Sub(term).Seconds(), ended.Sub(sent).Seconds(), i.id, how)
--- a/review/bed/stop.go
+++ b/review/bed/stop.go
@@ -84,25 +84,33 @@
 func stopLane(b *bed, f *front, lane int, termSent chan struct{}, term *time.Time) {
 	conn, err := net.Dial("tcp", f.caller)
 	if err != nil {
-		panic(cannotRun(err.Error()))
+		b.cannot("client %d: %v", lane, err)
+		return
 	}
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	began := time.Now()
 	if how, _ := submit(b, conn, reader, lane, "/answers/first"); how != "200" {
-		b.log("client %d: the first request got %s", lane, how)
+		b.cannot("client %d: the first request got %s", lane, how)
 		return
 	}
 	time.Sleep(time.Until(began.Add(time.Second)))
 	how, closes := submit(b, conn, reader, lane, "/answers/long")
-	if how != "200" || closes {
+	if how != "200" {
+		b.cannot("client %d: the long request got %s", lane, how)
+		return
+	}
+	if closes { // the client goes elsewhere
 		return
 	}
 	<-termSent
 	sent := time.Now()
 	how, _ = submit(b, conn, reader, lane, "/answers/next")
 	ended := time.Now()
-	if strings.HasPrefix(how, "cut") && b.trouble && ended.Sub(sent) < budgetMs*time.Millisecond {
+	if !b.trouble && how != "200" {
+		b.cannot("client %d: the next request got %s without a SIGTERM", lane, how)
+	}
+	if strings.HasPrefix(how, "cut") && ended.Sub(sent) < budgetMs*time.Millisecond {
 		b.breaks("client %d: request sent %.3f s after SIGTERM and passed on was cut %.3f s after SIGTERM, %.3f s after it was sent",
 			lane, sent.Sub(*term).Seconds(), ended.Sub(*term).Seconds(), ended.Sub(sent).Seconds())
 	}
