Refuse late requests that a planned stop of hickoryfront would cut

Cause: once accepted, a request was served whatever was left of the grace period. "Connection: close" alone does not help where no response precedes the request: a connection opened late, an idle one in a race, a slow upload.

Change: after 45% of the grace period, 2.7 s at most, a request is passed on only if its deadline and the linger for the response lie before the exit. Others get 503 with Retry-After, not run, and their connection closes, so the caller goes to another VM at once. The check follows the reading of the body.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -226,7 +226,7 @@
 }
 
 // Stopping reports whether a planned stop has begun.
-func (g *Gateway) Stopping() bool { return g.stopping.begun.Load() }
+func (g *Gateway) Stopping() bool { return g.stopping.times.Load() != nil }
 
 // Routes returns the routing table in force, or nil before the first one.
 func (g *Gateway) Routes() *route.Table { return g.routes.Load() }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -55,6 +55,7 @@
 	ReasonTimeout           Reason = "the time of the request has passed; it may have run"
 	ReasonExpired           Reason = "the time of the request had passed before it was sent"
 	ReasonCallerGone        Reason = "the caller has left"
+	ReasonStopping          Reason = "this VM is stopping and may end before the response; use another VM"
 	ReasonCrashingRequest   Reason = "the request has crashed the targets that ran it"
 )
 
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -63,11 +63,18 @@
 		fingerprint: crash.NewFingerprint(r.Host, r.Method, r.Path, r.Body.buffered),
 	}
 	g.resendBudget.CountRequest(c.service, g.cfg.Now())
-	response, refusal := g.attemptTargets(ctx, c)
+	response, refusal := g.serveCall(ctx, c)
 	g.recordOutcome(c, response, refusal)
 	return response, refusal
 }
 
+func (g *Gateway) serveCall(ctx context.Context, c *call) (*Response, *Refusal) {
+	if g.stopping.mayCut(g.cfg.Now(), c.deadline) {
+		return nil, c.newRefusal(ReasonStopping, minRetryAfter)
+	}
+	return g.attemptTargets(ctx, c)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
