Refuse late requests that a planned stop of hickoryd would interrupt

During Server.Shutdown new requests were served even if their deadline lay after the end of stop_timeout, at which they are interrupted with an unknown outcome.

Change: Shutdown publishes its end, and a request whose deadline lies after it is refused as "stopping", not_run, before it is passed on. Requests before Shutdown, while lookups still name the VM, are served as before.

--- a/pkg/transport/callerhttp/handler.go
+++ b/pkg/transport/callerhttp/handler.go
@@ -206,6 +206,9 @@
 		return problem
 	}
 	x.service = service
+	if problem := s.checkStop(req.Deadline); problem != nil {
+		return problem
+	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), req.Deadline)
 	defer cancel()
 	_ = http.NewResponseController(x.w).SetWriteDeadline(req.Deadline.Add(writeGrace))
--- a/pkg/transport/callerhttp/server.go
+++ b/pkg/transport/callerhttp/server.go
@@ -107,6 +107,7 @@
 	http     *http.Server
 	listener atomic.Pointer[netconn.GracefulListener] // nil before Serve
 	leaving  atomic.Bool
+	stopEnd  atomic.Pointer[time.Time] // when Shutdown interrupts requests; nil if it does not
 	active   inFlightTracker
 
 	instruments instruments
@@ -156,9 +157,13 @@
 // Shutdown calls SetLeaving and serves requests until none is in flight. Then it
 // closes the listener and waits for requests that arrived in the meantime. If
 // ctx ends first, Shutdown interrupts and logs the requests in flight and
-// returns the error of ctx.
+// returns the error of ctx. Requests that arrive during Shutdown and whose
+// deadline lies after that end are refused with outcome not_run.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.SetLeaving()
+	if end, ok := ctx.Deadline(); ok {
+		s.stopEnd.Store(&end)
+	}
 	err := s.active.waitIdle(ctx)
 	for err == nil && s.stopAccepting() > 0 {
 		if !wait.For(ctx, openConnsCheckInterval) {
@@ -169,6 +174,15 @@
 	return err
 }
 
+// checkStop refuses a request that Shutdown may interrupt.
+func (s *Server) checkStop(deadline time.Time) *protocol.Problem {
+	if end := s.stopEnd.Load(); end == nil || !deadline.After(*end) {
+		return nil
+	}
+	return newRefusal(http.StatusServiceUnavailable, protocol.CodeStopping,
+		"this entry VM is stopping and may end before the response", "use another entry VM of the lookup")
+}
+
 // stopAccepting returns the number of connections that are still open.
 func (s *Server) stopAccepting() (open int) {
 	if l := s.listener.Load(); l != nil {
--- a/pkg/transport/callerhttp/server_test.go
+++ b/pkg/transport/callerhttp/server_test.go
@@ -312,3 +312,50 @@
 	assert.Assert(t, strings.Contains(out.String(), `hickory_requests_total{service="cluebook",outcome="answered",code="200"} 1`), out.String())
 	assert.Assert(t, strings.Contains(out.String(), `hickory_request_duration_seconds_count{service="cluebook"} 1`), out.String())
 }
+
+// Guards against a planned stop that interrupts a request which it accepted when
+// too little time was left: such a request is refused as not run, and one whose
+// deadline lies before the end of the stop is served.
+func TestShutdownRefusesRequestsItWouldInterrupt(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	srv := newServer(func(ctx context.Context, r *Request) (*Response, *protocol.Problem) {
+		if r.Path == "/slow" {
+			close(entered)
+			<-release
+		}
+		return echo(ctx, r)
+	}, Config{})
+	addr := startServer(t, srv)
+	get := func(path, deadlineMs string) (int, string) {
+		req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/v1/services/cluebook"+path, nil)
+		assert.Check(t, err)
+		req.Header.Set(protocol.HeaderDeadlineMs, deadlineMs)
+		resp, err := newHTTPClient().Do(req)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode, resp.Header.Get(protocol.HeaderOutcome)
+	}
+	slow := make(chan int, 1)
+	go func() {
+		status, _ := get("/slow", "20000")
+		slow <- status
+	}()
+	<-entered
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- srv.Shutdown(ctx) }()
+	for !srv.Leaving() {
+		time.Sleep(time.Millisecond)
+	}
+	status, outcome := get("/late", "20000")
+	assert.Equal(t, status, 503)
+	assert.Equal(t, outcome, "not_run")
+	status, _ = get("/short", "2000")
+	assert.Equal(t, status, 200)
+	close(release)
+	assert.Equal(t, <-slow, 200)
+	assert.NilError(t, <-stopped)
+}
