Measure the connections to targets and the requests in flight

Change: gauges for the connections to targets by state, and for the requests of callers in flight. The counts are taken when the metrics are read.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -124,12 +124,6 @@
 	}
 	g := &Gateway{cfg: cfg, coldLimits: limit.NewColdLimiter(), targetLimits: limit.NewTargetLimiter(), metrics: newRequestMetrics(), crashes: crash.NewTable()}
 	g.peers = newPeers(g)
-	g.metrics.set.NewGauge("hickory_log_lines_dropped", func() float64 {
-		if cfg.DroppedLogLines == nil {
-			return 0
-		}
-		return float64(cfg.DroppedLogLines())
-	})
 	g.targetSet = targets.NewSet(targets.Config{
 		RegionOf: func(zone string) string { return cfg.Regions[zone] },
 		ColdTime: func(service string) time.Duration { return g.serviceConfig(service).ColdTime },
@@ -149,9 +143,23 @@
 		MaxHeaderBytes:   maxResponseHeaderBytes,
 		Dialect:          cfg.Dialect,
 	})
+	g.registerGauges()
 	return g
 }
 
+func (g *Gateway) registerGauges() {
+	set := g.metrics.set
+	set.NewGauge("hickory_log_lines_dropped", func() float64 {
+		if g.cfg.DroppedLogLines == nil {
+			return 0
+		}
+		return float64(g.cfg.DroppedLogLines())
+	})
+	set.NewGauge("hickory_gateway_requests_in_flight", func() float64 { return float64(g.stopping.inFlight.Load()) })
+	set.NewGauge(`hickory_gateway_target_connections{state="in_use"}`, func() float64 { return float64(g.targetClient.Usage().InUse) })
+	set.NewGauge(`hickory_gateway_target_connections{state="idle"}`, func() float64 { return float64(g.targetClient.Usage().Idle) })
+}
+
 // createFeeds creates the feeds that follow the store. They share one watch.
 func (g *Gateway) createFeeds() {
 	cfg := g.cfg
--- a/pkg/transport/target/pool.go
+++ b/pkg/transport/target/pool.go
@@ -191,6 +191,21 @@
 	}
 }
 
+// usage counts the connections of all targets.
+func (p *pool) usage() Usage {
+	var u Usage
+	for i := range p.shards {
+		s := &p.shards[i]
+		s.mu.Lock()
+		for _, t := range s.targets {
+			u.InUse += len(t.active)
+			u.Idle += len(t.idle)
+		}
+		s.mu.Unlock()
+	}
+	return u
+}
+
 func (p *pool) close() {
 	for i := range p.shards {
 		s := &p.shards[i]
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -197,6 +197,15 @@
 // connections are closed when they end.
 func (c *Client) Close() { c.pool.close() }
 
+// Usage counts the connections of a Client to all targets.
+type Usage struct {
+	InUse int // held by requests, also while they are opened
+	Idle  int
+}
+
+// Usage returns the current number of connections.
+func (c *Client) Usage() Usage { return c.pool.usage() }
+
 // CloseIdle closes the idle connections to one target, for example after the
 // target was removed.
 func (c *Client) CloseIdle(address string) { c.pool.closeIdle(address) }
