Close the connection of a request that was answered before its end

Cause: the handler returned while the goroutine that writes to the target still read the body. net/http aborts such a read, takes the body for read and goes on within it.

Change: the response says "Connection: close" if the body has not been read to its end when the head is written.

Short bodies take the same path as before, but for one comparison.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 )
@@ -13,6 +14,9 @@
 // body is streamed.
 const maxBufferedBody = 64 << 10
 
+// discardBufferBytes is the size of the reads of Body.Discard.
+const discardBufferBytes = 8 << 10
+
 // Body is the body of a request: a buffered first part, and a stream for the
 // rest.
 type Body struct {
@@ -21,8 +25,11 @@
 	length   int64     // -1 if unknown
 
 	mu       sync.Mutex
-	reader   *bodyReader // of the latest attempt
+	reader   *bodyReader // of the latest attempt; nil after Discard
 	restUsed bool        // an attempt has begun to read from rest
+
+	readMu sync.Mutex  // held during each read from rest
+	ended  atomic.Bool // rest was read to its end
 }
 
 // ErrBodyTooLarge means that a request body exceeds the operator's limit.
@@ -112,10 +119,40 @@
 	if r.buffered.Len() > 0 {
 		return r.buffered.Read(p)
 	}
-	if !r.body.useRest(r) {
+	return r.body.readRest(p, r)
+}
+
+// readRest reads from the rest for one attempt, or for Discard if r is nil.
+func (b *Body) readRest(p []byte, r *bodyReader) (int, error) {
+	b.readMu.Lock()
+	defer b.readMu.Unlock()
+	if !b.useRest(r) {
 		return 0, errOtherAttempt
 	}
-	return r.body.rest.Read(p)
+	n, err := b.rest.Read(p)
+	if err == io.EOF {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// Received reports whether the caller has sent the whole body.
+func (b *Body) Received() bool { return b.rest == nil || b.ended.Load() }
+
+// Discard reads the rest of the body that no attempt has read, until its end or
+// an error. Once it has returned, no attempt reads from the source any more, as
+// the handler of a request must ensure before it returns: net/http would
+// otherwise take the bytes that follow for the next request.
+func (b *Body) Discard() {
+	b.mu.Lock()
+	b.reader = nil
+	b.mu.Unlock()
+	buffer := make([]byte, discardBufferBytes)
+	for !b.Received() {
+		if _, err := b.readRest(buffer, nil); err != nil {
+			return
+		}
+	}
 }
 
 // useRest reports whether a reader may read from the rest, and records it.
--- a/pkg/transport/netconn/closing_writer.go
+++ b/pkg/transport/netconn/closing_writer.go
@@ -5,14 +5,13 @@
 	"net/http"
 )
 
-// ClosingWriter is an http.ResponseWriter whose response closes its connection
-// if the server is stopping when the head of the response is written. A request
-// that began before the stop would otherwise leave its connection open for
-// another one.
+// ClosingWriter is an http.ResponseWriter that decides whether the response
+// closes its connection when the head of the response is written. What requires
+// that, such as a planned stop, may begin while the request is served.
 type ClosingWriter struct {
 	http.ResponseWriter
-	// Stopping reports whether a planned stop has begun.
-	Stopping func() bool
+	// MustClose reports whether the connection may carry no further request.
+	MustClose func() bool
 
 	headWritten bool
 }
@@ -20,7 +19,7 @@
 // WriteHeader implements http.ResponseWriter.
 func (w *ClosingWriter) WriteHeader(status int) {
 	w.headWritten = w.headWritten || status >= http.StatusOK
-	if w.Stopping() {
+	if w.MustClose() {
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
