Release the connection of a response whatever its caller does

Cause: the handler closed the rest of a response only if the buffered first part could be written; else the place in the pool of connections was lost.

Change: Gateway.Serve hands the response to a function and closes it when that returns or panics, so no caller of it has to remember. Event 2116 and /api/ready name a service all of whose connections have been in use for 10 s; the connections are only looked at if as many are in use as one target may have.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -42,6 +42,8 @@
 		"a target began or ceased to state a limit (per_second) on the requests of all VMs together; each VM keeps to its part")
 	EventTargetPaused = eventlog.Define(2115, "target_paused", logrus.WarnLevel,
 		"a target refused a request and wants none of this VM for pause_ms")
+	EventConnectionsExhausted = eventlog.Define(2116, "connections_exhausted", logrus.ErrorLevel,
+		"all connections to the usable targets of a service have been in use for 10 s, so that this VM cannot serve it, or one is free again; see hickory_gateway_target_connections")
 )
 
 // requestMetrics holds the metrics of this package.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -111,6 +111,7 @@
 	peers        *peers
 	crashes      *crash.Table
 	stopping     stopState
+	exhausted    exhaustion
 }
 
 // New returns a Gateway without routes and targets. Run reads them from the
@@ -192,6 +193,7 @@
 	go g.vmFeed.Run(ctx)
 	go g.peers.run(ctx)
 	go g.logReady(ctx)
+	go g.watchConnections(ctx)
 	<-ctx.Done()
 	g.targetClient.Close()
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -30,6 +30,7 @@
 	Status int
 	Header http.Header
 	// Buffered is the whole body if Rest is nil, and its first part otherwise.
+	// Serve closes Rest.
 	Buffered []byte
 	Rest     io.ReadCloser
 	// Length is the length of the body, or -1 if it is unknown.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -54,9 +54,10 @@
 	fingerprint crash.Fingerprint
 }
 
-// Serve forwards one request and returns its outcome. Exactly one of the results
-// is not nil.
-func (g *Gateway) Serve(ctx context.Context, r *Request) (*Response, *Refusal) {
+// Serve forwards one request. It calls respond with the response of the target,
+// or returns a refusal if there is none. The response is valid until respond
+// returns or panics; what it holds is released then.
+func (g *Gateway) Serve(ctx context.Context, r *Request, respond func(*Response)) *Refusal {
 	c := &call{
 		Request: r, service: r.Route.ChooseService(rand.Float64()), excluded: map[string]bool{},
 		deadline: earlier(r.Deadline, r.Received.Add(r.Route.Timeout)), suspended: r.Suspended,
@@ -65,9 +66,18 @@
 	g.resendBudget.CountRequest(c.service, g.cfg.Now())
 	response, refusal := g.serveCall(ctx, c)
 	g.recordOutcome(c, response, refusal)
-	return response, refusal
+	if refusal != nil {
+		return refusal
+	}
+	if response.Rest != nil {
+		defer response.Rest.Close()
+	}
+	respond(response)
+	return nil
 }
 
+// serveCall returns the outcome of one request. Exactly one of the results is not
+// nil.
 func (g *Gateway) serveCall(ctx context.Context, c *call) (*Response, *Refusal) {
 	if g.stopping.mayCut(g.cfg.Now(), c.deadline) {
 		return nil, c.newRefusal(ReasonStopping, minRetryAfter)
--- a/pkg/transport/target/pool.go
+++ b/pkg/transport/target/pool.go
@@ -206,6 +206,14 @@
 	return u
 }
 
+func (p *pool) full(address string) bool {
+	s := p.shard(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.targets[address]
+	return t != nil && len(t.active) == cap(t.active)
+}
+
 func (p *pool) close() {
 	for i := range p.shards {
 		s := &p.shards[i]
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -206,6 +206,13 @@
 // Usage returns the current number of connections.
 func (c *Client) Usage() Usage { return c.pool.usage() }
 
+// MaxConnsPerTarget returns the limit on the open connections to one target.
+func (c *Client) MaxConnsPerTarget() int { return c.cfg.MaxConnsPerTarget }
+
+// Full reports whether the connections to a target have reached their limit, so
+// that a further request would wait.
+func (c *Client) Full(address string) bool { return c.pool.full(address) }
+
 // CloseIdle closes the idle connections to one target, for example after the
 // target was removed.
 func (c *Client) CloseIdle(address string) { c.pool.closeIdle(address) }
