Do not cut off peers that acknowledge with a full window

Cause: TCP_USER_TIMEOUT ends a connection whose window stays closed, although the peer acknowledges each probe.

Change: connections with undelivered bytes are checked by TCP_INFO every 300 ms. If bytes wait and none is in flight, the timeout becomes 10 s until all is delivered; silent peers have bytes in flight and keep 1.2 s.

--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -157,8 +157,7 @@
 }
 
 func listen(ctx context.Context, address string) (net.Listener, error) {
-	config := netconn.ListenConfig()
-	listener, err := config.Listen(ctx, "tcp", address)
+	listener, err := netconn.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen; check that no other process uses the address")
 	}
--- a/pkg/transport/netconn/netconn.go
+++ b/pkg/transport/netconn/netconn.go
@@ -7,8 +7,6 @@
 	"net"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -33,27 +31,46 @@
 func (d Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         d.Timeout,
-		Control:         setUserTimeout,
+		Control:         controlNewSocket,
 		KeepAliveConfig: keepAliveConfig(),
 	}
-	return dialer.DialContext(ctx, network, address)
+	c, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return watch(c), nil
+}
+
+// Listen opens a listener whose connections detect unresponsive callers. network
+// must be "tcp".
+func Listen(ctx context.Context, network, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: controlNewSocket, KeepAliveConfig: keepAliveConfig()}
+	l, err := config.Listen(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return watchingListener{l.(*net.TCPListener)}, nil
 }
 
-// ListenConfig returns a net.ListenConfig whose accepted connections detect
-// unresponsive callers.
-func ListenConfig() net.ListenConfig {
-	return net.ListenConfig{Control: setUserTimeout, KeepAliveConfig: keepAliveConfig()}
+// watchingListener returns connections whose windows are watched.
+type watchingListener struct{ *net.TCPListener }
+
+// Accept implements net.Listener.
+func (l watchingListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return watch(c), nil
 }
 
 func keepAliveConfig() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+func controlNewSocket(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
+	err := raw.Control(func(fd uintptr) { optionErr = setUserTimeoutOf(int(fd), userTimeout) })
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/transport/netconn/window_watch.go
@@ -0,0 +1,130 @@
+package netconn
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// windowCheckInterval is the time between two checks of connections with
+	// undelivered bytes. Several fit into userTimeout.
+	windowCheckInterval = 300 * time.Millisecond
+	// closedWindowTimeout replaces userTimeout while a peer acknowledges all that
+	// it has room for and reads no more. It exceeds the deadlines of requests, so
+	// that a peer that reads late is not taken for one that is gone.
+	closedWindowTimeout = 10 * time.Second
+	// minWatchedBytes is the size of the smallest write that is watched. Less fits
+	// into any receive buffer.
+	minWatchedBytes = 1 << 10
+)
+
+// delivery is what the system knows of the bytes sent on a connection.
+type delivery struct {
+	inFlight bool // bytes were sent and not acknowledged yet
+	unsent   bool // bytes wait because the window of the peer is full
+}
+
+// watchedConn is a TCP connection whose peer may read late. TCP_USER_TIMEOUT
+// ends a connection whose peer acknowledges with a full window as well as one
+// whose peer is silent, so a full window extends it.
+type watchedConn struct {
+	*net.TCPConn
+	watched  atomic.Bool // in the list of the watcher
+	extended bool        // used by the watcher only
+}
+
+// Write implements net.Conn.
+func (c *watchedConn) Write(p []byte) (int, error) {
+	if len(p) >= minWatchedBytes {
+		windows.add(c)
+	}
+	return c.TCPConn.Write(p)
+}
+
+// ReadFrom implements io.ReaderFrom.
+func (c *watchedConn) ReadFrom(r io.Reader) (int64, error) {
+	windows.add(c)
+	return c.TCPConn.ReadFrom(r)
+}
+
+// watch returns c with the watch of its window, if it is a TCP connection.
+func watch(c net.Conn) net.Conn {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return &watchedConn{TCPConn: tcp}
+	}
+	return c
+}
+
+// windowWatcher checks the connections with undelivered bytes as long as there
+// are any.
+type windowWatcher struct {
+	mu      sync.Mutex
+	conns   []*watchedConn
+	running bool
+}
+
+var windows windowWatcher
+
+func (w *windowWatcher) add(c *watchedConn) {
+	if c.watched.Swap(true) {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conns = append(w.conns, c)
+	if !w.running {
+		w.running = true
+		go w.run()
+	}
+}
+
+func (w *windowWatcher) run() {
+	for ticker := time.NewTicker(windowCheckInterval); ; <-ticker.C {
+		if w.check() == 0 {
+			ticker.Stop()
+			return
+		}
+	}
+}
+
+// check checks all connections, and keeps those with undelivered bytes. It
+// returns their number.
+func (w *windowWatcher) check() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	kept := w.conns[:0]
+	for _, c := range w.conns {
+		if c.check() {
+			kept = append(kept, c)
+		}
+	}
+	clear(w.conns[len(kept):])
+	w.conns = kept
+	w.running = len(kept) > 0
+	return len(kept)
+}
+
+// check sets the timeout that the state of the window requires. It reports
+// whether bytes are undelivered.
+func (c *watchedConn) check() bool {
+	// A write that begins from here on adds the connection again.
+	c.watched.Store(false)
+	d, err := readDelivery(c.TCPConn)
+	if err != nil {
+		return false // closed, or the system does not tell
+	}
+	windowFull := d.unsent && !d.inFlight
+	if windowFull && !c.extended {
+		c.extended = setUserTimeout(c.TCPConn, closedWindowTimeout) == nil
+	}
+	if !d.unsent && !d.inFlight {
+		if c.extended {
+			c.extended = setUserTimeout(c.TCPConn, userTimeout) != nil
+		}
+		return false
+	}
+	return !c.watched.Swap(true)
+}
