Keep a crashing request blocked while it comes, and try it on one VM

Cause: a quarantine ended a minute after the last crash whether or not the request still came, on all VMs at once and with three more crashes allowed. Targets that ended together counted as three crashes, and a response did not end a quarantine.

Change: crashes within 50 ms are one event; three events quarantine a request for as long as it comes. One VM of all makes a trial 10 s after the last crash, then at delays that grow fourfold up to an hour. A response ends the quarantine on all VMs.

Tests: TestRequestIsQuarantinedAfterThreeTargetsOfSeveralVMs recorded three crashes at one instant and asserted that the quarantine ends after two minutes. Both are the fault, so the crashes are now apart and the end is asserted for a request that does not come again. Four new tests hold the rest.

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -11,7 +11,6 @@
 	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
-	"hickoryroute/pkg/steering/crash"
 	"hickoryroute/pkg/steering/placement"
 	"hickoryroute/pkg/transport/packed"
 	"hickoryroute/pkg/transport/peer"
@@ -176,25 +175,6 @@
 	return true
 }
 
-func (p *peers) recentCrashes() []protocol.CrashNotice {
-	now := p.gateway.cfg.Now()
-	var notices []protocol.CrashNotice
-	for _, r := range p.gateway.crashes.Recent(now) {
-		notices = append(notices, protocol.CrashNotice{
-			Fingerprint: uint64(r.Fingerprint), Targets: r.Targets, AgeMs: now.Sub(r.LastCrash).Milliseconds(),
-		})
-	}
-	return notices
-}
-
-func (p *peers) mergeCrashes(notices []protocol.CrashNotice) {
-	now := p.gateway.cfg.Now()
-	for _, n := range notices {
-		at := now.Add(-time.Duration(n.AgeMs) * time.Millisecond)
-		p.gateway.crashes.Merge(crash.Record{Fingerprint: crash.Fingerprint(n.Fingerprint), Targets: n.Targets, LastCrash: at})
-	}
-}
-
 func (p *peers) ownUtilization() []protocol.ServiceUse {
 	var uses []protocol.ServiceUse
 	for service, s := range p.gateway.picker.Spills() {
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -269,7 +269,7 @@
 	}
 	assert.NilError(t, g.peers.Loads(t.Context(), &req, &reply))
 	assert.Equal(t, reply.From, "self")
-	assert.Assert(t, g.crashes.Quarantined(7, now))
+	assert.Assert(t, g.crashes.Quarantined(7))
 	assert.Equal(t, len(reply.Crashes), 1, "crashes are passed on")
 	assert.ErrorContains(t, g.peers.Copy(t.Context(), &protocol.CopyRequest{Kind: 9}, &protocol.CopyReply{}), "not supported")
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -141,7 +141,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return c.newRefusal(ReasonCallerGone, 0)
-	case g.crashes.Quarantined(c.fingerprint, now):
+	case g.crashBlocked(c.fingerprint, now):
 		return c.newRefusal(ReasonCrashingRequest, maxRetryAfter)
 	case c.deadline.Sub(now) < minSendTime && c.retries == 0:
 		return c.newRefusal(ReasonExpired, minRetryAfter)
@@ -206,7 +206,7 @@
 		return nil, err
 	}
 	now := g.cfg.Now()
-	g.crashes.RecordResponse(c.fingerprint)
+	g.crashes.RecordResponse(c.fingerprint, now)
 	failed := resp.Status >= http.StatusInternalServerError
 	g.picker.Done(choice, placement.Result{Responded: true, Failed: failed, Load: info.Load, Now: now})
 	if failed && g.takeResend(c, now) {
@@ -340,7 +340,7 @@
 		g.crashes.RecordCrash(c.fingerprint, choice.Target.ID, now)
 		g.cfg.Logger.Log(EventCrashingRequest, eventlog.Fields{
 			"request": c.ID, "target": choice.Target.ID, "fingerprint": fmt.Sprintf("%016x", uint64(c.fingerprint)),
-			"blocked": g.crashes.Quarantined(c.fingerprint, now),
+			"blocked": g.crashes.Quarantined(c.fingerprint),
 		})
 	}
 	g.picker.Done(choice, result)
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -56,11 +56,19 @@
 	Crashes []CrashNotice
 }
 
-// CrashNotice lists the targets that a request has crashed.
+// CrashNotice lists the targets that a request has crashed since a target last
+// responded to it. Ages are times before the message was sent.
 type CrashNotice struct {
 	Fingerprint uint64
 	Targets     []string
-	AgeMs       int64 // time since the last crash
+	// TargetAgesMs holds the age of the crash of each target; VMs of older
+	// versions send none.
+	TargetAgesMs  []int64
+	AgeMs         int64 // age of the last crash
+	Answered      bool  // a target has responded to the request
+	AnsweredAgeMs int64
+	Trials        int // trials since the quarantine began
+	TrialAgeMs    int64
 }
 
 // CopyKind is a kind of entries that a VM has copied from the store.
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -4,7 +4,6 @@
 package crash
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -12,12 +11,31 @@
 )
 
 const (
-	// maxCrashedTargets is the number of crashed targets from which a request
-	// is quarantined. Two targets may fail at the same time for another reason.
-	maxCrashedTargets = 3
-	// recordTTL is the time for which a crash record is kept.
+	// maxCrashEvents is the number of crash events from which a request is
+	// quarantined. Two targets may fail one after the other for another reason.
+	maxCrashEvents = 3
+	// togetherTime is the time within which crashes are one event. The targets of
+	// a zone that ends break their connections at once, whatever they run.
+	togetherTime = 50 * time.Millisecond
+	// maxCrashes bounds the crashes of one record.
+	maxCrashes = 8
+	// recordTTL is the time for which the record of a request that is not
+	// quarantined is kept.
 	recordTTL = time.Minute
-	// recentTime is the time for which a crash is reported to other VMs.
+	// quarantineTTL is the time after which a quarantined request is forgotten if
+	// it does not come again.
+	quarantineTTL = time.Hour
+	// firstTrialDelay is the time from the last crash to the first trial of a
+	// quarantined request. Each further trial comes trialDelayFactor times later
+	// after the one before, at most maxTrialDelay.
+	firstTrialDelay  = 10 * time.Second
+	trialDelayFactor = 4
+	maxTrialDelay    = time.Hour
+	// trialStagger is the time after which the next VM may make a trial that is
+	// due, because the request may not come at the VMs before it. VMs tell each
+	// other of trials within less.
+	trialStagger = 3 * time.Second
+	// recentTime is the time for which news of a record is reported to other VMs.
 	recentTime = 10 * time.Second
 	// maxRecords bounds the table. Crashes are rare.
 	maxRecords = 4096
@@ -41,13 +59,6 @@
 	return Fingerprint(d.Sum64())
 }
 
-// Record lists the targets that a request has crashed.
-type Record struct {
-	Fingerprint Fingerprint
-	Targets     []string
-	LastCrash   time.Time // time of the last crash
-}
-
 // Table holds the crash records by fingerprint. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
@@ -60,49 +71,62 @@
 // RecordCrash records that a target broke its connection while it ran a
 // request.
 func (t *Table) RecordCrash(f Fingerprint, target string, now time.Time) {
-	t.Merge(Record{Fingerprint: f, Targets: []string{target}, LastCrash: now})
+	t.Merge(Record{Fingerprint: f, Crashes: []Crash{{Target: target, At: now}}, LastCrash: now}, now)
+}
+
+// RecordResponse records that a target has responded to a request. A record of
+// it, also a quarantine, begins anew on all VMs.
+func (t *Table) RecordResponse(f Fingerprint, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.records[f]; ok {
+		t.records[f] = Record{Fingerprint: f, LastCrash: r.LastCrash, Answered: now}
+	}
 }
 
 // Merge adds a record of another VM.
-func (t *Table) Merge(r Record) {
+func (t *Table) Merge(r Record, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	existing, ok := t.records[r.Fingerprint]
 	if !ok && len(t.records) >= maxRecords {
-		t.removeExpired(r.LastCrash)
+		t.removeExpired(now)
 		if len(t.records) >= maxRecords {
 			return
 		}
 	}
-	merged := Record{Fingerprint: r.Fingerprint, Targets: slices.Clone(existing.Targets), LastCrash: existing.LastCrash}
-	for _, target := range r.Targets {
-		if len(merged.Targets) < maxCrashedTargets && !slices.Contains(merged.Targets, target) {
-			merged.Targets = append(merged.Targets, target)
-		}
-	}
-	if r.LastCrash.After(merged.LastCrash) {
-		merged.LastCrash = r.LastCrash
-	}
-	t.records[r.Fingerprint] = merged
+	t.records[r.Fingerprint] = existing.merge(r)
 }
 
-// RecordResponse removes the record of a request to which a target has
-// responded, unless the request is quarantined.
-func (t *Table) RecordResponse(f Fingerprint) {
+// Quarantined reports whether a request has crashed so many targets that it is
+// sent again only as a trial.
+func (t *Table) Quarantined(f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, ok := t.records[f]; ok && len(r.Targets) < maxCrashedTargets {
-		delete(t.records, f)
-	}
+	r, ok := t.records[f]
+	return ok && r.quarantined()
 }
 
-// Quarantined reports whether a request has crashed too many targets to be sent
-// again.
-func (t *Table) Quarantined(f Fingerprint, now time.Time) bool {
+// Blocked reports whether a request must not be sent to a target. A quarantined
+// request that comes again stays quarantined, and is admitted once when a trial
+// is due. rank returns the place of this VM among those that may make it: of all
+// VMs, the first one at which the request comes does.
+func (t *Table) Blocked(f Fingerprint, now time.Time, rank func() int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[f]
-	return ok && len(r.Targets) >= maxCrashedTargets && now.Sub(r.LastCrash) < recordTTL
+	if !ok || !r.quarantined() {
+		return false
+	}
+	r.lastSeen = now
+	due := r.nextTrial()
+	trial := !now.Before(due) && !now.Before(due.Add(time.Duration(rank())*trialStagger))
+	if trial {
+		r.Trials++
+		r.LastTrial = now
+	}
+	t.records[f] = r
+	return !trial
 }
 
 // Recent returns the records to be reported to other VMs.
@@ -112,17 +136,21 @@
 	t.removeExpired(now)
 	var recent []Record
 	for _, r := range t.records {
-		if now.Sub(r.LastCrash) < recentTime && len(recent) < maxRecent {
+		if now.Sub(r.changed()) < recentTime && len(recent) < maxRecent {
 			recent = append(recent, r)
 		}
 	}
 	return recent
 }
 
-// removeExpired removes the records of crashes older than recordTTL.
+// removeExpired removes the records that no longer matter.
 func (t *Table) removeExpired(now time.Time) {
 	for f, r := range t.records {
-		if now.Sub(r.LastCrash) > recordTTL {
+		ttl := recordTTL
+		if r.quarantined() {
+			ttl = quarantineTTL
+		}
+		if now.Sub(latest(r.changed(), r.lastSeen)) > ttl {
 			delete(t.records, f)
 		}
 	}
--- a/pkg/steering/crash/crash_test.go
+++ b/pkg/steering/crash/crash_test.go
@@ -9,31 +9,118 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// apart is a time between crashes that are not one event.
+const apart = 2 * togetherTime
+
+func firstVM() int { return 0 }
+
+// newQuarantine returns a table with a request that has crashed three targets,
+// the last one at start.
+func newQuarantine(f Fingerprint) *Table {
+	table := NewTable()
+	for n, target := range []string{"a", "b", "c"} {
+		table.RecordCrash(f, target, start.Add(time.Duration(n-2)*apart))
+	}
+	return table
+}
+
+func share(from, to *Table, now time.Time) {
+	for _, r := range from.Recent(now) {
+		to.Merge(r, now)
+	}
+}
+
 // A request that crashes every target must be quarantined on all VMs after three
 // targets, whichever VM recorded which crash.
 func TestRequestIsQuarantinedAfterThreeTargetsOfSeveralVMs(t *testing.T) {
 	f := NewFingerprint("h", "POST", "/x", []byte("body"))
 	first, second := NewTable(), NewTable()
 	first.RecordCrash(f, "a", start)
-	first.RecordCrash(f, "b", start)
-	second.RecordCrash(f, "b", start)
-	second.RecordCrash(f, "c", start)
-	assert.Assert(t, !first.Quarantined(f, start) && !second.Quarantined(f, start))
-	for _, r := range second.Recent(start) {
-		first.Merge(r)
+	first.RecordCrash(f, "b", start.Add(apart))
+	second.RecordCrash(f, "b", start.Add(apart))
+	second.RecordCrash(f, "c", start.Add(2*apart))
+	assert.Assert(t, !first.Quarantined(f) && !second.Quarantined(f))
+	share(second, first, start.Add(2*apart))
+	assert.Assert(t, first.Quarantined(f))
+	first.Recent(start.Add(2 * quarantineTTL))
+	assert.Assert(t, !first.Quarantined(f), "a request that does not come again is forgotten")
+}
+
+// Guards against a quarantine that ends while the request goes on crashing
+// targets: it must reach targets in three trials at most during the first three
+// minutes, with growing delays, and in one each hour in the end.
+func TestQuarantineLastsAsLongAsTheRequestComes(t *testing.T) {
+	f := NewFingerprint("h", "POST", "/x", nil)
+	table := newQuarantine(f)
+	var trials []time.Duration
+	for after := time.Duration(0); after < 10*time.Hour; after += 100 * time.Millisecond {
+		if now := start.Add(after); !table.Blocked(f, now, firstVM) {
+			trials = append(trials, after)
+			table.RecordCrash(f, "a", now)
+		}
+	}
+	assert.DeepEqual(t, trials[:3], []time.Duration{10 * time.Second, 50 * time.Second, 210 * time.Second})
+	assert.Assert(t, len(trials) < 16, "%v", trials)
+}
+
+// Guards against trials by several VMs: one of three at which the request comes
+// all the time makes the trial, and another one if it does not come there.
+func TestOneVMMakesTheTrial(t *testing.T) {
+	f := NewFingerprint("h", "POST", "/x", nil)
+	for _, receiving := range [][]int{{0, 1, 2}, {1, 2}, {2}} {
+		tables := []*Table{newQuarantine(f), newQuarantine(f), newQuarantine(f)}
+		trials := 0
+		for after := time.Duration(0); after < firstTrialDelay+4*trialStagger; after += time.Second {
+			now := start.Add(after)
+			for _, vm := range receiving {
+				if !tables[vm].Blocked(f, now, func() int { return vm }) {
+					trials++
+				}
+			}
+			for _, from := range tables {
+				for _, to := range tables {
+					share(from, to, now)
+				}
+			}
+		}
+		assert.Equal(t, trials, 1, "the request comes at %v", receiving)
+	}
+}
+
+// Guards against a harmless request that stays blocked: the response of one
+// target ends its quarantine on all VMs, also on those whose news of the crashes
+// arrives later.
+func TestResponseEndsQuarantineOnAllVMs(t *testing.T) {
+	f := NewFingerprint("h", "GET", "/x", nil)
+	first, second := newQuarantine(f), newQuarantine(f)
+	now := start.Add(firstTrialDelay)
+	assert.Assert(t, !first.Blocked(f, now, firstVM))
+	first.RecordResponse(f, now)
+	share(second, first, now)
+	assert.Assert(t, !first.Quarantined(f), "older crashes count again")
+	share(first, second, now)
+	assert.Assert(t, !second.Quarantined(f))
+}
+
+// Guards against a zone's restart that is taken for a crashing request: targets
+// that end together while they run the same harmless request are one event.
+func TestTargetsThatEndTogetherAreOneEvent(t *testing.T) {
+	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	for n, target := range []string{"a", "b", "c", "d"} {
+		table.RecordCrash(f, target, start.Add(time.Duration(n)*time.Millisecond))
 	}
-	assert.Assert(t, first.Quarantined(f, start))
-	assert.Assert(t, !first.Quarantined(f, start.Add(2*recordTTL)))
+	assert.Assert(t, !table.Quarantined(f))
+	assert.Assert(t, !table.Blocked(f, start, firstVM))
 }
 
 // Repeated crashes of the same target for another reason must not quarantine a
 // request.
 func TestRepeatedCrashOfOneTargetCountsOnce(t *testing.T) {
 	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
-	for range 5 {
-		table.RecordCrash(f, "a", start)
+	for n := range 5 {
+		table.RecordCrash(f, "a", start.Add(time.Duration(n)*apart))
 	}
-	assert.Assert(t, !table.Quarantined(f, start))
+	assert.Assert(t, !table.Quarantined(f))
 }
 
 // The loss of a zone's power breaks many harmless requests. A response must
@@ -41,10 +128,10 @@
 func TestResponseClearsARequest(t *testing.T) {
 	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
 	table.RecordCrash(f, "a", start)
-	table.RecordCrash(f, "b", start)
-	table.RecordResponse(f)
-	table.RecordCrash(f, "c", start)
-	assert.Assert(t, !table.Quarantined(f, start))
+	table.RecordCrash(f, "b", start.Add(apart))
+	table.RecordResponse(f, start.Add(apart))
+	table.RecordCrash(f, "c", start.Add(2*apart))
+	assert.Assert(t, !table.Quarantined(f))
 }
 
 // Guards against different requests that share a fingerprint and are quarantined
