Name the accepted change in the refusal of a concurrent edit

What operators saw: the second of two edits was refused, as it must be, with the author and reason of the change before both (TestConcurrentEditsAcceptOnlyOne, 1 of 200 plays).

Cause: prepare read the head from the store and then the settings in force, which a watch may have moved on in between. The refusal was built from the old head.

Change: readBase reads the head again, at most three times, while it is older than the settings in force.

Result: TestConflictNamesTheChangeInForce failed before (author-first in place of alice) and passes.

--- a/pkg/coordination/config/manager_test.go
+++ b/pkg/coordination/config/manager_test.go
@@ -269,3 +269,30 @@
 	assert.Equal(t, s.Rejected.Revision, int64(6))
 	assert.Equal(t, len(watcher.AnswerPeer(s.Revision, s.Rejected.Revision).Rejected), 0)
 }
+
+// Guards against a refusal that names the wrong winner: while a proposal reads
+// the head, another change is accepted and put in force. The refusal must name
+// that change and not the one that it replaced.
+func TestConflictNamesTheChangeInForce(t *testing.T) {
+	store, m := newStoreWithRevision(t)
+	base := m.Current().Revision
+	winner := setWeightEdit("winner", base, 20)
+	winner.Author = "alice"
+	revision, err := m.Propose(t.Context(), winner)
+	assert.NilError(t, err)
+	reads := 0
+	store.nextFault = func(op string) fault {
+		if op != "get" {
+			return noFault
+		}
+		if reads++; reads > 1 {
+			return noFault
+		}
+		return staleRead // the head before the change, which is in force already
+	}
+	_, err = m.Propose(t.Context(), setWeightEdit("loser", base, 30))
+	var c *ConflictError
+	assert.Assert(t, errors.As(err, &c), "%v", err)
+	assert.Equal(t, c.Author, "alice")
+	assert.Equal(t, c.Revision, revision)
+}
--- a/pkg/coordination/config/propose.go
+++ b/pkg/coordination/config/propose.go
@@ -25,6 +25,9 @@
 	// retryPause is the pause between two attempts to write or to find out the
 	// outcome of a write.
 	retryPause = 200 * time.Millisecond
+	// maxHeadReads limits the reads of a head that is older than the settings in
+	// force.
+	maxHeadReads = 3
 )
 
 var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
@@ -97,15 +100,13 @@
 	if revision, ok := m.findAccepted(p.RequestID, platform.Entry{}); ok {
 		return revision, nil
 	}
-	head, err := m.readHead(ctx)
+	head, err := m.readBase(ctx, p)
 	if err != nil {
 		return 0, &PlatformError{"reading the settings", err}
 	}
-	p.head = head
 	if revision, ok := m.findAccepted(p.RequestID, head); ok {
 		return revision, nil
 	}
-	p.baseSnapshot = m.Current()
 	if p.BaseRevision != 0 && p.BaseRevision != p.baseSnapshot.Revision {
 		return 0, m.newConflictError(p.BaseRevision, head)
 	}
@@ -115,6 +116,23 @@
 	return m.buildDocument(p)
 }
 
+// readBase reads the head and the settings in force that belong to it. A watch
+// may put a newer head in force while an older one is read; the head is then read
+// again, so that a refusal names the change that was accepted.
+func (m *Manager) readBase(ctx context.Context, p *proposal) (platform.Entry, error) {
+	for range maxHeadReads {
+		head, err := m.readHead(ctx)
+		if err != nil {
+			return platform.Entry{}, err
+		}
+		p.head, p.baseSnapshot = head, m.Current()
+		if p.baseSnapshot.Revision <= head.Revision {
+			break
+		}
+	}
+	return p.head, nil
+}
+
 // readHead reads the head, applies it and returns it. It returns a zero entry
 // if there is no head.
 func (m *Manager) readHead(ctx context.Context) (platform.Entry, error) {
