Let requests wait for the next owner when a VM of hickoryd stops

What callers saw: 503 no_target for up to a second after a planned stop, if the VM that stopped held all targets of a service (TestScripts/planned_stop).

Cause: a VM that stops frees its seats, and nobody owns the targets until another VM claims them at its next poll. The announcement of free seats runs in the background and may be lost, as the process ends next.

Change: the VM that stops waits until the members have the announcement. A request that finds no owner waits for one, as long as requests have found none for less than 2 s; after that requests are refused at once, as before.

Open, as before: if the platform goes down between the release and the claim, the refusals last as long as it is down.

--- a/pkg/entry/seats.go
+++ b/pkg/entry/seats.go
@@ -33,6 +33,15 @@
 	})
 }
 
+// announceRelease asks the members of the region to claim the seats that this VM
+// has freed in a planned stop. It waits until they have the notice, because the
+// process ends next; otherwise nobody may own a target until the next poll.
+func (v *VM) announceRelease(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	v.members.BroadcastAndWait(ctx, v.newNotice(protocol.NoticeSeats, v.cfg.Region, 0, revisionNoticeTTL))
+}
+
 func hasFreeSeat(t seat.Table) bool {
 	for _, s := range t.Seats {
 		if s.Free() {
--- a/pkg/entry/stop.go
+++ b/pkg/entry/stop.go
@@ -43,6 +43,7 @@
 	// Other VMs take over seats that are still in use later; no request is
 	// interrupted.
 	_ = v.seats.Release(ctx, v.isSeatIdle)
+	v.announceRelease(ctx)
 	v.leaveAndClose()
 	v.log.Log(eventStopFinished, map[string]any{"cut": err != nil})
 	if err != nil {
--- a/pkg/steering/reserve.go
+++ b/pkg/steering/reserve.go
@@ -85,9 +85,15 @@
 			c.asksAllOwners = true
 			regions = r.usableRegions(c)
 		}
+		if len(regions) == 0 {
+			regions = r.awaitOwner(ctx, c)
+		}
 		if len(regions) == 0 {
 			return nil, r.noRegionProblem(c)
 		}
+		if c.state.ownerlessSince.Load() != nil {
+			c.state.ownerlessSince.Store(nil)
+		}
 		g, queued := r.reserveRound(ctx, c, regions, round)
 		if g != nil {
 			return g, nil
--- a/pkg/steering/router.go
+++ b/pkg/steering/router.go
@@ -152,6 +152,9 @@
 	retries     *retryBudget
 	owners      *ownerTable
 	slowTargets *slowTargets
+	// ownerlessSince is when a request first found no owner; nil while there are
+	// owners.
+	ownerlessSince atomic.Pointer[time.Time]
 }
 
 // New returns a Router.
