Tell peers that drop retransmissions from silent ones

Cause: such a target drops bytes that do not fit and acknowledges each retransmission, so bytes are in flight although it reads late.

Change: a peer that has acknowledged since the last retransmission reads late as well. Once a peer has read late, the timeout is extended with the next write.

Ruled out: a bound on the age of the last acknowledgement alone.

TestTimeoutOfLateReaders holds the decision.

--- a/pkg/transport/netconn/window_watch.go
+++ b/pkg/transport/netconn/window_watch.go
@@ -25,6 +25,26 @@
 type delivery struct {
 	inFlight bool // bytes were sent and not acknowledged yet
 	unsent   bool // bytes wait because the window of the peer is full
+	// retransmitting is true if bytes in flight were sent again after a timeout.
+	retransmitting bool
+	// lastSent and lastAck are the ages of the last transmission of bytes and of
+	// the last acknowledgement, which may repeat an earlier one.
+	lastSent, lastAck time.Duration
+}
+
+// readsLate reports whether the peer acknowledges and does not read: its window
+// is full, or its buffer is and it drops what was sent again.
+func (d delivery) readsLate() bool {
+	return d.unsent && !d.inFlight || d.retransmitting && d.lastAck <= d.lastSent
+}
+
+// settled reports whether the timeout for silent peers applies: all bytes are
+// delivered, or the peer has not acknowledged the last transmission in time.
+func (d delivery) settled() bool {
+	if !d.inFlight {
+		return !d.unsent
+	}
+	return d.lastSent >= userTimeout && d.lastAck > d.lastSent
 }
 
 // watchedConn is a TCP connection whose peer may read late. TCP_USER_TIMEOUT
@@ -33,7 +53,11 @@
 type watchedConn struct {
 	*net.TCPConn
 	watched  atomic.Bool // in the list of the watcher
-	extended bool        // used by the watcher only
+	extended bool        // guarded by windowWatcher.mu
+	// readLate is true once the peer has read late; guarded by windowWatcher.mu.
+	// The system may count the next full window from the first probe of an earlier
+	// one, so the timeout is extended with the next write.
+	readLate bool
 }
 
 // Write implements net.Conn.
@@ -50,6 +74,17 @@
 	return c.TCPConn.ReadFrom(r)
 }
 
+// Close implements net.Conn. The system goes on delivering what was written
+// before, also to a peer that reads late.
+func (c *watchedConn) Close() error {
+	if c.watched.Load() {
+		if d, err := readDelivery(c.TCPConn); err == nil && (d.unsent || d.readsLate()) {
+			_ = setUserTimeout(c.TCPConn, closedWindowTimeout) // fails only if it is closed
+		}
+	}
+	return c.TCPConn.Close()
+}
+
 // watch returns c with the watch of its window, if it is a TCP connection.
 func watch(c net.Conn) net.Conn {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -75,6 +110,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.conns = append(w.conns, c)
+	if c.readLate {
+		c.extend()
+	}
 	if !w.running {
 		w.running = true
 		go w.run()
@@ -107,6 +145,12 @@
 	return len(kept)
 }
 
+func (c *watchedConn) extend() {
+	if !c.extended {
+		c.extended = setUserTimeout(c.TCPConn, closedWindowTimeout) == nil
+	}
+}
+
 // check sets the timeout that the state of the window requires. It reports
 // whether bytes are undelivered.
 func (c *watchedConn) check() bool {
@@ -116,14 +160,14 @@
 	if err != nil {
 		return false // closed, or the system does not tell
 	}
-	windowFull := d.unsent && !d.inFlight
-	if windowFull && !c.extended {
-		c.extended = setUserTimeout(c.TCPConn, closedWindowTimeout) == nil
+	switch {
+	case d.readsLate():
+		c.readLate = true
+		c.extend()
+	case d.settled() && c.extended:
+		c.extended = setUserTimeout(c.TCPConn, userTimeout) != nil
 	}
 	if !d.unsent && !d.inFlight {
-		if c.extended {
-			c.extended = setUserTimeout(c.TCPConn, userTimeout) != nil
-		}
 		return false
 	}
 	return !c.watched.Swap(true)
--- a/pkg/transport/netconn/window_watch_test.go
+++ b/pkg/transport/netconn/window_watch_test.go
@@ -68,3 +68,23 @@
 	assert.NilError(t, conn.(*watchedConn).CloseWrite())
 	assert.Equal(t, <-received, len(sent))
 }
+
+// Guards against the timeout for late readers where it does not belong: a peer
+// that is silent with bytes in flight, and one to which all is delivered.
+func TestTimeoutOfLateReaders(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		delivery           delivery
+		readsLate, settled bool
+	}{
+		{"window closed", delivery{unsent: true, lastSent: time.Hour, lastAck: time.Minute}, true, false},
+		{"buffer full, acknowledges", delivery{inFlight: true, retransmitting: true, lastSent: 2 * userTimeout, lastAck: 2 * userTimeout}, true, false},
+		{"sent again just now", delivery{inFlight: true, retransmitting: true, lastAck: userTimeout}, false, false},
+		{"silent", delivery{inFlight: true, retransmitting: true, unsent: true, lastSent: userTimeout, lastAck: 2 * userTimeout}, false, true},
+		{"just sent after a pause", delivery{inFlight: true, lastAck: time.Hour}, false, false},
+		{"all delivered", delivery{lastSent: time.Hour, lastAck: time.Hour}, false, true},
+	} {
+		assert.Equal(t, c.delivery.readsLate(), c.readsLate, c.name)
+		assert.Equal(t, c.delivery.settled(), c.settled, c.name)
+	}
+}
