Let callers read a response before a closed connection is reset

Cause: a connection that is closed with unread bytes is reset, and the rest of the response is discarded.

Change: with unread bytes the connection is shut for writing and drained for at most a second before it closes.

--- a/pkg/transport/netconn/graceful_listener.go
+++ b/pkg/transport/netconn/graceful_listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +20,9 @@
 	// lateRequestTimeout bounds the time to read the rest of a request that
 	// arrived just as its connection was about to be closed as idle.
 	lateRequestTimeout = 10 * time.Second
+	// lingerTime limits how long a closed connection is kept for the other side to
+	// read the last response.
+	lingerTime = time.Second
 )
 
 // GracefulListener is a listener for an http.Server that stops without
@@ -206,16 +210,37 @@
 	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
 }
 
-// Close implements net.Conn.
-func (c *trackedConn) Close() error {
+// Close implements net.Conn. If bytes have arrived that were not read, it lets
+// the other side read the last response first: closing the connection at once
+// would reset it and discard what is still on the way.
+func (c *trackedConn) Close() (err error) {
 	c.closeOnce.Do(func() {
-		g := c.listener
-		g.mu.Lock()
-		delete(g.conns, c)
-		g.mu.Unlock()
-		if g.connLimit != nil {
-			g.connLimit.Release(1)
+		half, ok := c.Conn.(interface{ CloseWrite() error })
+		if ok && isReadable(c.Conn) && half.CloseWrite() == nil {
+			go c.linger()
+			return
 		}
+		err = c.end()
 	})
+	return err
+}
+
+// linger discards what the other side sends until it closes the connection, for
+// at most lingerTime.
+func (c *trackedConn) linger() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only if it is closed
+	_, _ = io.Copy(io.Discard, c.Conn)                     // any error ends the wait
+	_ = c.end()                                            // nothing is left to be delivered
+}
+
+// end closes the connection and stops tracking it.
+func (c *trackedConn) end() error {
+	g := c.listener
+	g.mu.Lock()
+	delete(g.conns, c)
+	g.mu.Unlock()
+	if g.connLimit != nil {
+		g.connLimit.Release(1)
+	}
 	return c.Conn.Close()
 }
--- a/pkg/transport/netconn/graceful_listener_test.go
+++ b/pkg/transport/netconn/graceful_listener_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -185,3 +188,34 @@
 	t, ok := err.(net.Error)
 	return ok && t.Timeout()
 }
+
+// Guards against a response that is cut off because its caller has sent the next
+// request already: the connection closes with the response, and the unread
+// request must not reset it.
+func TestUnreadRequestDoesNotResetTheResponseBefore(t *testing.T) {
+	l, err := Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	graceful := NewGracefulListener(l, 0)
+	body := bytes.Repeat([]byte("x"), 1<<20)
+	server := &http.Server{ConnState: graceful.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond) // the second request arrives
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body)
+	})}
+	go func() { _ = server.Serve(graceful) }()
+	defer server.Close()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	// The second request is larger than what the server reads ahead.
+	second := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("y", 100_000)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+second)
+	assert.NilError(t, err)
+	time.Sleep(200 * time.Millisecond)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	got, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), len(body))
+}
