Pass paths on as callers wrote them

Cause: the path went through url.URL, which escapes it anew.

Change: the request line is kept as received and written as it is. A path that begins with "//" is still written by url.URL, which would take it for a host.

Result: TestPathReachesTargetAsSent failed before ("/safe/a|b arrived as /safe/a%7Cb") and passes for eight forms.

--- a/pkg/transport/target/header.go
+++ b/pkg/transport/target/header.go
@@ -71,6 +71,10 @@
 		return nil, errors.Join(errPath, err)
 	}
 	u.Scheme, u.Host = "http", r.Target.Address
+	if !strings.HasPrefix(r.Path, "//") { // url.URL would take it for a host
+		// Keeps the path as the caller wrote it, such as "a|b" or "a%2Fb".
+		u.Opaque, _, _ = strings.Cut(r.Path, "?")
+	}
 	header := r.Header.Clone()
 	if header == nil {
 		header = http.Header{}
