Bound the number of VMs that divide a stated limit

Cause: MaxSenders converted a limit of 1e19 or more requests a second to an int, which is negative on x86-64 and ends each request of the service in a panic there (review, by reading). On arm64 the conversion saturates.

Change: at most 100,000 VMs divide a limit. Negative, infinite and NaN limits were refused by parseRateLimit already (platform/targets_test.go).

Result: TestMaxSendersOfUnusualLimits holds on arm64, where the old code returns the largest int and fails its upper bound; x86-64 was not run.

--- a/pkg/steering/limit/target_limit.go
+++ b/pkg/steering/limit/target_limit.go
@@ -169,5 +169,11 @@
 }
 
 // MaxSenders returns the number of VMs that may divide a limit, so that each of
-// them may send one request at once.
-func MaxSenders(perSecond float64) int { return int(max(1, burstSeconds*perSecond+burstSlack)) }
+// them may send one request at once. It is at most maxSenders, also for a limit
+// that no int can hold.
+func MaxSenders(perSecond float64) int {
+	return int(min(maxSenders, max(1, burstSeconds*perSecond+burstSlack)))
+}
+
+// maxSenders exceeds the number of VMs of any site.
+const maxSenders = 100_000
--- a/pkg/steering/limit/target_limit_test.go
+++ b/pkg/steering/limit/target_limit_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -94,3 +95,15 @@
 	assert.Assert(t, wait > 0 && wait <= 500*time.Millisecond, "%s", wait)
 	assert.Equal(t, l.Wait("target", 1, start.Add(wait)), time.Duration(0))
 }
+
+// Guards against limits that overflow: one of 1e19 requests a second gave a
+// negative number of senders on x86-64 and ended each request there in a panic.
+func TestMaxSendersOfUnusualLimits(t *testing.T) {
+	for _, c := range []struct {
+		perSecond float64
+		least     int
+	}{{0, 1}, {0.4, 1}, {1, 1}, {1e5, 1000}, {1e19, 1000}, {math.MaxFloat64, 1000}, {math.Inf(1), 1000}} {
+		n := MaxSenders(c.perSecond)
+		assert.Assert(t, n >= c.least && n <= maxSenders, "%v requests a second: %d senders", c.perSecond, n)
+	}
+}
