Check full windows before the first probe, and mend a race in a test

Change: the checks come every 100 ms, before the first probe. The variable of the test is atomic; its assertions are the same.

The tests of both packages pass three times with the race detector.

--- a/pkg/steering/owner_wait_test.go
+++ b/pkg/steering/owner_wait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,10 +17,10 @@
 // must wait, and it must be refused at once if no owner has come for long.
 func TestRequestWaitsForTheNextOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var owned bool
+		var owned atomic.Bool
 		r := newTestRouter(newFakeReserver(), &fakeSender{}, func(c *Config) {
 			c.Owners = func(string, string) []OwnerInfo {
-				if !owned {
+				if !owned.Load() {
 					return nil
 				}
 				return []OwnerInfo{{Address: "a", FreeSlots: 4}}
@@ -35,12 +36,12 @@
 			}
 			return problem, time.Since(began)
 		}
-		time.AfterFunc(time.Second, func() { owned = true })
+		time.AfterFunc(time.Second, func() { owned.Store(true) })
 		problem, took := serve()
 		assert.Assert(t, problem == nil, "%v", problem)
 		assert.Assert(t, took >= time.Second && took < ownerGapTime, "%v", took)
 
-		owned = false
+		owned.Store(false)
 		problem, took = serve()
 		assert.Equal(t, problem.Code, protocol.CodeNoTarget)
 		assert.Assert(t, took <= ownerGapTime, "%v", took)
--- a/pkg/transport/netconn/window_watch.go
+++ b/pkg/transport/netconn/window_watch.go
@@ -10,8 +10,9 @@
 
 const (
 	// windowCheckInterval is the time between two checks of connections with
-	// undelivered bytes. Several fit into userTimeout.
-	windowCheckInterval = 300 * time.Millisecond
+	// undelivered bytes. The system first probes a full window after 200 ms, and
+	// may end the connection then if it counts from an earlier full window.
+	windowCheckInterval = 100 * time.Millisecond
 	// closedWindowTimeout replaces userTimeout while a peer acknowledges all that
 	// it has room for and reads no more. It exceeds the deadlines of requests, so
 	// that a peer that reads late is not taken for one that is gone.
