Expect late reading on connections with earlier retransmissions

Change: the next large write on a connection on which bytes were ever sent again extends the timeout at once, like one whose peer has read late. It ends as before: when all is delivered, or when the last transmission is 1.2 s old and not acknowledged.

Result: the tests of netconn pass with the race detector.

--- a/pkg/transport/netconn/window_linux.go
+++ b/pkg/transport/netconn/window_linux.go
@@ -14,8 +14,9 @@
 		if info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
 			d = delivery{
 				inFlight: info.Unacked > 0, unsent: info.Notsent_bytes > 0, retransmitting: info.Unacked > 0 && info.Retransmits > 0,
-				lastSent: time.Duration(info.Last_data_sent) * time.Millisecond,
-				lastAck:  time.Duration(info.Last_ack_recv) * time.Millisecond,
+				retransmitted: info.Total_retrans > 0,
+				lastSent:      time.Duration(info.Last_data_sent) * time.Millisecond,
+				lastAck:       time.Duration(info.Last_ack_recv) * time.Millisecond,
 			}
 		}
 	})
--- a/pkg/transport/netconn/window_watch.go
+++ b/pkg/transport/netconn/window_watch.go
@@ -28,6 +28,8 @@
 	unsent   bool // bytes wait because the window of the peer is full
 	// retransmitting is true if bytes in flight were sent again after a timeout.
 	retransmitting bool
+	// retransmitted is true if bytes have ever been sent again.
+	retransmitted bool
 	// lastSent and lastAck are the ages of the last transmission of bytes and of
 	// the last acknowledgement, which may repeat an earlier one.
 	lastSent, lastAck time.Duration
@@ -55,9 +57,10 @@
 	*net.TCPConn
 	watched  atomic.Bool // in the list of the watcher
 	extended bool        // guarded by windowWatcher.mu
-	// readLate is true once the peer has read late; guarded by windowWatcher.mu.
-	// The system may count the next full window from the first probe of an earlier
-	// one, so the timeout is extended with the next write.
+	// readLate is true once the peer may have read late; guarded by
+	// windowWatcher.mu. The system may count the next full window from the first
+	// probe or retransmission of an earlier one, so the timeout is extended with
+	// the next write.
 	readLate bool
 }
 
@@ -161,9 +164,9 @@
 	if err != nil {
 		return false // closed, or the system does not tell
 	}
+	c.readLate = c.readLate || d.readsLate() || d.retransmitted
 	switch {
 	case d.readsLate():
-		c.readLate = true
 		c.extend()
 	case d.settled() && c.extended:
 		c.extended = setUserTimeout(c.TCPConn, userTimeout) != nil
