--- a/pkg/transport/callerhttp/server_test.go
+++ b/pkg/transport/callerhttp/server_test.go
@@ -227,18 +227,24 @@
 	assert.Equal(t, resp.StatusCode, 200)
 }
 
-// Guards against a planned stop that interrupts a request or refuses one that
-// arrives while another is in flight.
-func TestShutdownFinishesRequests(t *testing.T) {
-	entered, release := make(chan struct{}), make(chan struct{})
-	srv := newServer(func(ctx context.Context, r *Request) (*Response, *protocol.Problem) {
+// startSlowServer starts a server whose path /slow closes entered and responds
+// once release is closed.
+func startSlowServer(t *testing.T) (srv *Server, addr string, entered, release chan struct{}) {
+	entered, release = make(chan struct{}), make(chan struct{})
+	srv = newServer(func(ctx context.Context, r *Request) (*Response, *protocol.Problem) {
 		if r.Path == "/slow" {
 			close(entered)
 			<-release
 		}
 		return echo(ctx, r)
 	}, Config{})
-	addr := startServer(t, srv)
+	return srv, startServer(t, srv), entered, release
+}
+
+// Guards against a planned stop that interrupts a request or refuses one that
+// arrives while another is in flight.
+func TestShutdownFinishesRequests(t *testing.T) {
+	srv, addr, entered, release := startSlowServer(t)
 	get := func(path string) (*http.Response, error) {
 		return newHTTPClient().Get("http://" + addr + "/v1/services/cluebook" + path)
 	}
@@ -317,15 +323,7 @@
 // too little time was left: such a request is refused as not run, and one whose
 // deadline lies before the end of the stop is served.
 func TestShutdownRefusesRequestsItWouldInterrupt(t *testing.T) {
-	entered, release := make(chan struct{}), make(chan struct{})
-	srv := newServer(func(ctx context.Context, r *Request) (*Response, *protocol.Problem) {
-		if r.Path == "/slow" {
-			close(entered)
-			<-release
-		}
-		return echo(ctx, r)
-	}, Config{})
-	addr := startServer(t, srv)
+	srv, addr, entered, release := startSlowServer(t)
 	get := func(path, deadlineMs string) (int, string) {
 		req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/v1/services/cluebook"+path, nil)
 		assert.Check(t, err)
