Log the evidence for what a refusal states about a request

A refusal (2101) named the number of attempts only, a response (2100) its status only, and a VM without routes refused without a line.

Change: a request keeps a record of each attempt: its target, whether it was unsent, refused or may have run, the status, the bytes that the connection accepted, whether the connection had carried an earlier request and whether the response carried the id. "Not run" is derived from these records in place of a flag that each path had to set.

Measured: tests of pkg/gateway, pkg/transport/target and platform pass. The behaviour towards callers is unchanged.

--- a/pkg/gateway/find_route.go
+++ b/pkg/gateway/find_route.go
@@ -24,6 +24,8 @@
 // the caller, and a newer version may have the route.
 func (g *Gateway) FindRoute(ctx context.Context, id, host, path string) (*route.Config, *route.Route, *Refusal) {
 	if !g.HasSynced() {
+		g.cfg.Logger.Log(EventRequestRefused, eventlog.Fields{"request": id, "reason": string(ReasonNotReady), "not_run": true})
+		g.metrics.notRun.Inc()
 		return nil, nil, &Refusal{Reason: ReasonNotReady, NotRun: true, RetryAfter: unsyncedRetryAfter}
 	}
 	table := g.routes.Load()
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hickoryroute/pkg/state/route"
+	"hickoryroute/pkg/transport/target"
 )
 
 // Request is one request of a caller.
@@ -27,6 +28,11 @@
 
 // Response is the response of a target.
 type Response struct {
+	// Trace and Authentic are the evidence that the application of the target sent
+	// this response to this request.
+	Trace     target.Trace
+	Authentic bool
+
 	Status int
 	Header http.Header
 	// Buffered is the whole body if Rest is nil, and its first part otherwise.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -48,7 +48,7 @@
 	retries     int // further attempts after one that may have run
 	refusals    int // attempts that a target refused
 	unreached   int // attempts that reached no target
-	mayHaveRun  bool
+	attempts    attempts
 	lastErr     error
 	choice      *placement.Choice // of the last attempt
 	fingerprint crash.Fingerprint
@@ -154,7 +154,7 @@
 // newRefusal returns the refusal that ends the call. NotRun is set only if no
 // attempt may have run.
 func (c *call) newRefusal(reason Reason, retryAfter time.Duration) *Refusal {
-	if c.mayHaveRun {
+	if c.attempts.mayHaveRun() {
 		return &Refusal{Reason: reason}
 	}
 	return &Refusal{
@@ -188,7 +188,7 @@
 	if !info.Authentic && resp.Status < http.StatusInternalServerError {
 		_ = resp.Body.Close()
 		g.picker.Done(choice, placement.Result{Responded: true, Failed: true, Load: info.Load, Now: g.cfg.Now()})
-		return nil, errNotAuthentic
+		return nil, &failedResponseError{status: resp.Status, trace: resp.Trace, cause: errNotAuthentic}
 	}
 	return g.bufferResponse(ctx, c, choice, resp, info)
 }
@@ -211,9 +211,9 @@
 	g.picker.Done(choice, placement.Result{Responded: true, Failed: failed, Load: info.Load, Now: now})
 	if failed && g.takeResend(c, now) {
 		_ = resp.Body.Close()
-		return nil, &failedResponseError{status: resp.Status}
+		return nil, &failedResponseError{status: resp.Status, trace: resp.Trace, cause: errServerError}
 	}
-	response := &Response{Status: resp.Status, Header: resp.Header, Buffered: buffered, Length: resp.ContentLength}
+	response := &Response{Trace: resp.Trace, Authentic: info.Authentic, Status: resp.Status, Header: resp.Header, Buffered: buffered, Length: resp.ContentLength}
 	if len(buffered) > maxBufferedResponse {
 		response.Rest = &longBody{ReadCloser: resp.Body, ctx: ctx, gateway: g, call: c, choice: choice, hasEnd: resp.ContentLength >= 0}
 		return response, nil
@@ -226,14 +226,23 @@
 	return response, nil
 }
 
-// failedResponseError means that a target responded with a server error and
-// that the request may be resent to another target.
-type failedResponseError struct{ status int }
+// errServerError means that a target responded with a server error and that the
+// request is resent to another target.
+var errServerError = errors.New("the target failed")
+
+// failedResponseError is a response that does not go to the caller.
+type failedResponseError struct {
+	status int
+	trace  target.Trace
+	cause  error
+}
 
 func (f *failedResponseError) Error() string {
-	return "the target failed: " + http.StatusText(f.status)
+	return fmt.Sprintf("%v (status %d)", f.cause, f.status)
 }
 
+func (f *failedResponseError) Unwrap() error { return f.cause }
+
 // takeResend reports whether a request that may have run can be resent to
 // another target. If so, it takes the resend from the budget.
 func (g *Gateway) takeResend(c *call, now time.Time) bool {
@@ -247,10 +256,9 @@
 	now := g.cfg.Now()
 	c.lastErr = err
 	c.excluded[choice.Target.ID] = true
-	var failed *failedResponseError
-	if errors.As(err, &failed) { // bufferResponse has reported the result and taken the resend
+	c.attempts = append(c.attempts, newAttempt(choice.Target.ID, err))
+	if errors.Is(err, errServerError) { // bufferResponse has reported the result and taken the resend
 		c.retries++
-		c.mayHaveRun = true
 		return nil
 	}
 	if errors.Is(err, errNotAuthentic) {
@@ -264,10 +272,8 @@
 	g.reportFailure(ctx, c, f, now)
 	switch {
 	case ctx.Err() != nil:
-		c.mayHaveRun = c.mayHaveRun || !f.NotRun
 		return c.newRefusal(ReasonCallerGone, 0)
 	case f.Kind == target.KindTimeout && !f.NotRun:
-		c.mayHaveRun = true
 		return c.newRefusal(ReasonTimeout, 0)
 	case f.NotRun:
 		return g.resendNotRun(c, f, now)
@@ -280,7 +286,6 @@
 // resendPossiblyRun handles an attempt that may have run. It returns nil if the
 // request is resent, and a refusal otherwise.
 func (g *Gateway) resendPossiblyRun(c *call, reason Reason, now time.Time) *Refusal {
-	c.mayHaveRun = true
 	if !g.takeResend(c, now) {
 		return c.newRefusal(reason, 0)
 	}
--- a/pkg/transport/target/accept.go
+++ b/pkg/transport/target/accept.go
@@ -34,7 +34,7 @@
 	StripHopByHop(h)
 	resp := &Response{
 		Status: x.resp.StatusCode, Header: h, ContentLength: x.resp.ContentLength,
-		Draining: d.IsDraining(h),
+		Draining: d.IsDraining(h), Trace: x.trace(),
 	}
 	resp.Body = &responseBody{x: x}
 	return resp, nil
@@ -55,6 +55,7 @@
 	if !reusable {
 		x.abort()
 	}
+	f.Trace = x.trace()
 	f.Written, _ = x.conn.sent()
 	x.finish(reusable)
 	return f
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -274,7 +274,7 @@
 func (x *exchange) fail(kind Kind, err error) *Failure {
 	x.abort()
 	written, _ := x.conn.sent()
-	f := &Failure{Kind: classify(x.ctx, err, kind), Written: written, Err: err}
+	f := &Failure{Kind: classify(x.ctx, err, kind), Trace: x.trace(), Written: written, Err: err}
 	if errors.Is(err, errNoResponse) && f.Kind == KindTruncated {
 		f.Kind = KindReset
 	}
@@ -292,6 +292,11 @@
 	return f
 }
 
+// trace must be called before the connection returns to the pool.
+func (x *exchange) trace() Trace {
+	return Trace{Reused: x.conn.reused, Echoed: x.echoed}
+}
+
 // reusable reports whether the connection can serve another request after the
 // whole response was read.
 func (x *exchange) reusable() bool {
--- a/pkg/transport/target/failure.go
+++ b/pkg/transport/target/failure.go
@@ -48,7 +48,8 @@
 
 // Failure describes why a request got no complete response.
 type Failure struct {
-	Kind    Kind
+	Kind Kind
+	Trace
 	Written int64 // bytes of the request that a connection accepted
 	// NotRun is true only if no connection accepted a byte of the request, or if
 	// the target reported that it did not run the request. Bytes in a socket
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -170,8 +170,15 @@
 	ResponseGrace time.Duration
 }
 
+// Trace is the evidence that a response belongs to its request.
+type Trace struct {
+	Reused bool // the connection had carried an earlier request
+	Echoed bool // the response carried the id of the request
+}
+
 // Response is a response from a target.
 type Response struct {
+	Trace
 	Status        int
 	Header        http.Header // without hop-by-hop fields
 	ContentLength int64       // -1 if unknown
