Take no refusal without an id on a connection in use again

What callers saw: 503, not run, for an unsafe request that its target ran once, or a second run at another target.

Cause: a refusal was read before the echoed id was required. A target that sends a second copy of an earlier refusal without an id, where the response to the next request is expected, was taken to refuse that request.

Change: a connection is only used again after a response with the id, so its target echoes ids. A refusal of a request that is not idempotent must carry the id or be the first response of its connection; otherwise the request may have run and ends with 502. Idempotent requests and probes are served as before. The second check for refusals in the steering package could no longer be reached and is gone.

Ruled out: rejecting every response without an id on such connections.

--- a/pkg/entry/sender.go
+++ b/pkg/entry/sender.go
@@ -53,6 +53,7 @@
 		ContentLength: int64(len(r.Body)),
 		RequestID:     s.newAttemptID(r.RequestID),
 		Ticket:        r.Ticket,
+		Idempotent:    r.Ticket == "", // other requests need a ticket
 		Deadline:      r.Deadline,
 	})
 	if err != nil {
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -177,6 +177,7 @@
 		Body:          c.Body.newReader(),
 		ContentLength: c.Body.length,
 		RequestID:     c.ID,
+		Idempotent:    c.Route.Idempotent,
 		Deadline:      c.deadline,
 		ResponseGrace: responseLinger,
 	})
--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -132,10 +132,6 @@
 	if resp.Body == nil {
 		resp.Body = http.NoBody
 	}
-	if refusedBeforeRun(resp) {
-		_ = resp.Body.Close()
-		return nil, &SendError{Kind: FailRefused, Written: true, NotRun: true, Draining: resp.Draining}
-	}
 	return resp, nil
 }
 
@@ -154,15 +150,6 @@
 	}
 }
 
-// refusedBeforeRun reports whether a response states that the target did not
-// run the request.
-func refusedBeforeRun(resp *SendResponse) bool {
-	if resp.Status != http.StatusTooManyRequests && resp.Status != http.StatusServiceUnavailable {
-		return false
-	}
-	return resp.Header.Get(protocol.HeaderNotRun) == "true"
-}
-
 // asSendError converts err to a SendError. If ctx has ended, its kind becomes
 // FailTimeout or FailCancelled, except for refusals and internal errors. An
 // error of another type counts as a connection that broke after the request was
--- a/pkg/transport/target/accept.go
+++ b/pkg/transport/target/accept.go
@@ -21,8 +21,8 @@
 	if id != "" && x.req.RequestID != "" && id != x.req.RequestID {
 		return nil, x.fail(KindMismatched, errMismatchedID)
 	}
-	if refusal := x.readRefusal(); refusal != nil {
-		return nil, refusal
+	if d.IsNotRun(x.resp.StatusCode, h) {
+		return nil, x.acceptRefusal()
 	}
 	if d.RequireEchoedID && !x.echoed {
 		return nil, x.fail(KindMismatched, errNotEchoed)
@@ -40,16 +40,21 @@
 	return resp, nil
 }
 
-// readRefusal returns the Failure if the response states that the target did
-// not run the request, and nil otherwise.
-func (x *exchange) readRefusal() *Failure {
-	status := x.resp.StatusCode
-	if !x.dialect().IsNotRun(status, x.resp.Header) {
-		return nil
+// acceptRefusal returns the Failure for a response that states that the target
+// did not run the request. Without the id of the request, the response may be the
+// second copy of an earlier refusal, unless the connection has carried no other
+// request. An idempotent request may run again in any case.
+func (x *exchange) acceptRefusal() *Failure {
+	if !x.echoed && x.conn.reused && !x.req.Idempotent {
+		return x.fail(KindMismatched, errNotEchoed)
 	}
+	return x.readRefusal()
+}
+
+func (x *exchange) readRefusal() *Failure {
 	n, err := io.Copy(io.Discard, io.LimitReader(x.resp.Body, maxRefusalBodyBytes+1))
 	whole := err == nil && n <= maxRefusalBodyBytes
-	f := &Failure{Kind: KindRefused, NotRun: true, Status: status, Header: x.resp.Header, Err: errNotRunResponse}
+	f := &Failure{Kind: KindRefused, NotRun: true, Status: x.resp.StatusCode, Header: x.resp.Header, Err: errNotRunResponse}
 	f.Draining = x.dialect().IsDraining(x.resp.Header)
 	reusable := whole && x.reusable()
 	if !reusable {
--- a/pkg/transport/target/notrun_test.go
+++ b/pkg/transport/target/notrun_test.go
@@ -63,6 +63,35 @@
 	}
 }
 
+// Guards against a second copy of an earlier refusal, without an id, that is taken
+// for the refusal of the request that the target runs. A refusal without an id is
+// that of the request on a connection that carried no earlier one, and ends no
+// idempotent request for good.
+func TestRefusalWithoutIDOnReusedConnectionIsNotAccepted(t *testing.T) {
+	const withID = "HTTP/1.1 200 OK\r\nHickory-Request-Id: a\r\nContent-Length: 0\r\n\r\n"
+	for _, response := range []string{
+		"HTTP/1.1 503 Busy\r\nHickory-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 429 Busy\r\nHickory-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for _, idempotent := range []bool{false, true} {
+			client := pipeClient(Config{}, respondWith(withID, response))
+			_, f := fetch(context.Background(), client, newPost("target", "a", "body"))
+			assert.Assert(t, f == nil, "%v", f)
+			r := newPost("target", "a", "body")
+			r.Idempotent = idempotent
+			_, f = fetch(context.Background(), client, r)
+			assert.Assert(t, f != nil && f.Reused && !f.Echoed, "%q: %v", response, f)
+			assert.Equal(t, f.NotRun, idempotent)
+			assert.Equal(t, f.Kind == KindMismatched, !idempotent)
+			client.Close()
+		}
+		client := pipeClient(Config{}, respondWith(response))
+		_, f := fetch(context.Background(), client, newPost("target", "a", "body"))
+		assert.Assert(t, f != nil && f.NotRun, "%q on a new connection", response)
+		client.Close()
+	}
+}
+
 // Guards against NotRun for bytes in a socket buffer when the target resets the
 // connection before it reads. Whether the write fails depends on timing, so the
 // test checks only that NotRun agrees with the bytes written.
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -18,6 +18,11 @@
 // id is rejected with KindMismatched. A connection is not reused after a
 // response without the id, unless Config.ReuseWithoutEcho is set.
 //
+// A response that states that the target did not run the request is believed if
+// it carries the id, if the connection has carried no other request, or if the
+// request is idempotent. It is rejected with KindMismatched otherwise: it may be
+// the second copy of an earlier refusal.
+//
 // # Probes
 //
 // GET /healthz returns a 2xx status while the target accepts work. The
@@ -156,8 +161,8 @@
 	// connection accepted no byte.
 	Body          io.Reader
 	ContentLength int64 // -1 if unknown
-	// Idempotent does not affect the Client, which never resends a request,
-	// idempotent or not.
+	// Idempotent is true if a second run does no harm. The Client resends no
+	// request, idempotent or not; see Responses in the package documentation.
 	Idempotent bool
 	// RequestID must be unique among the requests to a target, including the
 	// attempts of one request, because mismatched responses are detected by it.
