Keep a low limit of a target for as long as its requests take turns

What happened: a target that states Server-Limit 0.4 got a burst every few seconds: a VM may send it a request every 5 s, and the limit was forgotten after 5 s without a new statement. Until the next response all requests went to the target.

Evidence: TestLowLimitOfATargetIsKeptBetweenItsRequests plays limits of 0, 0.1, 0.4 and 0.9 for a minute with responses after 200 ms.

--- a/pkg/steering/limit/target_limit.go
+++ b/pkg/steering/limit/target_limit.go
@@ -7,9 +7,13 @@
 )
 
 const (
-	// statementTTL is the time for which a limit is kept without a new statement
-	// of the target. VMs without a part of a limit hear it from others.
+	// statementTTL is the least time for which a limit is kept without a new
+	// statement of the target. VMs without a part of a limit hear it from others.
 	statementTTL = 5 * time.Second
+	// keptTurns is the number of requests that a VM could send within its part of
+	// a low limit while the limit is kept. Two would end it just before the
+	// response to the second one.
+	keptTurns = 3
 	// minTargetRate is the number of requests a second that the VMs together send
 	// at least to a target with a limit, so that they learn when it ends.
 	minTargetRate = 0.25
@@ -101,11 +105,22 @@
 	return statements
 }
 
+// expired reports whether the statement is too old to be in force. A VM sends so
+// few requests to a target with a low limit that statements are rare.
+func (t *targetLimit) expired(now time.Time) bool {
+	kept := statementTTL
+	if perSecond := t.statement.PerSecond; perSecond < 1 {
+		turn := float64(MaxSenders(perSecond)) / max(minTargetRate, perSecond)
+		kept = max(kept, time.Duration(keptTurns*turn*float64(time.Second)))
+	}
+	return now.Sub(t.statement.At) > kept
+}
+
 // prune removes the targets without a recent statement. The caller holds the
 // lock.
 func (l *TargetLimiter) prune(now time.Time) {
 	for target, t := range l.targets {
-		if now.Sub(t.statement.At) > statementTTL {
+		if t.expired(now) {
 			delete(l.targets, target)
 		}
 	}
@@ -126,7 +141,7 @@
 // the lock.
 func (l *TargetLimiter) current(target string, now time.Time) *targetLimit {
 	t := l.targets[target]
-	if t == nil || t.ended || now.Sub(t.statement.At) > statementTTL {
+	if t == nil || t.ended || t.expired(now) {
 		return nil
 	}
 	return t
--- a/pkg/steering/limit/target_limit_test.go
+++ b/pkg/steering/limit/target_limit_test.go
@@ -83,6 +83,43 @@
 	assert.Assert(t, !limited, "a limit without new statements expires")
 }
 
+// Guards against a limit of less than one request a second that is forgotten
+// between two of the few requests that it allows: until the next response all
+// requests went to the target. The VMs hear of the limit only by responses.
+func TestLowLimitOfATargetIsKeptBetweenItsRequests(t *testing.T) {
+	const (
+		senders  = 2
+		interval = 10 * time.Millisecond
+		latency  = 200 * time.Millisecond
+	)
+	for _, rate := range []float64{0, 0.1, 0.4, 0.9} {
+		vms := [senders]*TargetLimiter{NewTargetLimiter(), NewTargetLimiter()}
+		var sent []time.Time
+		responses := map[time.Time][]int{} // the VMs that get a response, by time
+		for _, vm := range vms {
+			vm.Record("target", &rate, start)
+		}
+		for now := start.Add(interval); now.Before(start.Add(time.Minute)); now = now.Add(interval) {
+			for _, n := range responses[now] {
+				vms[n].Record("target", &rate, now)
+			}
+			for n, vm := range vms {
+				if vm.Wait("target", senders, now) == 0 {
+					vm.Take("target", now)
+					sent = append(sent, now)
+					responses[now.Add(latency)] = append(responses[now.Add(latency)], n)
+				}
+			}
+		}
+		for _, end := range sent {
+			count := countWithin(sent, end.Add(-limitWindow), end)
+			allowed := 1.5*rate*limitWindow.Seconds() + 5
+			assert.Assert(t, float64(count) <= allowed, "limit %v: %d requests, %.1f are allowed", rate, count, allowed)
+		}
+		assert.Assert(t, len(sent) > 1, "limit %v: the VMs would not learn of its end", rate)
+	}
+}
+
 // Guards against a caller that comes back before a request may be sent.
 func TestWaitForALimitedTarget(t *testing.T) {
 	l := NewTargetLimiter()
