Send single requests to cold targets with a low rate

What happened: two VMs divide the rate of a cold target. Below 2 requests a second each had a part below one and sent nothing, so the target stayed unused for as long as it was cold.

Change: only as many VMs divide the rate as can each send a request in a second, at least one. Below one request a second, single requests keep their distance, at most 2.5 s.

Evidence: TestLowColdRateLeavesEachSenderARequest is new. TestColdRateHoldsInEverySecond failed before with its new expectation: it demanded that a rate of 0.5 allows no request at all; it now demands at least one, and at most one in any 2 s. Rates of 1 and above are checked as before.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -265,17 +265,19 @@
 	return float64(zones) / float64(max(1, len(g.cfg.Regions)))
 }
 
-// sendersPerColdTarget is the number of VMs that send to one cold target. They
+// maxSendersPerColdTarget is the number of VMs that send to one cold target. They
 // divide the rate that the target tolerates; the second VM keeps the target in
 // use if the first one fails.
-const sendersPerColdTarget = 2
+const maxSendersPerColdTarget = 2
 
 // allowColdTarget reports whether this VM is one of the VMs that send to a cold
 // target and has not used up its part of the target's rate.
 func (g *Gateway) allowColdTarget(t *targets.Target, now time.Time) bool {
-	for _, id := range placement.TopRanked(t.ID, idsForRegion(g.vmFeed.List(), t.Region), sendersPerColdTarget) {
+	perSecond := g.serviceConfig(t.Service).ColdPerSecond
+	senders := limit.ColdSenders(perSecond, maxSendersPerColdTarget)
+	for _, id := range placement.TopRanked(t.ID, idsForRegion(g.vmFeed.List(), t.Region), senders) {
 		if id == g.cfg.Self.ID {
-			return g.coldLimits.Allowed(t.ID, g.serviceConfig(t.Service).ColdPerSecond/sendersPerColdTarget, now)
+			return g.coldLimits.Allowed(t.ID, perSecond/float64(senders), now)
 		}
 	}
 	return false
--- a/pkg/steering/limit/limit.go
+++ b/pkg/steering/limit/limit.go
@@ -126,6 +126,10 @@
 	return true
 }
 
+// lowestColdRate is the least rate, in requests a second, at which a cold target
+// gets requests.
+const lowestColdRate = 0.4
+
 // coldWindow is the width of the window in which requests to cold targets are
 // counted.
 const coldWindow = time.Second
@@ -134,38 +138,64 @@
 // for concurrent use.
 type ColdLimiter struct {
 	mu      sync.Mutex
-	targets map[string]*window
+	targets map[string]*coldTarget
+}
+
+// coldTarget counts the requests of this VM to one cold target.
+type coldTarget struct {
+	window
+	last time.Time
 }
 
 // NewColdLimiter returns a limiter without any counted requests.
-func NewColdLimiter() *ColdLimiter { return &ColdLimiter{targets: map[string]*window{}} }
+func NewColdLimiter() *ColdLimiter { return &ColdLimiter{targets: map[string]*coldTarget{}} }
 
 // Allowed reports whether this VM may send one more request to a target at a
-// rate of perSecond.
+// rate of perSecond. Below one request a second, single requests keep their
+// distance.
 func (c *ColdLimiter) Allowed(target string, perSecond float64, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.targets[target]
-	return perSecond >= 1 && (w == nil || w.sum(now)+1 <= perSecond)
+	t := c.targets[target]
+	switch {
+	case perSecond <= 0:
+		return false
+	case t == nil:
+		return true
+	case perSecond < 1:
+		return now.Sub(t.last).Seconds() > 1/max(lowestColdRate, perSecond)
+	}
+	return t.sum(now)+1 <= perSecond
+}
+
+// ColdSenders returns the number of VMs that may divide the rate of a cold target,
+// at most most, so that each of them may send a request in a second.
+func ColdSenders(perSecond float64, most int) int {
+	return int(max(1, min(float64(most), perSecond)))
 }
 
 // Take counts a request to a cold target.
 func (c *ColdLimiter) Take(target string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.targets[target]
-	if w == nil {
+	t := c.targets[target]
+	if t == nil {
 		c.prune(now)
-		w = &window{width: coldWindow}
-		c.targets[target] = w
+		t = &coldTarget{window: window{width: coldWindow}}
+		c.targets[target] = t
 	}
-	w.add(now, 1)
+	t.add(now, 1)
+	t.last = now
 }
 
+// coldKeptTime is how long a cold target without requests is kept. It is the
+// distance of requests at lowestColdRate.
+const coldKeptTime = 2500 * time.Millisecond
+
 // prune removes targets without a recent request.
 func (c *ColdLimiter) prune(now time.Time) {
-	for target, w := range c.targets {
-		if w.sum(now) == 0 {
+	for target, t := range c.targets {
+		if now.Sub(t.last) > coldKeptTime {
 			delete(c.targets, target)
 		}
 	}
