Survive SIGHUP while hickoryfront starts

What happened: SIGHUP ended a process that had not begun to listen, as the signal was only expected then. The platform may change the settings at any moment.

Change: main expects SIGHUP before anything else. SIGTERM and interrupts still end a process at once until it listens.

--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -52,9 +52,15 @@
 	memoryLimit = 128 << 20
 )
 
-func main() { os.Exit(run()) }
+func main() {
+	// SIGHUP ends a process that does not expect it, and the platform may change
+	// the settings while this process starts.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP)
+	os.Exit(run(signals))
+}
 
-func run() int {
+func run(signals chan os.Signal) int {
 	args := arguments{Settings: os.Getenv(platform.SettingsPathVariable)}
 	arg.MustParse(&args)
 	debug.SetMemoryLimit(memoryLimit)
@@ -75,7 +81,7 @@
 	log.SetLevel(level)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	logger := eventlog.New(log, nil)
-	if err := serve(settings, args.Settings, logger, logWriter); err != nil {
+	if err := serve(settings, args.Settings, logger, logWriter, signals); err != nil {
 		log.WithError(err).Error("hickoryfront failed")
 		return 1
 	}
@@ -107,7 +113,7 @@
 	})
 }
 
-func serve(s *platform.Settings, settingsPath string, logger *eventlog.Logger, logWriter *eventlog.AsyncWriter) error {
+func serve(s *platform.Settings, settingsPath string, logger *eventlog.Logger, logWriter *eventlog.AsyncWriter, signals chan os.Signal) error {
 	g := newGateway(s, logger, logWriter)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -147,7 +153,7 @@
 	logger.Log(gateway.EventStarted, eventlog.Fields{
 		"vm": s.Name, "zone": s.Zone, "caller_address": s.CallerAddress, "first_start": s.FirstStart,
 	})
-	return waitForStop(ctx, g, callerListener, settingsPath, logger, serveErrors)
+	return waitForStop(ctx, g, callerListener, settingsPath, logger, signals, serveErrors)
 }
 
 func newServer(h http.Handler) *http.Server {
@@ -175,11 +181,10 @@
 }
 
 // waitForStop returns after a planned stop, which a signal starts, or when a
-// server fails. SIGHUP only checks the settings file: changes to it take effect
+// server fails. signals already receives SIGHUP, which only checks the settings file: changes to it take effect
 // at the next start, because its fields describe where the process runs.
-func waitForStop(ctx context.Context, g *gateway.Gateway, callerListener *netconn.GracefulListener, settingsPath string, logger *eventlog.Logger, serveErrors <-chan error) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+func waitForStop(ctx context.Context, g *gateway.Gateway, callerListener *netconn.GracefulListener, settingsPath string, logger *eventlog.Logger, signals chan os.Signal, serveErrors <-chan error) error {
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	for {
 		select {
 		case err := <-serveErrors:
