--- a/pkg/gateway/attempts_test.go
+++ b/pkg/gateway/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
@@ -43,3 +44,12 @@
 		assert.Equal(t, refusal.NotRun, !possible)
 	})
 }
+
+// Guards against a VM that denies a request, or leaves open whether it has run,
+// because it does not know the routes yet.
+func TestVMWithoutRoutesStatesNotRun(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	_, matched, refusal := newTestGateway(&now).FindRoute(t.Context(), "id", "host", "/path")
+	assert.Assert(t, matched == nil)
+	assert.Assert(t, refusal != nil && refusal.NotRun && refusal.RetryAfter > 0)
+}
