Read the kept seeds of both checks in one place

Cause: the check of outcomes had a copy of the reader of the connection check. The comment of waitForStop had a long line.

Change: internal/testseeds reads them. No behaviour changes.

--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -181,8 +181,9 @@
 }
 
 // waitForStop returns after a planned stop, which a signal starts, or when a
-// server fails. signals already receives SIGHUP, which only checks the settings file: changes to it take effect
-// at the next start, because its fields describe where the process runs.
+// server fails. signals already receives SIGHUP, which only checks the settings
+// file: changes to it take effect at the next start, because its fields describe
+// where the process runs.
 func waitForStop(ctx context.Context, g *gateway.Gateway, callerListener *netconn.GracefulListener, settingsPath string, logger *eventlog.Logger, signals chan os.Signal, serveErrors <-chan error) error {
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	for {
--- a/test/outcomes/outcomes_test.go
+++ b/test/outcomes/outcomes_test.go
@@ -13,7 +13,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -22,6 +21,7 @@
 	"gotest.tools/v3/assert"
 
 	"hickoryroute/internal/testproc"
+	"hickoryroute/internal/testseeds"
 	"hickoryroute/pkg/protocol"
 	standinplatform "hickoryroute/pkg/standin/platform"
 )
@@ -235,7 +235,7 @@
 		}
 		t.Logf("seed %d played", seed)
 	}
-	for _, seed := range keptSeeds(t) {
+	for _, seed := range testseeds.Read(t, "seeds.txt") {
 		play(seed)
 	}
 	end := time.Now().Add(*playTime)
@@ -247,19 +247,3 @@
 		t.Errorf("late: %s", finding)
 	}
 }
-
-// keptSeeds reads the seeds that CI plays, one a line before the reason for it.
-func keptSeeds(t *testing.T) (seeds []int) {
-	data, err := os.ReadFile(filepath.Join("testdata", "seeds.txt"))
-	assert.NilError(t, err)
-	for line := range strings.Lines(string(data)) {
-		if strings.HasPrefix(line, "#") {
-			continue
-		}
-		number, _, _ := strings.Cut(line, " ")
-		seed, err := strconv.Atoi(number)
-		assert.NilError(t, err)
-		seeds = append(seeds, seed)
-	}
-	return seeds
-}
