--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -126,7 +126,9 @@
 	case targetReuse:
 		b.reuseAddress(e, f.length)
 	case targetFault:
-		b.injectTargetFault(e, f)
+		b.injectTargetFault(e, targetFaultOf(f.variant), f.length)
+	case targetStatement:
+		b.injectTargetFault(e, statementFaults[f.variant%len(statementFaults)], f.length)
 	case targetLink:
 		b.impairLink(e.link, numberedScope(scopePrefixTarget, e.index), f)
 	case configChange:
@@ -325,6 +327,10 @@
 	standin.FaultGarbage, standin.FaultShed, standin.FaultNoResponse,
 }
 
+var statementFaults = []standin.InstanceFault{
+	standin.FaultUnprovenStatus, standin.FaultEarlierRefusal, standin.FaultShedWithoutID,
+}
+
 // endlessFaults take the last variants, so that the plans of earlier seeds keep
 // the other faults.
 var endlessFaults = []standin.InstanceFault{standin.FaultEndlessHead, standin.FaultEndlessBody}
@@ -336,13 +342,13 @@
 	return targetFaults[variant%len(targetFaults)]
 }
 
-func (b *testbed) injectTargetFault(e *endpoint, f fault) {
+func (b *testbed) injectTargetFault(e *endpoint, fault standin.InstanceFault, length time.Duration) {
 	e.mu.Lock()
 	i := e.instance
 	e.mu.Unlock()
 	defer b.faults.begin(numberedScope(scopePrefixTarget, e.index))()
-	i.SetFault(targetFaultOf(f.variant))
-	time.Sleep(f.length)
+	i.SetFault(fault)
+	time.Sleep(length)
 	i.SetFault(standin.FaultNone)
 	time.Sleep(routeTimeout) // requests without a response end in this time
 }
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -12,27 +12,30 @@
 type faultKind string
 
 const (
-	vmStop        faultKind = "vm_stop"         // SIGTERM, later a new process
-	vmKill        faultKind = "vm_kill"         // SIGKILL, later a new process
-	vmPause       faultKind = "vm_pause"        // SIGSTOP, then SIGCONT
-	vmReload      faultKind = "vm_reload"       // SIGHUP
-	vmStoreLink   faultKind = "vm_store_link"   // the link of one VM to the store
-	callerLink    faultKind = "caller_link"     // the link of callers to one VM
-	fleetKill     faultKind = "fleet_kill"      // all VMs killed at once
-	storeDown     faultKind = "store_down"      // the store refuses or does not reply
-	storeSlow     faultKind = "store_slow"      // each reply is late
-	storeLost     faultKind = "store_lost"      // replies of writes are lost
-	storeLate     faultKind = "store_late"      // writes happen late, without a reply
-	storeExpiry   faultKind = "store_expiry"    // records of targets expire while the store is down
-	storeCompact  faultKind = "store_compact"   // the history is dropped
-	targetCrash   faultKind = "target_crash"    // a target ends and comes back
-	targetDrain   faultKind = "target_drain"    // a target is drained and ends
-	targetReuse   faultKind = "target_reuse"    // the address of a target goes to another service
-	targetFault   faultKind = "target_fault"    // wrong responses
-	targetLink    faultKind = "target_link"     // the link to one target
-	configChange  faultKind = "config_change"   // a new version
-	configStorm   faultKind = "config_storm"    // several versions in quick succession
-	zoneEvacuated faultKind = "zone_evacuation" // no requests may be sent to a zone
+	vmStop       faultKind = "vm_stop"       // SIGTERM, later a new process
+	vmKill       faultKind = "vm_kill"       // SIGKILL, later a new process
+	vmPause      faultKind = "vm_pause"      // SIGSTOP, then SIGCONT
+	vmReload     faultKind = "vm_reload"     // SIGHUP
+	vmStoreLink  faultKind = "vm_store_link" // the link of one VM to the store
+	callerLink   faultKind = "caller_link"   // the link of callers to one VM
+	fleetKill    faultKind = "fleet_kill"    // all VMs killed at once
+	storeDown    faultKind = "store_down"    // the store refuses or does not reply
+	storeSlow    faultKind = "store_slow"    // each reply is late
+	storeLost    faultKind = "store_lost"    // replies of writes are lost
+	storeLate    faultKind = "store_late"    // writes happen late, without a reply
+	storeExpiry  faultKind = "store_expiry"  // records of targets expire while the store is down
+	storeCompact faultKind = "store_compact" // the history is dropped
+	targetCrash  faultKind = "target_crash"  // a target ends and comes back
+	targetDrain  faultKind = "target_drain"  // a target is drained and ends
+	targetReuse  faultKind = "target_reuse"  // the address of a target goes to another service
+	targetFault  faultKind = "target_fault"  // wrong responses
+	targetLink   faultKind = "target_link"   // the link to one target
+	// targetStatement is a wrong statement of a target about whether a request has
+	// run. It is drawn apart from the others.
+	targetStatement faultKind = "target_statement"
+	configChange    faultKind = "config_change"   // a new version
+	configStorm     faultKind = "config_storm"    // several versions in quick succession
+	zoneEvacuated   faultKind = "zone_evacuation" // no requests may be sent to a zone
 )
 
 // faultWeights holds the relative frequency of each kind.
@@ -101,10 +104,30 @@
 			}
 		}
 	}
+	if meanGap == meanGaps[0] {
+		faults = append(faults, newStatementFaults(seed, length)...)
+	}
 	sort.SliceStable(faults, func(a, b int) bool { return faults[a].start < faults[b].start })
 	return faults
 }
 
+// meanStatementGap is the mean time between two faults of targetStatement.
+const meanStatementGap = 1500 * time.Millisecond
+
+// newStatementFaults returns the faults of kind targetStatement. They are added
+// where most faults overlap, and have a generator of their own, so that the plans
+// of earlier seeds keep their other faults.
+func newStatementFaults(seed uint64, length time.Duration) (faults []fault) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	for at := firstFaultDelay; at < length; at += time.Duration(r.ExpFloat64() * float64(meanStatementGap)) {
+		faults = append(faults, fault{
+			kind: targetStatement, start: at, index: r.IntN(60), variant: r.IntN(faultVariants),
+			length: minFaultLength + time.Duration(r.Int64N(int64(faultLengthRange))),
+		})
+	}
+	return faults
+}
+
 // drawKind returns a random kind according to faultWeights.
 func drawKind(r *rand.Rand) faultKind {
 	total := 0
