Extend the timeout of late readers as soon as a retransmission is known

Cause, by reading: the system may count the first retransmission or probe of a write from an earlier one. The watcher extends the timeout with the next write once it knows of that; if it learned of it only after the write, the connection ended at the first retransmission.

Change: the timeout is extended at the check that learns of it. It is restored as before when all is delivered or the peer is silent.

Evidence: TestTimeoutIsExtendedOnceRetransmissionIsKnown failed before.

--- a/pkg/transport/netconn/window_watch.go
+++ b/pkg/transport/netconn/window_watch.go
@@ -164,15 +164,21 @@
 	if err != nil {
 		return false // closed, or the system does not tell
 	}
+	c.applyTimeout(d)
+	if !d.unsent && !d.inFlight {
+		return false
+	}
+	return !c.watched.Swap(true)
+}
+
+// applyTimeout sets the timeout that a delivery requires. An earlier retransmission
+// or probe may be known only now, while the next bytes are on the way.
+func (c *watchedConn) applyTimeout(d delivery) {
 	c.readLate = c.readLate || d.readsLate() || d.retransmitted
 	switch {
-	case d.readsLate():
+	case d.readsLate(), c.readLate && !d.settled():
 		c.extend()
 	case d.settled() && c.extended:
 		c.extended = setUserTimeout(c.TCPConn, userTimeout) != nil
 	}
-	if !d.unsent && !d.inFlight {
-		return false
-	}
-	return !c.watched.Swap(true)
 }
--- a/pkg/transport/netconn/window_watch_test.go
+++ b/pkg/transport/netconn/window_watch_test.go
@@ -88,3 +88,29 @@
 		assert.Equal(t, c.delivery.settled(), c.settled, c.name)
 	}
 }
+
+// Guards against a sound peer that is cut off at the first retransmission or probe
+// after a write, because the system counts from an earlier one that the watcher
+// learns of only after that write. Seeds 20023 and 20218 of the connection check.
+func TestTimeoutIsExtendedOnceRetransmissionIsKnown(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	conn, err := Dialer{Timeout: time.Second}.Dial(t.Context(), "tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	c := conn.(*watchedConn)
+	for _, step := range []struct {
+		delivery
+		want time.Duration
+	}{
+		{delivery{inFlight: true, lastSent: 50 * time.Millisecond, lastAck: 60 * time.Millisecond}, userTimeout},
+		{delivery{inFlight: true, retransmitted: true, lastSent: 50 * time.Millisecond, lastAck: 60 * time.Millisecond}, closedWindowTimeout},
+		{delivery{retransmitted: true}, userTimeout},
+		{delivery{inFlight: true, retransmitted: true}, closedWindowTimeout},
+		{delivery{inFlight: true, retransmitted: true, lastSent: userTimeout, lastAck: 2 * userTimeout}, userTimeout},
+	} {
+		c.applyTimeout(step.delivery)
+		assert.Equal(t, userTimeoutOf(t, c), int(step.want.Milliseconds()), "%+v", step.delivery)
+	}
+}
