Build every refusal of the gateway from the records of its attempts

The last reading of the change found that refusals before any attempt (no routes yet, routes not confirmed) still set NotRun by hand, though design 2.10 says that it comes from the records alone. They are built from an empty list of attempts now; newRefusal stands beside the records.

--- a/pkg/gateway/attempts.go
+++ b/pkg/gateway/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -70,6 +71,18 @@
 	return false
 }
 
+// newRefusal returns a refusal after these attempts. NotRun is set only if none
+// of them may have run.
+func (list attempts) newRefusal(reason Reason, retryAfter time.Duration) *Refusal {
+	if list.mayHaveRun() {
+		return &Refusal{Reason: reason}
+	}
+	return &Refusal{
+		Reason: reason, NotRun: true,
+		RetryAfter: max(minRetryAfter, min(maxRetryAfter, retryAfter)),
+	}
+}
+
 // String returns the records as they stand in the log.
 func (list attempts) String() string {
 	texts := make([]string, len(list))
--- a/pkg/gateway/find_route.go
+++ b/pkg/gateway/find_route.go
@@ -26,7 +26,7 @@
 	if !g.HasSynced() {
 		g.cfg.Logger.Log(EventRequestRefused, eventlog.Fields{"request": id, "reason": string(ReasonNotReady), "not_run": true})
 		g.metrics.notRun.Inc()
-		return nil, nil, &Refusal{Reason: ReasonNotReady, NotRun: true, RetryAfter: unsyncedRetryAfter}
+		return nil, nil, attempts(nil).newRefusal(ReasonNotReady, unsyncedRetryAfter)
 	}
 	table := g.routes.Load()
 	if matched := table.Match(host, path); matched != nil {
@@ -43,7 +43,7 @@
 	})
 	if !confirmed {
 		g.metrics.notRun.Inc()
-		return nil, nil, &Refusal{Reason: ReasonRoutesUnconfirmed, NotRun: true, RetryAfter: unsyncedRetryAfter}
+		return nil, nil, attempts(nil).newRefusal(ReasonRoutesUnconfirmed, unsyncedRetryAfter)
 	}
 	return table.Config, nil, nil
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -151,16 +151,9 @@
 	return nil
 }
 
-// newRefusal returns the refusal that ends the call. NotRun is set only if no
-// attempt may have run.
+// newRefusal returns the refusal that ends the call.
 func (c *call) newRefusal(reason Reason, retryAfter time.Duration) *Refusal {
-	if c.attempts.mayHaveRun() {
-		return &Refusal{Reason: reason}
-	}
-	return &Refusal{
-		Reason: reason, NotRun: true,
-		RetryAfter: max(minRetryAfter, min(maxRetryAfter, retryAfter)),
-	}
+	return c.attempts.newRefusal(reason, retryAfter)
 }
 
 // attempt sends the request to one target and reads the first part of the
