Log on which connection each attempt was sent

Cause: the line of a refusal says whether the response carried the id of the request, but not whether the connection had carried the same request before.

Change: connections to targets are numbered; the attempts on lines 2100 and 2101 name theirs as conn, and line 2100 that of the response. Two attempts at one request with the same conn show the fault.

Measured: tests of pkg/gateway and pkg/transport/target pass; no behaviour changes.

--- a/pkg/gateway/attempts.go
+++ b/pkg/gateway/attempts.go
@@ -54,7 +54,7 @@
 
 // String returns the record as it stands in the log.
 func (a attempt) String() string {
-	return fmt.Sprintf("%s %s status=%d written=%d reused=%t echoed=%t", a.target, a.end, a.status, a.written, a.trace.Reused, a.trace.Echoed)
+	return fmt.Sprintf("%s %s status=%d written=%d conn=%d reused=%t echoed=%t", a.target, a.end, a.status, a.written, a.trace.Connection, a.trace.Reused, a.trace.Echoed)
 }
 
 // attempts are the attempts at one request that ended without a response for the
--- a/pkg/gateway/attempts_test.go
+++ b/pkg/gateway/attempts_test.go
@@ -14,16 +14,16 @@
 // Guards against an attempt whose end is recorded as certain although the target
 // may have run the request.
 func TestEndOfAttemptRestsOnEvidence(t *testing.T) {
-	refused := &target.Failure{Kind: target.KindRefused, NotRun: true, Written: 7, Status: 503, Trace: target.Trace{Echoed: true}}
+	refused := &target.Failure{Kind: target.KindRefused, NotRun: true, Written: 7, Status: 503, Trace: target.Trace{Connection: 4, Echoed: true}}
 	for _, c := range []struct {
 		err  error
 		want string
 	}{
-		{refused, "i-1 refused status=503 written=7 reused=false echoed=true"},
-		{&target.Failure{Kind: target.KindDial, NotRun: true}, "i-1 unsent status=0 written=0 reused=false echoed=false"},
-		{&target.Failure{Kind: target.KindReset, Written: 1, Trace: target.Trace{Reused: true}}, "i-1 may_have_run status=0 written=1 reused=true echoed=false"},
-		{&failedResponseError{status: 500, trace: target.Trace{Echoed: true}, cause: errServerError}, "i-1 may_have_run status=500 written=0 reused=false echoed=true"},
-		{errors.New("any other error"), "i-1 may_have_run status=0 written=0 reused=false echoed=false"},
+		{refused, "i-1 refused status=503 written=7 conn=4 reused=false echoed=true"},
+		{&target.Failure{Kind: target.KindDial, NotRun: true}, "i-1 unsent status=0 written=0 conn=0 reused=false echoed=false"},
+		{&target.Failure{Kind: target.KindReset, Written: 1, Trace: target.Trace{Reused: true}}, "i-1 may_have_run status=0 written=1 conn=0 reused=true echoed=false"},
+		{&failedResponseError{status: 500, trace: target.Trace{Echoed: true}, cause: errServerError}, "i-1 may_have_run status=500 written=0 conn=0 reused=false echoed=true"},
+		{errors.New("any other error"), "i-1 may_have_run status=0 written=0 conn=0 reused=false echoed=false"},
 	} {
 		assert.Equal(t, newAttempt("i-1", errors.Wrap(c.err, "wrapped")).String(), c.want)
 	}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -15,7 +15,7 @@
 	EventRequestServed = eventlog.Define(2100, "request_served", logrus.InfoLevel,
 		"a target responded; the fields give the target, the estimates behind its choice and the attempts")
 	EventRequestRefused = eventlog.Define(2101, "request_refused", logrus.WarnLevel,
-		"the request got no response from a target; not_run says what its status promises, and attempts gives the evidence: the end of each attempt, the status of the response, the bytes that the connection accepted, whether it had carried an earlier request, and whether the response carried the id of the request")
+		"the request got no response from a target; not_run says what its status promises, and attempts gives the evidence: the end of each attempt, the status of the response, the bytes that the connection accepted, the number of the connection, whether it had carried an earlier request, and whether the response carried the id of the request")
 	EventStarted          = eventlog.Define(2102, "vm_started", logrus.InfoLevel, "the process listens")
 	EventSettingsReloaded = eventlog.Define(2103, "settings_read_again", logrus.InfoLevel,
 		"the settings file was read again after a signal; changed fields take effect at the next start")
@@ -111,7 +111,7 @@
 	}
 	g.countOutcome(c, response, refusal)
 	if response != nil {
-		fields["status"] = response.Status
+		fields["status"], fields["conn"] = response.Status, response.Trace.Connection
 		if response.Status >= http.StatusBadRequest {
 			fields["authentic"], fields["reused"], fields["echoed"] = response.Authentic, response.Trace.Reused, response.Trace.Echoed
 		}
--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -65,6 +65,7 @@
 type conn struct {
 	net.Conn
 	address  string
+	number   uint64 // see Trace.Connection
 	reader   *bufio.Reader
 	reused   bool
 	charge   *linkCharge // nil for targets in the region of this VM
@@ -88,8 +89,8 @@
 	writeErr error      // first write error of the socket or the limiter
 }
 
-func newConn(nc net.Conn, address string) *conn {
-	c := &conn{Conn: nc, address: address, headLeft: -1}
+func newConn(nc net.Conn, address string, number uint64) *conn {
+	c := &conn{Conn: nc, address: address, number: number, headLeft: -1}
 	c.reader = bufio.NewReaderSize(responseReader{c}, readBufferBytes)
 	return c
 }
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -89,7 +89,7 @@
 			c.pool.release(address, nil, false)
 			return nil, unsentFailure(ctx, err, KindDial)
 		}
-		cn = newConn(nc, address)
+		cn = newConn(nc, address, c.dialled.Add(1))
 	}
 	cn.begin(ch, c.cfg)
 	return &exchange{client: c, ctx: ctx, req: r, conn: cn, body: newStoppableBody(r)}, nil
@@ -294,7 +294,7 @@
 
 // trace must be called before the connection returns to the pool.
 func (x *exchange) trace() Trace {
-	return Trace{Reused: x.conn.reused, Echoed: x.echoed}
+	return Trace{Connection: x.conn.number, Reused: x.conn.reused, Echoed: x.echoed}
 }
 
 // reusable reports whether the connection can serve another request after the
--- a/pkg/transport/target/notrun_test.go
+++ b/pkg/transport/target/notrun_test.go
@@ -198,7 +198,7 @@
 func TestNothingIsWrittenAfterTheDeadline(t *testing.T) {
 	clientEnd, targetEnd := net.Pipe()
 	defer targetEnd.Close()
-	c := newConn(clientEnd, "target")
+	c := newConn(clientEnd, "target", 1)
 	c.begin(nil, Config{}.withDefaults())
 	c.deadline = time.Now().Add(-time.Millisecond)
 	n, err := requestWriter{c}.Write([]byte("x"))
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -45,6 +45,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"hickoryroute/pkg/protocol"
@@ -177,8 +178,11 @@
 
 // Trace is the evidence that a response belongs to its request.
 type Trace struct {
-	Reused bool // the connection had carried an earlier request
-	Echoed bool // the response carried the id of the request
+	// Connection is the number of the connection, counted from 1 over all targets
+	// of a Client, or 0 if none was opened.
+	Connection uint64
+	Reused     bool // the connection had carried an earlier request
+	Echoed     bool // the response carried the id of the request
 }
 
 // Response is a response from a target.
@@ -195,8 +199,9 @@
 
 // Client sends requests to targets.
 type Client struct {
-	cfg  Config
-	pool *pool
+	cfg     Config
+	pool    *pool
+	dialled atomic.Uint64 // connections opened so far
 }
 
 // New returns a Client.
