Send no request twice on a connection under the same id

What callers saw: 503, which promises that a request has not run, for a request that a target ran; requests that ran twice; both at once.

Cause: a refusal is matched to its request by the id alone. The id names the request and not the sending. When a refused request is under way again on the same connection, a late copy of its refusal has the right id, is believed, and the request is refused or sent on while its target runs it. The way to that is open in hickoryfront twice: a caller that sends its request again, and the VM itself, which excludes tried targets by id while connections are kept by address, so that a target that has started again at its address gets the request over the connection on which it has refused it for its earlier id. Class of fault: what matches a response to its request does not tell two sendings of the request apart. hickoryd gives each attempt an id of its own and is not concerned.

Change: a connection remembers the ids that it has carried, as hashes, and never carries one again. The pool takes another idle connection, or closes one and dials. A connection is replaced after 256 requests, which bounds the memory at 2 KiB. An id on a connection now names one sending, whatever the target repeats and for how long.

--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -5,9 +5,12 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -21,6 +24,9 @@
 	// writeBufferBytes is large enough to send the head and a short body in one
 	// write.
 	writeBufferBytes = 8 << 10
+	// maxRequestsPerConn bounds the ids that a connection remembers. A new
+	// connection for each 256 requests is far below what idle timeouts cost.
+	maxRequestsPerConn = 256
 	// readBufferBytes is the size of the bufio.Reader of a connection.
 	readBufferBytes = 4 << 10
 )
@@ -80,6 +86,8 @@
 	deadline    time.Time
 	readErr     error // last read error of the socket or the limiter
 	idle        *idleWatch
+	// carried holds the hashes of the ids of all requests on this connection.
+	carried []uint64
 	// idleLimit is the idle timeout that the target announced in Keep-Alive;
 	// zero if it announced none.
 	idleLimit time.Duration
@@ -96,7 +104,10 @@
 }
 
 // begin resets the state of c for a new request.
-func (c *conn) begin(ch *linkCharge, cfg Config) {
+func (c *conn) begin(ch *linkCharge, cfg Config, requestID string) {
+	if requestID != "" {
+		c.carried = append(c.carried, xxhash.Sum64String(requestID))
+	}
 	c.charge = ch
 	c.written, c.writeErr, c.readErr = 0, nil, nil
 	c.headLeft, c.headTimeout = int64(cfg.MaxHeaderBytes), cfg.HeadTimeout
@@ -105,6 +116,13 @@
 	c.deadline = time.Time{}
 }
 
+// hasCarried reports whether c has carried a request with this id. Such a
+// connection must not carry another one: a response to the first request, such as a
+// late copy of its refusal, would have the id of the second one.
+func (c *conn) hasCarried(requestID string) bool {
+	return requestID != "" && slices.Contains(c.carried, xxhash.Sum64String(requestID))
+}
+
 // interrupt lets all reads and writes return at once.
 func (c *conn) interrupt() {
 	c.interrupted.Store(true)
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -63,7 +63,8 @@
 	return &Failure{Kind: classify(ctx, err, fallback), NotRun: true, Err: err}
 }
 
-// connect takes an idle connection or dials a new one. For a target in another
+// connect takes an idle connection that has not carried the id of the request, or
+// dials a new one. For a target in another
 // region it first acquires the bytes of the receive window.
 func (c *Client) connect(ctx context.Context, r *Request) (*exchange, error) {
 	address := r.Target.Address
@@ -78,7 +79,7 @@
 			return nil, unsentFailure(ctx, err, KindLinkFull)
 		}
 	}
-	cn := c.pool.takeIdle(address)
+	cn := c.pool.takeIdle(address, r.RequestID)
 	if cn == nil {
 		dial := c.cfg.Dial
 		if r.LocalRegion != r.Target.Region {
@@ -91,7 +92,7 @@
 		}
 		cn = newConn(nc, address, c.dialled.Add(1))
 	}
-	cn.begin(ch, c.cfg)
+	cn.begin(ch, c.cfg, r.RequestID)
 	return &exchange{client: c, ctx: ctx, req: r, conn: cn, body: newStoppableBody(r)}, nil
 }
 
@@ -302,7 +303,7 @@
 func (x *exchange) reusable() bool {
 	return x.writerEnded() && x.writeError() == nil && !x.resp.Close && x.resp.ProtoAtLeast(1, 1) &&
 		x.conn.reader.Buffered() == 0 && x.ctx.Err() == nil &&
-		!x.readSurplus && !x.dialect().IsDraining(x.resp.Header) &&
+		!x.readSurplus && len(x.conn.carried) < maxRequestsPerConn && !x.dialect().IsDraining(x.resp.Header) &&
 		(x.echoed || x.client.cfg.ReuseWithoutEcho)
 }
 
--- a/pkg/transport/target/pool.go
+++ b/pkg/transport/target/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,14 +91,20 @@
 	}
 }
 
-// takeIdle returns an idle connection that can be reused, or nil.
-func (p *pool) takeIdle(address string) *conn {
+// takeIdle returns an idle connection that can carry a request with this id, or
+// nil. If all idle connections have carried the id, it closes one, so that a new
+// connection stays within the limit.
+func (p *pool) takeIdle(address, requestID string) *conn {
 	s := p.shard(address)
 	for {
-		c := s.popIdle(address)
+		c := s.popIdle(address, requestID)
 		if c == nil {
 			return nil
 		}
+		if c.hasCarried(requestID) {
+			_ = c.Close()
+			return nil
+		}
 		_ = c.SetReadDeadline(aLongTimeAgo)
 		<-c.idle.done
 		if c.idle.clean && c.SetDeadline(time.Time{}) == nil {
@@ -109,17 +116,22 @@
 	}
 }
 
-func (s *poolShard) popIdle(address string) *conn {
+// popIdle removes the connection that was used most recently among those that have
+// not carried the id. If there is none, it removes the one that was used least
+// recently.
+func (s *poolShard) popIdle(address, requestID string) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.targets[address]
 	if t == nil || len(t.idle) == 0 {
 		return nil
 	}
-	last := len(t.idle) - 1
-	c := t.idle[last]
-	t.idle[last] = nil
-	t.idle = t.idle[:last]
+	i := len(t.idle) - 1
+	for i > 0 && t.idle[i].hasCarried(requestID) {
+		i--
+	}
+	c := t.idle[i]
+	t.idle = slices.Delete(t.idle, i, i+1)
 	return c
 }
 
@@ -186,7 +198,7 @@
 
 func (p *pool) closeIdle(address string) {
 	s := p.shard(address)
-	for c := s.popIdle(address); c != nil; c = s.popIdle(address) {
+	for c := s.popIdle(address, ""); c != nil; c = s.popIdle(address, "") {
 		_ = c.Close()
 	}
 }
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -15,7 +15,8 @@
 // KindTruncated, because a broken connection would look like its end.
 //
 // A target should echo the header Hickory-Request-Id. A response with another
-// id is rejected with KindMismatched. A connection is not reused after a
+// id is rejected with KindMismatched. No connection carries two requests with the
+// same id, so that the id also tells two sendings of one request apart. A connection is not reused after a
 // response without the id, unless Config.ReuseWithoutEcho is set.
 //
 // A response that states that the target did not run the request is believed if
@@ -165,8 +166,8 @@
 	// Idempotent is true if a second run does no harm. The Client resends no
 	// request, idempotent or not; see Responses in the package documentation.
 	Idempotent bool
-	// RequestID must be unique among the requests to a target, including the
-	// attempts of one request, because mismatched responses are detected by it.
+	// RequestID is the id that the target echoes, by which mismatched responses are
+	// detected. A request whose id comes again goes to another connection.
 	RequestID string
 	Ticket    string
 	Deadline  time.Time // zero means only the deadline of the context
