Give health and load probes of hickoryd an id

Cause: probes carried no request id, and ids were compared only if both the request and the response had one. On a connection that had carried a request before, its late refusal was taken for the response to the probe, and a healthy target got no more requests until the next probe.

Change: each probe carries a random id. A response with an id is rejected if its request had none and the connection was in use before.

Measured: TestProbeTakesNoResponseToARequest fails before (status 503 of the copy) and passes. Tests of pkg/transport/target and pkg/entry pass.

--- a/pkg/transport/target/accept.go
+++ b/pkg/transport/target/accept.go
@@ -18,7 +18,7 @@
 	d := x.dialect()
 	id := h.Get(d.RequestIDHeader)
 	x.echoed = id != "" && id == x.req.RequestID
-	if id != "" && x.req.RequestID != "" && id != x.req.RequestID {
+	if id != "" && id != x.req.RequestID && (x.req.RequestID != "" || x.conn.reused) {
 		return nil, x.fail(KindMismatched, errMismatchedID)
 	}
 	if d.IsNotRun(x.resp.StatusCode, h) {
--- a/pkg/transport/target/probe.go
+++ b/pkg/transport/target/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -52,10 +53,9 @@
 
 // Prober queries the health and load of targets.
 type Prober struct {
-	Client       *Client
-	LocalRegion  string
-	Timeout      time.Duration // of one probe; zero means only the deadline of the context
-	NewRequestID func() string // returns a request id; nil means that probes carry none
+	Client      *Client
+	LocalRegion string
+	Timeout     time.Duration // of one probe; zero means only the deadline of the context
 }
 
 // Health requests GET /healthz. An error means that no usable response arrived.
@@ -96,9 +96,9 @@
 }
 
 func (p *Prober) get(ctx context.Context, t protocol.TargetRef, path string) (*Response, []byte, error) {
-	req := &Request{Target: t, LocalRegion: p.LocalRegion, Method: http.MethodGet, Path: path, Idempotent: true}
-	if p.NewRequestID != nil {
-		req.RequestID = p.NewRequestID()
+	req := &Request{
+		Target: t, LocalRegion: p.LocalRegion, Method: http.MethodGet, Path: path, Idempotent: true,
+		RequestID: rand.Text(), // tells a late response to another request from that to the probe
 	}
 	if p.Timeout > 0 {
 		req.Deadline = time.Now().Add(p.Timeout)
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -16,8 +16,9 @@
 //
 // A target should echo the header Hickory-Request-Id. A response with another
 // id is rejected with KindMismatched. No connection carries two requests with the
-// same id, so that the id also tells two sendings of one request apart. A connection is not reused after a
-// response without the id, unless Config.ReuseWithoutEcho is set.
+// same id, so that the id also tells two sendings of one request apart. A
+// connection is not reused after a response without the id, unless
+// Config.ReuseWithoutEcho is set.
 //
 // A response that states that the target did not run the request is believed if
 // it carries the id, if the connection has carried no other request, or if the
