Decide in one place of the test code which statuses promise

Cause: the soak and the connection check each had a copy of the list of statuses that state that a request has not run.

Change: platform/standin holds it. The product keeps its own, so that the checks do not take it for granted.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -186,21 +186,12 @@
 func (c *checker) checkRefusals() {
 	c.checkArrivals()
 	for _, sent := range c.testbed.attempts.listEnded() {
-		if statesNotRun(sent.outcome.Status) && !sent.idempotent && c.runs(sent.ID) > 0 && c.markReported(sent.ID) {
+		if standin.StatesNotRun(sent.outcome.Status) && !sent.idempotent && c.runs(sent.ID) > 0 && c.markReported(sent.ID) {
 			c.testbed.addFinding("request ran, though it was refused as not run: %s", &sent)
 		}
 	}
 }
 
-// statesNotRun reports whether a status states that the request has not run.
-func statesNotRun(status int) bool {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
 // markReported marks a request as reported and returns false if it already was.
 func (c *checker) markReported(id string) bool {
 	c.mu.Lock()
