Ask the readers again while the copy of a VM is recent

Cause: one failed call to the readers sent a VM to the store, although its copy was confirmed less than MaxCopyAge ago and is in use until then. On a busy machine the calls of many VMs fail at the same time, and each of these VMs then read all pages.

Change: a VM asks its readers each 0.1 s until its copy is older than MaxCopyAge. Only the first attempt may last longer than that, as before. A VM that reads the store itself, or has no copy, does not wait.

Measured: TestVMWithRecentCopyAsksReadersAgain failed before.

--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -50,6 +50,7 @@
 type follower interface {
 	DeltaSince(after int64) feed.Delta
 	Revision() int64
+	Age() (time.Duration, bool)
 }
 
 // followerOf returns the follower of a kind of entries, or nil for an unknown
--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -21,8 +21,8 @@
 	// firstHedgeDelay is the same for the first copy, which holds all entries.
 	readerHedgeDelay = 300 * time.Millisecond
 	firstHedgeDelay  = 750 * time.Millisecond
-	// firstCopyPause is the time between two attempts to get the first copy.
-	firstCopyPause = 100 * time.Millisecond
+	// copyRetryPause is the time between two attempts to get a copy.
+	copyRetryPause = 100 * time.Millisecond
 )
 
 // readerCopies fetches what has changed in the store from the VMs that read it
@@ -58,7 +58,7 @@
 		if after == 0 && kind != protocol.CopyVMRecords {
 			return c.fetchFirst(ctx, kind, maxAge)
 		}
-		return c.fetch(ctx, kind, after, maxAge)
+		return c.fetchChanges(ctx, kind, after, maxAge)
 	}
 }
 
@@ -72,7 +72,7 @@
 			return d, true
 		}
 		selfReads := c.peers.currentRoles().selfReads
-		if selfReads || c.peers.gateway.cfg.Now().Sub(c.startedAt) >= c.peers.gateway.cfg.Timing.FirstCopyWait || !wait.For(ctx, firstCopyPause) {
+		if selfReads || c.peers.gateway.cfg.Now().Sub(c.startedAt) >= c.peers.gateway.cfg.Timing.FirstCopyWait || !wait.For(ctx, copyRetryPause) {
 			return feed.Delta{}, false
 		}
 	}
@@ -96,6 +96,23 @@
 	}
 }
 
+// fetchChanges asks the readers until the copy of this VM is older than maxAge. A
+// reader that is slow or restarts for a shorter time costs the store no read. Only
+// the first attempt may last longer.
+func (c *readerCopies) fetchChanges(ctx context.Context, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
+	d, ok := c.fetch(ctx, kind, after, maxAge)
+	for !ok {
+		age, known := c.peers.followerOf(kind).Age()
+		if c.peers.currentRoles().selfReads || !known || age > maxAge || !wait.For(ctx, copyRetryPause) {
+			return feed.Delta{}, false
+		}
+		attempt, cancel := context.WithTimeout(ctx, maxAge-age)
+		d, ok = c.fetch(attempt, kind, after, maxAge)
+		cancel()
+	}
+	return d, true
+}
+
 // fetch returns the changes of one kind after a revision. It returns false if this
 // VM reads the store itself, or if no reader has entries that were confirmed
 // within maxAge.
--- a/pkg/gateway/readercopies_test.go
+++ b/pkg/gateway/readercopies_test.go
@@ -10,8 +10,10 @@
 	"gotest.tools/v3/assert"
 
 	"hickoryroute/pkg/coordination/feed"
+	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/transport/peer"
+	"hickoryroute/pkg/transport/platform"
 )
 
 // copyingPeer is a reader that replies to requests for copies.
@@ -68,12 +70,20 @@
 	c.now = c.now.Add(d)
 }
 
+// snapshotFeed is a store without entries at revision 4.
+type snapshotFeed struct{ platform.Feed }
+
+func (snapshotFeed) Snapshot(context.Context, string, platform.Freshness) (platform.Snapshot, error) {
+	return platform.Snapshot{Revision: 4}, nil
+}
+
 // newCopyingGateway returns a gateway of a large site whose readers are at the
 // given addresses.
 func newCopyingGateway(clock *testClock, readers ...string) *Gateway {
-	now := clock.Now()
-	g := newTestGateway(&now)
-	g.cfg.Now = clock.Now
+	g := New(Config{
+		Self:    feed.VM{ID: "self", CallerAddress: "10.0.0.1:80", PeerAddress: "10.0.0.1:81", Region: "r"},
+		Regions: map[string]string{"z": "r"}, Logger: eventlog.Discard(), Now: clock.Now, Feed: snapshotFeed{}, Timing: feed.DefaultTiming(),
+	})
 	setVMs(g, 0, 2*maxVMsWithoutReaders)
 	vms := g.peers.listVMs()
 	for _, address := range readers {
@@ -112,3 +122,29 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, reader.calls, 0)
 }
+
+// Guards against a VM that reads the store because its readers do not reply for a
+// moment, although its copy is recent.
+func TestVMWithRecentCopyAsksReadersAgain(t *testing.T) {
+	const kind, maxAge = protocol.CopyOperatorEntries, time.Minute
+	reader := &copyingPeer{revisions: map[protocol.CopyKind]int64{}}
+	reader.onCall = func() {
+		if reader.calls == 3 {
+			reader.revisions[kind] = 5
+		}
+	}
+	clock := newTestClock()
+	g := newCopyingGateway(clock, reader.serve(t))
+	assert.Assert(t, g.operatorFeed.Confirm(t.Context(), time.Second, time.Second))
+	fetch := g.peers.readerCopies.fetcher(kind)
+	d, ok := fetch(t.Context(), 4, maxAge)
+	assert.Assert(t, ok)
+	assert.Equal(t, d.Revision, int64(5))
+	assert.Equal(t, reader.calls, 3)
+
+	clock.advance(maxAge)
+	reader.revisions[kind] = 0
+	_, ok = fetch(t.Context(), 4, maxAge)
+	assert.Assert(t, !ok, "a VM whose copy is too old reads the store")
+	assert.Equal(t, reader.calls, 4)
+}
