Ask the store for changes where a VM has a copy

Cause: a VM that had copied from a reader read all pages of the store when it became a reader or its readers did not reply, and each VM that did not run for a second read them again. On a busy machine the VMs take each other for unresponsive and the VM list shrinks while leases are renewed late, so many VMs took themselves for readers for a moment, and each read four pages (35 on a site of 1,485 targets).

Change: a VM with a copy polls: it asks for the changes since the revision of its copy without a wait. One call confirms the copy. A poll uses a new connection and does not join the running watch of another follower. After a compaction, a failed call or a hint of a newer entry the VM reads all entries, as before, and also after a suspension of the machine, when watches may have ended unnoticed. The copy of a reader settles an earlier request to check again, so that the VM does not read when that reader ends later.

--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -62,8 +62,22 @@
 	cancelWatch context.CancelFunc
 	hintPending bool // another VM has a newer entry, which the watch may still deliver
 	behind      bool // the watch may have missed changes
+	recheck     bool // this process did not run for a time
 }
 
+// storeCall is a kind of call to the store.
+type storeCall int
+
+const (
+	// callReadAll reads all entries.
+	callReadAll storeCall = iota
+	// callPoll returns the changes since the copy at once. It confirms a copy that
+	// the store has not confirmed lately in one call, whatever the number of entries.
+	callPoll
+	// callWatch waits for changes.
+	callWatch
+)
+
 func newFollower(cfg followerConfig) follower {
 	return follower{cfg: cfg, store: dependency{name: cfg.name, logger: cfg.logger}, cache: newEntryCache()}
 }
@@ -130,9 +144,20 @@
 	}
 }
 
-// Recheck lets the follower read all entries now, because its watch may have
-// missed changes.
+// Recheck lets the follower ask for changes now, because this process did not run
+// for a time.
 func (f *follower) Recheck() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recheck = true
+	if f.cancelWatch != nil {
+		f.cancelWatch()
+	}
+}
+
+// Reread lets the follower read all entries now, because its watch may have missed
+// changes.
+func (f *follower) Reread() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.interruptWatch()
@@ -147,13 +172,14 @@
 	}
 }
 
-// resetBehind reports whether the watch was interrupted since the last call.
-func (f *follower) resetBehind() bool {
+// resetInterrupts returns whether the watch was interrupted since the last call,
+// and for which reason.
+func (f *follower) resetInterrupts() (behind, recheck bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	behind := f.behind
-	f.behind = false
-	return behind
+	behind, recheck = f.behind, f.recheck
+	f.behind, f.recheck = false, false
+	return behind, recheck
 }
 
 func (f *follower) setCancelWatch(cancel context.CancelFunc) {
@@ -162,46 +188,50 @@
 	f.cancelWatch = cancel
 }
 
-// Run keeps the copy up to date until ctx ends.
+// Run keeps the copy up to date until ctx ends. A VM with the copy of a reader asks
+// the store for the changes since then and does not read all entries again.
 func (f *follower) Run(ctx context.Context) {
-	readAll := true
+	next := callReadAll
 	for ctx.Err() == nil {
 		if d, ok := fetchFromReader(ctx, f.cfg.fetchFromReader, f.Revision(), f.cfg.timing.MaxCopyAge); ok {
 			f.recordResult(nil)
 			f.merge(d, SourceReader)
-			readAll = true
+			f.resetInterrupts()
+			next = callPoll
 			sleepJittered(ctx, f.cfg.timing.PollInterval)
 			continue
 		}
-		readAll = f.callStore(ctx, readAll)
+		next = f.callStore(ctx, next)
 	}
 }
 
-// callStore makes one call to the store. It reports whether the next call must
-// read all entries.
-func (f *follower) callStore(ctx context.Context, readAll bool) (readAllNext bool) {
+// callStore makes one call to the store and returns the next one.
+func (f *follower) callStore(ctx context.Context, call storeCall) (next storeCall) {
 	var err error
-	if readAll {
+	switch call {
+	case callReadAll:
 		err = f.readAll(ctx)
-	} else {
-		err = f.readChanges(ctx)
+	case callPoll:
+		err = f.readChanges(ctx, 0)
+	case callWatch:
+		err = f.readChanges(ctx, f.watchWait())
 	}
+	behind, recheck := f.resetInterrupts()
 	switch {
-	case ctx.Err() != nil || errors.Is(err, platform.ErrCompacted):
-		return true
-	case f.resetBehind():
-		return true
-	}
-	if err == nil {
-		return false
+	case ctx.Err() != nil || behind || errors.Is(err, platform.ErrCompacted):
+		return callReadAll
+	case recheck && call != callReadAll:
+		return callPoll
+	case err == nil:
+		return callWatch
 	}
 	f.recordResult(err)
-	if readAll {
+	if call == callReadAll {
 		f.mergeFromPeers(ctx)
 		sleepJittered(ctx, retryPause)
 	}
 	// Changes may have been lost with the connection of the failed watch.
-	return true
+	return callReadAll
 }
 
 // recordResult takes the result of a call. The caller records a success before
@@ -277,8 +307,8 @@
 	return f.cfg.timing.WatchWait
 }
 
-func (f *follower) readChanges(ctx context.Context) error {
-	wait := f.watchWait()
+// readChanges returns when the store has replied with changes, or after the wait.
+func (f *follower) readChanges(ctx context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.timing.WatchSlack)
 	defer cancel()
 	f.setCancelWatch(cancel)
--- a/pkg/coordination/feed/operator_follower_test.go
+++ b/pkg/coordination/feed/operator_follower_test.go
@@ -87,6 +87,12 @@
 
 // runFollower runs an OperatorFollower on f in virtual time.
 func runFollower(t *testing.T, f *fakeFeed, peers PeerFetchFunc, check func(t *testing.T, o *OperatorFollower, routes *route.CurrentTable)) {
+	t.Helper()
+	runReadingFollower(t, f, peers, nil, check)
+}
+
+// runReadingFollower is runFollower for a VM that copies from a reader.
+func runReadingFollower(t *testing.T, f *fakeFeed, peers PeerFetchFunc, reader ReaderFetchFunc, check func(t *testing.T, o *OperatorFollower, routes *route.CurrentTable)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var routes route.CurrentTable
@@ -95,7 +101,7 @@
 			Targets: targets.NewSet(targets.Config{
 				RegionOf: func(string) string { return "r" }, ColdTime: func(string) time.Duration { return 0 },
 			}),
-			Logger: eventlog.Discard(), Now: time.Now, FetchFromPeers: peers,
+			Logger: eventlog.Discard(), Now: time.Now, FetchFromPeers: peers, FetchFromReader: reader,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/pkg/coordination/feed/sharedwatch.go
+++ b/pkg/coordination/feed/sharedwatch.go
@@ -38,6 +38,7 @@
 // watchCall is one watch. Its result is set before done is closed.
 type watchCall struct {
 	after   int64
+	maxWait time.Duration
 	cancel  context.CancelFunc
 	waiters int // number of waiting followers; guarded by SharedWatch.mu
 	done    chan struct{}
@@ -50,14 +51,12 @@
 
 // Snapshot implements platform.Feed. It uses a new connection, because it is called
 // when a call has got no reply, and the idle connections may have gone silent as
-// well. While the store fails, all followers together read it at growing intervals.
+// well. The same holds for Changes without a wait. While the store fails, all followers together read it at growing intervals.
 func (s *SharedWatch) Snapshot(ctx context.Context, prefix string, freshness platform.Freshness) (platform.Snapshot, error) {
 	if !s.backoff.allow(time.Now()) {
 		return platform.Snapshot{}, errBackingOff
 	}
-	if f, ok := s.Feed.(idleCloser); ok {
-		f.CloseIdleConnections()
-	}
+	s.closeIdleConnections()
 	snapshot, err := s.Feed.Snapshot(ctx, prefix, freshness)
 	maxPause := maxBackoff
 	if s.ReadsStore != nil && !s.ReadsStore() {
@@ -67,6 +66,12 @@
 	return snapshot, err
 }
 
+func (s *SharedWatch) closeIdleConnections() {
+	if f, ok := s.Feed.(idleCloser); ok {
+		f.CloseIdleConnections()
+	}
+}
+
 // Changes implements platform.Feed. It returns as soon as anything has changed;
 // the result holds only changes below prefix and may be empty.
 func (s *SharedWatch) Changes(ctx context.Context, prefix string, after int64, maxWait time.Duration) (platform.Changes, error) {
@@ -89,12 +94,12 @@
 	return result, nil
 }
 
-// join returns the running watch if it covers all changes after a revision, and
-// starts a new one otherwise.
+// join returns the running watch if it covers all changes after a revision and
+// waits no longer than maxWait, and starts a new one otherwise.
 func (s *SharedWatch) join(after int64, maxWait time.Duration) *watchCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.current != nil && s.current.after <= after {
+	if s.current != nil && s.current.after <= after && s.current.maxWait <= maxWait {
 		select {
 		case <-s.current.done:
 		default:
@@ -103,7 +108,7 @@
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), maxWait+s.Slack)
-	call := &watchCall{after: after, cancel: cancel, waiters: 1, done: make(chan struct{})}
+	call := &watchCall{after: after, maxWait: maxWait, cancel: cancel, waiters: 1, done: make(chan struct{})}
 	s.current = call
 	go s.run(ctx, call, maxWait, batchDelay-time.Since(s.lastFound))
 	return call
@@ -125,7 +130,11 @@
 
 func (s *SharedWatch) run(ctx context.Context, call *watchCall, maxWait, delay time.Duration) {
 	defer close(call.done)
-	wait.For(ctx, delay)
+	if maxWait == 0 {
+		s.closeIdleConnections()
+	} else {
+		wait.For(ctx, delay)
+	}
 	call.changes, call.err = s.Feed.Changes(ctx, s.Prefix, call.after, maxWait)
 	if len(call.changes.Changes) > 0 {
 		s.mu.Lock()
--- a/pkg/coordination/feed/sharedwatch_test.go
+++ b/pkg/coordination/feed/sharedwatch_test.go
@@ -165,3 +165,22 @@
 		assert.Assert(t, calls <= 6, "%d calls for a burst of one second", calls)
 	})
 }
+
+// Guards against a follower that needs the changes now and waits for the end of the
+// watch of another follower.
+func TestPollDoesNotWaitForRunningWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &SharedWatch{Feed: &countingFeed{}, Slack: time.Second}
+		done := make(chan error, 1)
+		go func() {
+			_, err := s.Changes(t.Context(), "a/", 5, 2*time.Second)
+			done <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		_, err := s.Changes(t.Context(), "b/", 5, 0)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(began) < 100*time.Millisecond, "the reply took %s", time.Since(began))
+		assert.NilError(t, <-done)
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -204,8 +204,16 @@
 // Suspended returns the time for which the machine has been suspended so far.
 func (g *Gateway) Suspended() time.Duration { return g.cfg.Suspended() }
 
-// recheckFeeds reads the entries of the store again.
-func (g *Gateway) recheckFeeds() {
+// recheckFeeds asks for the changes in a time in which this process did not run. If
+// the machine was suspended, its watches may have ended unnoticed, and it reads all
+// entries.
+func (g *Gateway) recheckFeeds(suspended bool) {
+	if suspended {
+		g.operatorFeed.Reread()
+		g.targetFeed.Reread()
+		g.vmFeed.Reread()
+		return
+	}
 	g.operatorFeed.Recheck()
 	g.targetFeed.Recheck()
 	g.vmFeed.Recheck()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -98,7 +98,7 @@
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
 	loggedSpills, loggedUnresponsive := map[string]float64{}, map[string]bool{}
-	pauses := newPauseDetector(p.gateway.suspendAwareNow())
+	pauses, suspended := newPauseDetector(p.gateway.suspendAwareNow()), p.gateway.cfg.Suspended()
 	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
@@ -110,8 +110,9 @@
 			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{
 				"paused_ms": pause.Milliseconds(), "suspended_ms": p.gateway.cfg.Suspended().Milliseconds(),
 			})
-			p.gateway.recheckFeeds()
+			p.gateway.recheckFeeds(p.gateway.cfg.Suspended() > suspended)
 		}
+		suspended = p.gateway.cfg.Suspended()
 		full, brief := p.selectPeers(tick)
 		for _, vm := range full {
 			go p.exchange(ctx, vm, false)
