Do not count own pauses as silence of other VMs

Cause: a VM measures the silence of the others by the clock. When it had not run for 2.5 s itself, it took all VMs of its region for unresponsive as soon as it went on, before it read their messages. It then chose other readers, often itself, and lookups returned fewer VMs.

Change: the exchange loop records its ticks. The time in which it did not tick for more than two intervals does not count as silence of others. A VM that is silent while this one runs becomes unresponsive after 2.5 s as before.

--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -74,6 +74,7 @@
 
 	mu            sync.Mutex
 	lastMessageAt map[string]time.Time // time of the last message of each VM, by id
+	lastTick      time.Time            // of the exchange loop; zero before the first
 }
 
 func newPeers(g *Gateway) *peers {
@@ -106,6 +107,7 @@
 			return
 		case <-ticker.C:
 		}
+		p.recordTick()
 		if pause := pauses.check(p.gateway.suspendAwareNow()); pause > 0 {
 			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{
 				"paused_ms": pause.Milliseconds(), "suspended_ms": p.gateway.cfg.Suspended().Milliseconds(),
--- a/pkg/gateway/unresponsive.go
+++ b/pkg/gateway/unresponsive.go
@@ -19,12 +19,41 @@
 // the VM list.
 const probeAfter = 1500 * time.Millisecond
 
+// maxTickGap is the longest time between two ticks of this VM that counts as
+// silence of others. In a longer one this VM did not run, and their messages wait to
+// be read.
+const maxTickGap = 2 * exchangeInterval
+
+// recordTick records that the exchange loop of this VM runs, and adds the time in
+// which it did not to the times of the last messages.
+func (p *peers) recordTick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.gateway.cfg.Now()
+	if gap := now.Sub(p.lastTick); !p.lastTick.IsZero() && gap > maxTickGap {
+		for vm, at := range p.lastMessageAt {
+			p.lastMessageAt[vm] = earlier(at.Add(gap-exchangeInterval), now)
+		}
+	}
+	p.lastTick = now
+}
+
+// silenceNow returns the time by which the silence of other VMs is measured. It
+// stands still while this VM does not run. The caller holds the lock.
+func (p *peers) silenceNow() time.Time {
+	now := p.gateway.cfg.Now()
+	if latest := p.lastTick.Add(maxTickGap); !p.lastTick.IsZero() && now.After(latest) {
+		return latest
+	}
+	return now
+}
+
 // vmsToProbe returns the listed VMs that have sent a message before, but none
 // within probeAfter.
 func (p *peers) vmsToProbe() []feed.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.gateway.cfg.Now()
+	now := p.silenceNow()
 	var toProbe []feed.VM
 	for _, vm := range p.listVMs() {
 		if at, ok := p.lastMessageAt[vm.ID]; ok && now.Sub(at) > probeAfter {
@@ -78,7 +107,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at, ok := p.lastMessageAt[vm]
-	return ok && p.gateway.cfg.Now().Sub(at) > unresponsiveAfter
+	return ok && p.silenceNow().Sub(at) > unresponsiveAfter
 }
 
 // unresponsiveVMs returns the ids of the unresponsive VMs, or nil if there are
@@ -86,7 +115,7 @@
 func (p *peers) unresponsiveVMs() map[string]bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.gateway.cfg.Now()
+	now := p.silenceNow()
 	var unresponsive map[string]bool
 	for vm, at := range p.lastMessageAt {
 		if now.Sub(at) <= unresponsiveAfter {
