Keep the readers of a large site while its VM list is short

Cause: a VM that saw at most 16 VMs in the list took the site for small and read the store itself, although the list had held more a moment before. The list of a large site is short when leases were renewed late, and after a power loss from the end of the old records until all new processes have registered.

Change: a site that was large within the time of a lease (LeaseTTL) keeps its readers. In that time each running VM has renewed its lease or registered again. A VM that has only seen short lists reads at once, so a small site starts as before.

Measured: TestShortListOfLargeSiteMakesNoReaders failed before.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -170,7 +170,7 @@
 	watch := &feed.SharedWatch{Feed: cfg.Feed, Prefix: cfg.Layout.CommonPrefix, Slack: cfg.Timing.WatchSlack,
 		ReadsStore: func() bool { return g.peers.currentRoles().selfReads },
 	}
-	readsForOthers := func() bool { return len(g.vmFeed.List()) > maxVMsWithoutReaders }
+	readsForOthers := func() bool { return !g.peers.currentRoles().small }
 	g.vmFeed = feed.NewVMRegistry(feed.VMRegistryConfig{
 		Store: cfg.Store, Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Self: cfg.Self,
 		Logger: cfg.Logger, Now: g.suspendAwareNow, ReadsForOthers: readsForOthers,
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -75,6 +75,7 @@
 	mu            sync.Mutex
 	lastMessageAt map[string]time.Time // time of the last message of each VM, by id
 	lastTick      time.Time            // of the exchange loop; zero before the first
+	largeSiteAt   time.Time            // when the VM list was last long; zero if it never was
 }
 
 func newPeers(g *Gateway) *peers {
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -324,3 +324,23 @@
 		assert.Assert(t, readers >= minReaders && readers <= 2*minReaders, "%d readers with %d new processes", readers, newCount)
 	}
 }
+
+// Guards against VMs that all read the store because the VM list of a large site is
+// short for a moment: after a power loss the old records expired before the new
+// processes had registered, and 12 of 30 VMs took the site for small.
+func TestShortListOfLargeSiteMakesNoReaders(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	g.cfg.Timing = feed.DefaultTiming()
+	setVMs(g, 4, 4)
+	assert.Assert(t, g.peers.currentRoles().selfReads, "a small site needs no readers")
+	setVMs(g, 20, 20)
+	assert.Assert(t, !g.peers.currentRoles().selfReads)
+	now = now.Add(time.Minute)
+	assert.Assert(t, !g.peers.currentRoles().selfReads)
+	setVMs(g, 4, 4)
+	assert.Assert(t, !g.peers.currentRoles().selfReads)
+	assert.Equal(t, len(g.peers.currentRoles().readers), minReaders)
+	now = now.Add(g.cfg.Timing.LeaseTTL)
+	assert.Assert(t, g.peers.currentRoles().selfReads, "the site has become small")
+}
--- a/pkg/gateway/roles.go
+++ b/pkg/gateway/roles.go
@@ -14,6 +14,8 @@
 type vmRoles struct {
 	list         []feed.VM
 	unresponsive map[string]bool
+	// small is true if every VM reads the store itself.
+	small bool
 	// named holds the VMs of all regions that lookups return. The unresponsive VMs
 	// of this region are left out.
 	named   []feed.VM
@@ -31,16 +33,31 @@
 // unresponsive now.
 func (p *peers) currentRoles() *vmRoles {
 	list, unresponsive := p.listVMs(), p.unresponsiveVMs()
-	if r := p.roles.Load(); r != nil && sameList(r.list, list) && maps.Equal(r.unresponsive, unresponsive) {
+	small := p.isSmallSite(list)
+	if r := p.roles.Load(); r != nil && r.small == small && sameList(r.list, list) && maps.Equal(r.unresponsive, unresponsive) {
 		return r
 	}
-	r := &vmRoles{list: list, unresponsive: unresponsive}
+	r := &vmRoles{list: list, unresponsive: unresponsive, small: small}
 	r.chooseNamed()
 	r.chooseReaders(p.gateway.cfg.Self)
 	p.roles.Store(r)
 	return r
 }
 
+// isSmallSite reports whether every VM reads the store itself. A list that was long
+// within the time of a lease may be short because leases were renewed late, for
+// example after a power loss, and the VMs are about to register again.
+func (p *peers) isSmallSite(list []feed.VM) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.gateway.cfg.Now()
+	if len(list) > maxVMsWithoutReaders {
+		p.largeSiteAt = now
+		return false
+	}
+	return p.largeSiteAt.IsZero() || now.Sub(p.largeSiteAt) >= p.gateway.cfg.Timing.LeaseTTL
+}
+
 // sameList reports whether two lists are the same slice. A published list is
 // never modified.
 func sameList(a, b []feed.VM) bool {
@@ -79,7 +96,7 @@
 // their addresses: after a power loss the list still holds the records of ended
 // processes, and the new process at the address of a reader must read.
 func (r *vmRoles) chooseReaders(self feed.VM) {
-	if len(r.list) <= maxVMsWithoutReaders {
+	if r.small {
 		r.selfReads = true
 		return
 	}
