Ask the readers again after a pause of the calling VM

Cause: a VM that did not run while it called its readers found their replies too old, or its timeout over, when it went on, and asked the store.

Change: a fetch that failed and took a pause (minPause) longer than copyTimeout is repeated once. A slow or silent reader is not asked again.

Measured: TestVMAsksReadersAgainAfterItsOwnPause failed before.

--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -135,7 +135,12 @@
 		return d, true
 	}
 	req := c.newRequest(kind, after)
+	askedAt := c.peers.gateway.suspendAwareNow()
 	result, replied := c.callReaders(ctx, roles.readers, req, maxAge)
+	if !result.ok && c.peers.gateway.suspendAwareNow().Sub(askedAt) >= copyTimeout+minPause {
+		// This VM did not run during the calls, which says nothing about the readers.
+		result, replied = c.callReaders(ctx, roles.readers, req, maxAge)
+	}
 	if !replied {
 		c.noReplyAt = c.peers.gateway.suspendAwareNow()
 	}
--- a/pkg/gateway/readercopies_test.go
+++ b/pkg/gateway/readercopies_test.go
@@ -148,3 +148,27 @@
 	assert.Assert(t, !ok, "a VM whose copy is too old reads the store")
 	assert.Equal(t, reader.calls, 4)
 }
+
+// Guards against a VM that reads the store after a pause, because the replies of its
+// readers have become old meanwhile.
+func TestVMAsksReadersAgainAfterItsOwnPause(t *testing.T) {
+	const kind, maxAge = protocol.CopyOperatorEntries, 1600 * time.Millisecond
+	clock := newTestClock()
+	pause := 10 * time.Second
+	reader := &copyingPeer{revisions: map[protocol.CopyKind]int64{kind: 5}}
+	reader.onCall = func() {
+		if reader.calls == 1 {
+			clock.advance(pause)
+		}
+	}
+	g := newCopyingGateway(clock, reader.serve(t))
+	assert.Assert(t, g.operatorFeed.Confirm(t.Context(), time.Second, time.Second))
+	_, ok := g.peers.readerCopies.fetcher(kind)(t.Context(), 4, maxAge)
+	assert.Assert(t, ok)
+	assert.Equal(t, reader.calls, 2)
+
+	pause, reader.calls = maxAge, 0 // a slow reply and no pause
+	_, ok = g.peers.readerCopies.fetcher(kind)(t.Context(), 4, maxAge)
+	assert.Assert(t, !ok)
+	assert.Equal(t, reader.calls, 1)
+}
