Do not read the store twice when a hint comes during the first read

Cause: a hint of a newer entry that was not met within hintDelay let the follower read all entries again, also if the entry had arrived in the meantime, for example with the first read of a VM that starts. On a busy machine each starting reader read the operator's entries twice.

Change: the follower keeps the revision of the missing entry and reads again only if it still lacks it when the running call has ended.

Measured: TestHintDuringReadCausesNoSecondRead failed before.

--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -61,8 +61,11 @@
 	// cancelWatch cancels the running watch; nil if none runs.
 	cancelWatch context.CancelFunc
 	hintPending bool // another VM has a newer entry, which the watch may still deliver
-	behind      bool // the watch may have missed changes
-	recheck     bool // this process did not run for a time
+	// missing is the revision of an entry that the watch has not delivered in time;
+	// 0 if there is none.
+	missing int64
+	reread  bool // all entries must be read
+	recheck bool // this process did not run for a time
 }
 
 // storeCall is a kind of call to the store.
@@ -140,6 +143,7 @@
 	defer f.mu.Unlock()
 	f.hintPending = false
 	if revision > f.cache.newestRevision() {
+		f.missing = max(f.missing, revision)
 		f.interruptWatch()
 	}
 }
@@ -150,9 +154,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recheck = true
-	if f.cancelWatch != nil {
-		f.cancelWatch()
-	}
+	f.interruptWatch()
 }
 
 // Reread lets the follower read all entries now, because its watch may have missed
@@ -160,26 +162,25 @@
 func (f *follower) Reread() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reread = true
 	f.interruptWatch()
 }
 
-// interruptWatch lets the follower read all entries in place of the running watch.
-// The caller holds the lock.
+// interruptWatch ends the running watch. The caller holds the lock.
 func (f *follower) interruptWatch() {
-	f.behind = true
 	if f.cancelWatch != nil {
 		f.cancelWatch()
 	}
 }
 
-// resetInterrupts returns whether the watch was interrupted since the last call,
-// and for which reason.
-func (f *follower) resetInterrupts() (behind, recheck bool) {
+// resetInterrupts returns whether all entries must be read, and whether the store
+// must be asked for changes. A missing entry that has arrived since causes no read.
+func (f *follower) resetInterrupts() (reread, recheck bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	behind, recheck = f.behind, f.recheck
-	f.behind, f.recheck = false, false
-	return behind, recheck
+	reread, recheck = f.reread || f.missing > f.cache.newestRevision(), f.recheck
+	f.missing, f.reread, f.recheck = 0, false, false
+	return reread, recheck
 }
 
 func (f *follower) setCancelWatch(cancel context.CancelFunc) {
@@ -216,11 +217,11 @@
 	case callWatch:
 		err = f.readChanges(ctx, f.watchWait())
 	}
-	behind, recheck := f.resetInterrupts()
+	reread, recheck := f.resetInterrupts()
 	switch {
-	case ctx.Err() != nil || behind || errors.Is(err, platform.ErrCompacted):
+	case ctx.Err() != nil || reread || errors.Is(err, platform.ErrCompacted):
 		return callReadAll
-	case recheck && call != callReadAll:
+	case recheck && call != callReadAll, errors.Is(err, context.Canceled):
 		return callPoll
 	case err == nil:
 		return callWatch
--- a/pkg/coordination/feed/operator_follower_test.go
+++ b/pkg/coordination/feed/operator_follower_test.go
@@ -26,6 +26,7 @@
 	down      bool
 	compacted bool
 	reads     int
+	readTime  time.Duration // of one read of all entries
 }
 
 func (f *fakeFeed) set(change func(*fakeFeed)) {
@@ -45,6 +46,10 @@
 }
 
 func (f *fakeFeed) Snapshot(context.Context, string, platform.Freshness) (platform.Snapshot, error) {
+	f.mu.Lock()
+	readTime := f.readTime
+	f.mu.Unlock()
+	time.Sleep(readTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
@@ -155,6 +160,18 @@
 	})
 }
 
+// Guards against a VM that reads all entries twice when it starts, because others
+// state a revision that its first read is about to return.
+func TestHintDuringReadCausesNoSecondRead(t *testing.T) {
+	f := &fakeFeed{version: 1, revision: 1, readTime: 2 * hintDelay}
+	runFollower(t, f, nil, func(t *testing.T, o *OperatorFollower, routes *route.CurrentTable) {
+		o.HintRevision(1)
+		time.Sleep(4 * hintDelay)
+		assert.Equal(t, version(routes), uint64(1))
+		assert.Equal(t, f.readCount(), 1)
+	})
+}
+
 // After a compaction the follower must read all entries and watch from there.
 func TestCompactionCausesFullRead(t *testing.T) {
 	f := &fakeFeed{version: 1, revision: 1}
