Let a reader that starts copy from the other readers

Cause: a VM that starts and is chosen as a reader read all entries of the store, four pages in the tests and 35 on a site of 1,485 targets. When many VMs start at once, each sees a VM list that the others are not in yet, and more of them take themselves for readers: 38 pages of 39 allowed in one run of TestRestartOnLargeSiteReadsTheVMListOnly.

Change: such a VM asks the other readers for its first copy and the store for the changes since. A reader that has read nothing replies so at once; one that is silent delays the VM for firstHedgeDelay at most, and then it reads the store, so no VM depends on one reader.

Measured: TestStartingReaderCopiesFromOtherReaders failed before.

--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,8 +72,10 @@
 		if d, ok := c.fetch(ctx, kind, 0, maxAge); ok {
 			return d, true
 		}
-		selfReads := c.peers.currentRoles().selfReads
-		if selfReads || c.peers.gateway.cfg.Now().Sub(c.startedAt) >= c.peers.gateway.cfg.Timing.FirstCopyWait || !wait.For(ctx, copyRetryPause) {
+		if c.peers.currentRoles().selfReads {
+			return c.fetchFromOtherReaders(ctx, kind, maxAge)
+		}
+		if c.peers.gateway.cfg.Now().Sub(c.startedAt) >= c.peers.gateway.cfg.Timing.FirstCopyWait || !wait.For(ctx, copyRetryPause) {
 			return feed.Delta{}, false
 		}
 	}
@@ -120,6 +123,24 @@
 	return c.fetchSince(ctx, c.peers.gateway.suspendAwareNow(), kind, after, maxAge)
 }
 
+// fetchFromOtherReaders fetches the first copy of a VM that is itself a reader, so
+// that a restarted reader costs the store no read of all entries. A reader that has
+// read nothing yet says so at once, and a silent one delays this VM for
+// firstHedgeDelay at most.
+func (c *readerCopies) fetchFromOtherReaders(ctx context.Context, kind protocol.CopyKind, maxAge time.Duration) (feed.Delta, bool) {
+	others := slices.Clone(c.peers.currentRoles().readers)
+	others = slices.DeleteFunc(others, func(vm feed.VM) bool { return vm.PeerAddress == c.peers.gateway.cfg.Self.PeerAddress })
+	if len(others) == 0 {
+		return feed.Delta{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstHedgeDelay)
+	defer cancel()
+	began := c.peers.gateway.suspendAwareNow()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fetchFrom(ctx, others, began, kind, 0, maxAge)
+}
+
 // fetchSince is fetch for a follower that has waited for the copy since began.
 func (c *readerCopies) fetchSince(ctx context.Context, began time.Time, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
 	roles := c.peers.currentRoles()
@@ -128,6 +149,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.fetchFrom(ctx, roles.readers, began, kind, after, maxAge)
+}
+
+// fetchFrom returns the changes of one kind after a revision from one of the
+// readers. The caller holds the lock.
+func (c *readerCopies) fetchFrom(ctx context.Context, readers []feed.VM, began time.Time, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
 	if c.noReplyAt.After(began) {
 		return feed.Delta{}, false // another follower has just waited for the readers
 	}
@@ -136,10 +163,10 @@
 	}
 	req := c.newRequest(kind, after)
 	askedAt := c.peers.gateway.suspendAwareNow()
-	result, replied := c.callReaders(ctx, roles.readers, req, maxAge)
+	result, replied := c.callReaders(ctx, readers, req, maxAge)
 	if !result.ok && c.peers.gateway.suspendAwareNow().Sub(askedAt) >= copyTimeout+minPause {
 		// This VM did not run during the calls, which says nothing about the readers.
-		result, replied = c.callReaders(ctx, roles.readers, req, maxAge)
+		result, replied = c.callReaders(ctx, readers, req, maxAge)
 	}
 	if !replied {
 		c.noReplyAt = c.peers.gateway.suspendAwareNow()
--- a/pkg/gateway/readercopies_test.go
+++ b/pkg/gateway/readercopies_test.go
@@ -172,3 +172,36 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, reader.calls, 1)
 }
+
+// Guards against readers that read all entries of the store when they restart, while
+// other readers have them: each read four pages, 35 at 1,485 targets.
+func TestStartingReaderCopiesFromOtherReaders(t *testing.T) {
+	const kind = protocol.CopyTargetRecords
+	for _, test := range []struct {
+		name      string
+		revision  int64 // of the copy of the other reader; 0 if it has read nothing
+		reachable bool
+		want      bool
+	}{
+		{"the other reader has a copy", 5, true, true},
+		{"the other reader has read nothing", 0, true, false},
+		{"the other reader does not listen", 5, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			other, address := &copyingPeer{revisions: map[protocol.CopyKind]int64{kind: test.revision}}, "127.0.0.1:1"
+			if test.reachable {
+				address = other.serve(t)
+			}
+			g := newCopyingGateway(newTestClock(), address, "10.0.0.1:81")
+			assert.Assert(t, g.vmFeed.Confirm(t.Context(), time.Second, time.Second))
+			assert.Assert(t, g.peers.currentRoles().selfReads)
+			began := time.Now()
+			_, ok := g.peers.readerCopies.fetcher(kind)(t.Context(), 0, time.Minute)
+			assert.Equal(t, ok, test.want)
+			assert.Assert(t, other.calls <= 1)
+			assert.Assert(t, time.Since(began) < 10*firstHedgeDelay)
+			_, ok = g.peers.readerCopies.fetcher(kind)(t.Context(), 5, time.Minute)
+			assert.Assert(t, !ok, "a reader with a copy asks the store")
+		})
+	}
+}
