Date the result of a poll by the start of its call

Cause: a copy that a poll confirmed counted as recent from the time at which the reply was read, so that a late reply made an old copy look recent to this VM and to those that copy from it.

Change: the store has confirmed the copy when the call began, as for a read of all entries. A watch counts from its reply as before, since it ends at the end of its wait.

Measured: TestLateReplyToPollConfirmsAsOfItsCall failed before: 40 ms instead of 340 ms.

--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -314,18 +314,24 @@
 	defer cancel()
 	f.setCancelWatch(cancel)
 	defer f.setCancelWatch(nil)
+	confirmedAt := f.cfg.now()
 	changes, err := f.cfg.feed.Changes(ctx, f.cfg.prefix, f.Revision(), wait)
 	if err != nil {
 		return err
 	}
-	f.applyChanges(changes)
+	if wait > 0 {
+		confirmedAt = f.cfg.now() // a watch without changes ends when its wait is over
+	}
+	f.applyChanges(changes, confirmedAt)
 	return nil
 }
 
-func (f *follower) applyChanges(changes platform.Changes) {
+// applyChanges adds changes that the store has confirmed at a time.
+func (f *follower) applyChanges(changes platform.Changes, confirmedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cache.confirmedAt, f.source = f.cfg.now(), SourceStore
+	f.cache.advanceConfirmedAt(confirmedAt)
+	f.source = SourceStore
 	f.cache.apply(changes)
 	f.notify(len(changes.Changes) > 0)
 }
--- a/pkg/coordination/feed/takeover_test.go
+++ b/pkg/coordination/feed/takeover_test.go
@@ -95,3 +95,20 @@
 		assert.Equal(t, f.readCount(), 0)
 	})
 }
+
+// Guards against a copy that counts as recent because the reply to a poll was read
+// late, for example after a pause of the process.
+func TestLateReplyToPollConfirmsAsOfItsCall(t *testing.T) {
+	f := &fakeFeed{version: 1, revision: 1}
+	runFollower(t, f, nil, func(t *testing.T, o *OperatorFollower, _ *route.CurrentTable) {
+		const late = 300 * time.Millisecond
+		f.set(func(f *fakeFeed) { f.stalled = true })
+		o.Recheck()
+		time.Sleep(late)
+		f.set(func(f *fakeFeed) { f.stalled = false })
+		time.Sleep(50 * time.Millisecond)
+		age, known := o.Age()
+		assert.Assert(t, known)
+		assert.Assert(t, age >= late && age < 2*late, "the copy counts as confirmed %s ago", age)
+	})
+}
