--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -61,9 +61,26 @@
 	// cancelWatch cancels the running watch; nil if none runs.
 	cancelWatch context.CancelFunc
 	hintPending bool // another VM has a newer entry, which the watch may still deliver
-	behind      bool // the watch may have missed changes
+	// missing is the revision of an entry that the watch has not delivered in time;
+	// 0 if there is none.
+	missing int64
+	reread  bool // all entries must be read
+	recheck bool // this process did not run for a time
 }
 
+// storeCall is a kind of call to the store.
+type storeCall int
+
+const (
+	// callReadAll reads all entries.
+	callReadAll storeCall = iota
+	// callPoll returns the changes since the copy at once. It confirms a copy that
+	// the store has not confirmed lately in one call, whatever the number of entries.
+	callPoll
+	// callWatch waits for changes.
+	callWatch
+)
+
 func newFollower(cfg followerConfig) follower {
 	return follower{cfg: cfg, store: dependency{name: cfg.name, logger: cfg.logger}, cache: newEntryCache()}
 }
@@ -126,34 +143,44 @@
 	defer f.mu.Unlock()
 	f.hintPending = false
 	if revision > f.cache.newestRevision() {
+		f.missing = max(f.missing, revision)
 		f.interruptWatch()
 	}
 }
 
-// Recheck lets the follower read all entries now, because its watch may have
-// missed changes.
+// Recheck lets the follower ask for changes now, because this process did not run
+// for a time.
 func (f *follower) Recheck() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.recheck = true
+	f.interruptWatch()
+}
+
+// Reread lets the follower read all entries now, because its watch may have missed
+// changes.
+func (f *follower) Reread() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reread = true
 	f.interruptWatch()
 }
 
-// interruptWatch lets the follower read all entries in place of the running watch.
-// The caller holds the lock.
+// interruptWatch ends the running watch. The caller holds the lock.
 func (f *follower) interruptWatch() {
-	f.behind = true
 	if f.cancelWatch != nil {
 		f.cancelWatch()
 	}
 }
 
-// resetBehind reports whether the watch was interrupted since the last call.
-func (f *follower) resetBehind() bool {
+// resetInterrupts returns whether all entries must be read, and whether the store
+// must be asked for changes. A missing entry that has arrived since causes no read.
+func (f *follower) resetInterrupts() (reread, recheck bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	behind := f.behind
-	f.behind = false
-	return behind
+	reread, recheck = f.reread || f.missing > f.cache.newestRevision(), f.recheck
+	f.missing, f.reread, f.recheck = 0, false, false
+	return reread, recheck
 }
 
 func (f *follower) setCancelWatch(cancel context.CancelFunc) {
@@ -162,46 +189,50 @@
 	f.cancelWatch = cancel
 }
 
-// Run keeps the copy up to date until ctx ends.
+// Run keeps the copy up to date until ctx ends. A VM with the copy of a reader asks
+// the store for the changes since then and does not read all entries again.
 func (f *follower) Run(ctx context.Context) {
-	readAll := true
+	next := callReadAll
 	for ctx.Err() == nil {
 		if d, ok := fetchFromReader(ctx, f.cfg.fetchFromReader, f.Revision(), f.cfg.timing.MaxCopyAge); ok {
 			f.recordResult(nil)
 			f.merge(d, SourceReader)
-			readAll = true
+			f.resetInterrupts()
+			next = callPoll
 			sleepJittered(ctx, f.cfg.timing.PollInterval)
 			continue
 		}
-		readAll = f.callStore(ctx, readAll)
+		next = f.callStore(ctx, next)
 	}
 }
 
-// callStore makes one call to the store. It reports whether the next call must
-// read all entries.
-func (f *follower) callStore(ctx context.Context, readAll bool) (readAllNext bool) {
+// callStore makes one call to the store and returns the next one.
+func (f *follower) callStore(ctx context.Context, call storeCall) (next storeCall) {
 	var err error
-	if readAll {
+	switch call {
+	case callReadAll:
 		err = f.readAll(ctx)
-	} else {
-		err = f.readChanges(ctx)
+	case callPoll:
+		err = f.readChanges(ctx, 0)
+	case callWatch:
+		err = f.readChanges(ctx, f.watchWait())
 	}
+	reread, recheck := f.resetInterrupts()
 	switch {
-	case ctx.Err() != nil || errors.Is(err, platform.ErrCompacted):
-		return true
-	case f.resetBehind():
-		return true
-	}
-	if err == nil {
-		return false
+	case ctx.Err() != nil || reread || errors.Is(err, platform.ErrCompacted):
+		return callReadAll
+	case recheck && call != callReadAll, errors.Is(err, context.Canceled):
+		return callPoll
+	case err == nil:
+		return callWatch
 	}
 	f.recordResult(err)
-	if readAll {
+	if call == callReadAll {
 		f.mergeFromPeers(ctx)
 		sleepJittered(ctx, retryPause)
 	}
 	// Changes may have been lost with the connection of the failed watch.
-	return true
+	return callReadAll
 }
 
 // recordResult takes the result of a call. The caller records a success before
@@ -277,24 +308,30 @@
 	return f.cfg.timing.WatchWait
 }
 
-func (f *follower) readChanges(ctx context.Context) error {
-	wait := f.watchWait()
+// readChanges returns when the store has replied with changes, or after the wait.
+func (f *follower) readChanges(ctx context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.timing.WatchSlack)
 	defer cancel()
 	f.setCancelWatch(cancel)
 	defer f.setCancelWatch(nil)
+	confirmedAt := f.cfg.now()
 	changes, err := f.cfg.feed.Changes(ctx, f.cfg.prefix, f.Revision(), wait)
 	if err != nil {
 		return err
 	}
-	f.applyChanges(changes)
+	if wait > 0 {
+		confirmedAt = f.cfg.now() // a watch without changes ends when its wait is over
+	}
+	f.applyChanges(changes, confirmedAt)
 	return nil
 }
 
-func (f *follower) applyChanges(changes platform.Changes) {
+// applyChanges adds changes that the store has confirmed at a time.
+func (f *follower) applyChanges(changes platform.Changes, confirmedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cache.confirmedAt, f.source = f.cfg.now(), SourceStore
+	f.cache.advanceConfirmedAt(confirmedAt)
+	f.source = SourceStore
 	f.cache.apply(changes)
 	f.notify(len(changes.Changes) > 0)
 }
--- a/pkg/coordination/feed/operator_follower_test.go
+++ b/pkg/coordination/feed/operator_follower_test.go
@@ -26,6 +26,7 @@
 	down      bool
 	compacted bool
 	reads     int
+	readTime  time.Duration // of one read of all entries
 }
 
 func (f *fakeFeed) set(change func(*fakeFeed)) {
@@ -45,6 +46,10 @@
 }
 
 func (f *fakeFeed) Snapshot(context.Context, string, platform.Freshness) (platform.Snapshot, error) {
+	f.mu.Lock()
+	readTime := f.readTime
+	f.mu.Unlock()
+	time.Sleep(readTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
@@ -87,6 +92,12 @@
 
 // runFollower runs an OperatorFollower on f in virtual time.
 func runFollower(t *testing.T, f *fakeFeed, peers PeerFetchFunc, check func(t *testing.T, o *OperatorFollower, routes *route.CurrentTable)) {
+	t.Helper()
+	runReadingFollower(t, f, peers, nil, check)
+}
+
+// runReadingFollower is runFollower for a VM that copies from a reader.
+func runReadingFollower(t *testing.T, f *fakeFeed, peers PeerFetchFunc, reader ReaderFetchFunc, check func(t *testing.T, o *OperatorFollower, routes *route.CurrentTable)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var routes route.CurrentTable
@@ -95,7 +106,7 @@
 			Targets: targets.NewSet(targets.Config{
 				RegionOf: func(string) string { return "r" }, ColdTime: func(string) time.Duration { return 0 },
 			}),
-			Logger: eventlog.Discard(), Now: time.Now, FetchFromPeers: peers,
+			Logger: eventlog.Discard(), Now: time.Now, FetchFromPeers: peers, FetchFromReader: reader,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -149,6 +160,18 @@
 	})
 }
 
+// Guards against a VM that reads all entries twice when it starts, because others
+// state a revision that its first read is about to return.
+func TestHintDuringReadCausesNoSecondRead(t *testing.T) {
+	f := &fakeFeed{version: 1, revision: 1, readTime: 2 * hintDelay}
+	runFollower(t, f, nil, func(t *testing.T, o *OperatorFollower, routes *route.CurrentTable) {
+		o.HintRevision(1)
+		time.Sleep(4 * hintDelay)
+		assert.Equal(t, version(routes), uint64(1))
+		assert.Equal(t, f.readCount(), 1)
+	})
+}
+
 // After a compaction the follower must read all entries and watch from there.
 func TestCompactionCausesFullRead(t *testing.T) {
 	f := &fakeFeed{version: 1, revision: 1}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -170,7 +170,7 @@
 	watch := &feed.SharedWatch{Feed: cfg.Feed, Prefix: cfg.Layout.CommonPrefix, Slack: cfg.Timing.WatchSlack,
 		ReadsStore: func() bool { return g.peers.currentRoles().selfReads },
 	}
-	readsForOthers := func() bool { return len(g.vmFeed.List()) > maxVMsWithoutReaders }
+	readsForOthers := func() bool { return !g.peers.currentRoles().small }
 	g.vmFeed = feed.NewVMRegistry(feed.VMRegistryConfig{
 		Store: cfg.Store, Feed: watch, Layout: cfg.Layout, Timing: cfg.Timing, Self: cfg.Self,
 		Logger: cfg.Logger, Now: g.suspendAwareNow, ReadsForOthers: readsForOthers,
@@ -204,8 +204,16 @@
 // Suspended returns the time for which the machine has been suspended so far.
 func (g *Gateway) Suspended() time.Duration { return g.cfg.Suspended() }
 
-// recheckFeeds reads the entries of the store again.
-func (g *Gateway) recheckFeeds() {
+// recheckFeeds asks for the changes in a time in which this process did not run. If
+// the machine was suspended, its watches may have ended unnoticed, and it reads all
+// entries.
+func (g *Gateway) recheckFeeds(suspended bool) {
+	if suspended {
+		g.operatorFeed.Reread()
+		g.targetFeed.Reread()
+		g.vmFeed.Reread()
+		return
+	}
 	g.operatorFeed.Recheck()
 	g.targetFeed.Recheck()
 	g.vmFeed.Recheck()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -74,6 +74,8 @@
 
 	mu            sync.Mutex
 	lastMessageAt map[string]time.Time // time of the last message of each VM, by id
+	lastTick      time.Time            // of the exchange loop; zero before the first
+	largeSiteAt   time.Time            // when the VM list was last long; zero if it never was
 }
 
 func newPeers(g *Gateway) *peers {
@@ -98,7 +100,7 @@
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
 	loggedSpills, loggedUnresponsive := map[string]float64{}, map[string]bool{}
-	pauses := newPauseDetector(p.gateway.suspendAwareNow())
+	pauses, suspended := newPauseDetector(p.gateway.suspendAwareNow()), p.gateway.cfg.Suspended()
 	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
@@ -106,12 +108,14 @@
 			return
 		case <-ticker.C:
 		}
+		p.recordTick()
 		if pause := pauses.check(p.gateway.suspendAwareNow()); pause > 0 {
 			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{
 				"paused_ms": pause.Milliseconds(), "suspended_ms": p.gateway.cfg.Suspended().Milliseconds(),
 			})
-			p.gateway.recheckFeeds()
+			p.gateway.recheckFeeds(p.gateway.cfg.Suspended() > suspended)
 		}
+		suspended = p.gateway.cfg.Suspended()
 		full, brief := p.selectPeers(tick)
 		for _, vm := range full {
 			go p.exchange(ctx, vm, false)
--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +22,8 @@
 	// firstHedgeDelay is the same for the first copy, which holds all entries.
 	readerHedgeDelay = 300 * time.Millisecond
 	firstHedgeDelay  = 750 * time.Millisecond
-	// firstCopyPause is the time between two attempts to get the first copy.
-	firstCopyPause = 100 * time.Millisecond
+	// copyRetryPause is the time between two attempts to get a copy.
+	copyRetryPause = 100 * time.Millisecond
 )
 
 // readerCopies fetches what has changed in the store from the VMs that read it
@@ -34,8 +35,8 @@
 
 	mu sync.Mutex // held during the calls of one fetch
 	// askedAt and fetchedAt are the begin and the end of the last successful call,
-	// and failedAt is the end of the last fetch that failed.
-	askedAt, fetchedAt, failedAt time.Time
+	// and noReplyAt is the end of the last fetch to which no reader replied.
+	askedAt, fetchedAt, noReplyAt time.Time
 	// unused holds the copies of the last call that their followers have not
 	// taken yet.
 	unused map[protocol.CopyKind]unusedCopy
@@ -58,7 +59,7 @@
 		if after == 0 && kind != protocol.CopyVMRecords {
 			return c.fetchFirst(ctx, kind, maxAge)
 		}
-		return c.fetch(ctx, kind, after, maxAge)
+		return c.fetchChanges(ctx, kind, after, maxAge)
 	}
 }
 
@@ -71,8 +72,10 @@
 		if d, ok := c.fetch(ctx, kind, 0, maxAge); ok {
 			return d, true
 		}
-		selfReads := c.peers.currentRoles().selfReads
-		if selfReads || c.peers.gateway.cfg.Now().Sub(c.startedAt) >= c.peers.gateway.cfg.Timing.FirstCopyWait || !wait.For(ctx, firstCopyPause) {
+		if c.peers.currentRoles().selfReads {
+			return c.fetchFromOtherReaders(ctx, kind, maxAge)
+		}
+		if c.peers.gateway.cfg.Now().Sub(c.startedAt) >= c.peers.gateway.cfg.Timing.FirstCopyWait || !wait.For(ctx, copyRetryPause) {
 			return feed.Delta{}, false
 		}
 	}
@@ -96,27 +99,79 @@
 	}
 }
 
+// fetchChanges asks the readers until the copy of this VM is older than maxAge. A
+// reader that is slow or restarts for a shorter time costs the store no read. Only
+// the first attempt may last longer.
+func (c *readerCopies) fetchChanges(ctx context.Context, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
+	d, ok := c.fetch(ctx, kind, after, maxAge)
+	for !ok {
+		age, known := c.peers.followerOf(kind).Age()
+		if c.peers.currentRoles().selfReads || !known || age > maxAge || !wait.For(ctx, copyRetryPause) {
+			return feed.Delta{}, false
+		}
+		attempt, cancel := context.WithTimeout(ctx, maxAge-age)
+		d, ok = c.fetch(attempt, kind, after, maxAge)
+		cancel()
+	}
+	return d, true
+}
+
 // fetch returns the changes of one kind after a revision. It returns false if this
 // VM reads the store itself, or if no reader has entries that were confirmed
 // within maxAge.
 func (c *readerCopies) fetch(ctx context.Context, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
+	return c.fetchSince(ctx, c.peers.gateway.suspendAwareNow(), kind, after, maxAge)
+}
+
+// fetchFromOtherReaders fetches the first copy of a VM that is itself a reader, so
+// that a restarted reader costs the store no read of all entries. A reader that has
+// read nothing yet says so at once, and a silent one delays this VM for
+// firstHedgeDelay at most.
+func (c *readerCopies) fetchFromOtherReaders(ctx context.Context, kind protocol.CopyKind, maxAge time.Duration) (feed.Delta, bool) {
+	others := slices.Clone(c.peers.currentRoles().readers)
+	others = slices.DeleteFunc(others, func(vm feed.VM) bool { return vm.PeerAddress == c.peers.gateway.cfg.Self.PeerAddress })
+	if len(others) == 0 {
+		return feed.Delta{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstHedgeDelay)
+	defer cancel()
+	began := c.peers.gateway.suspendAwareNow()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fetchFrom(ctx, others, began, kind, 0, maxAge)
+}
+
+// fetchSince is fetch for a follower that has waited for the copy since began.
+func (c *readerCopies) fetchSince(ctx context.Context, began time.Time, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
 	roles := c.peers.currentRoles()
 	if roles.selfReads {
 		return feed.Delta{}, false
 	}
-	began := c.peers.gateway.suspendAwareNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.failedAt.After(began) {
+	return c.fetchFrom(ctx, roles.readers, began, kind, after, maxAge)
+}
+
+// fetchFrom returns the changes of one kind after a revision from one of the
+// readers. The caller holds the lock.
+func (c *readerCopies) fetchFrom(ctx context.Context, readers []feed.VM, began time.Time, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
+	if c.noReplyAt.After(began) {
 		return feed.Delta{}, false // another follower has just waited for the readers
 	}
 	if d, ok := c.takeUnused(kind, after); ok && d.Age <= maxAge {
 		return d, true
 	}
 	req := c.newRequest(kind, after)
-	result := c.callReaders(ctx, roles.readers, req, maxAge)
+	askedAt := c.peers.gateway.suspendAwareNow()
+	result, replied := c.callReaders(ctx, readers, req, maxAge)
+	if !result.ok && c.peers.gateway.suspendAwareNow().Sub(askedAt) >= copyTimeout+minPause {
+		// This VM did not run during the calls, which says nothing about the readers.
+		result, replied = c.callReaders(ctx, readers, req, maxAge)
+	}
+	if !replied {
+		c.noReplyAt = c.peers.gateway.suspendAwareNow()
+	}
 	if !result.ok {
-		c.failedAt = c.peers.gateway.suspendAwareNow()
 		return feed.Delta{}, false
 	}
 	c.keepUnused(req, result)
@@ -125,8 +180,9 @@
 
 // callReaders calls the readers in random order, each next one when the previous
 // ones have not replied in time or have no recent copy. It returns the first
-// recent copy.
-func (c *readerCopies) callReaders(ctx context.Context, readers []feed.VM, req *protocol.CopyRequest, maxAge time.Duration) copyResult {
+// recent copy, and whether any reader has replied. One that has read other kinds
+// of entries but not yet the requested one replies too.
+func (c *readerCopies) callReaders(ctx context.Context, readers []feed.VM, req *protocol.CopyRequest, maxAge time.Duration) (_ copyResult, replied bool) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	hedgeDelay := readerHedgeDelay
@@ -149,13 +205,14 @@
 			next.Reset(hedgeDelay)
 		case result := <-results:
 			pending--
+			replied = replied || result.replied
 			if result.ok && result.delta.Age <= maxAge {
-				return result
+				return result, true
 			}
 			next.Reset(0)
 		}
 	}
-	return copyResult{}
+	return copyResult{}, replied
 }
 
 // newRequest returns a request for one kind and for the changes that the followers
