Take no statement about a target from a response to another request

What callers saw: 503, because no target may take the request, while the target takes requests.

Cause: the head of a response that was rejected as that of another request was evaluated as if it were new. A late copy of a refusal with Retry-After began the pause again, and the copy of a 421 ended the use of the target that is at the address now. The copy has to be one that is not discarded: chunked, with Connection: close, or the third in a row.

Change: a failure because of another id carries the status for the log, and no head. A response without any id may be that of the request, so its Retry-After still counts.

--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -282,8 +282,10 @@
 	f.NotRun = f.Written == 0
 	if x.resp != nil {
 		f.Status = x.resp.StatusCode
-		f.Header = x.resp.Header
-		f.Draining = x.dialect().IsDraining(x.resp.Header)
+		if !errors.Is(err, errMismatchedID) {
+			f.Header = x.resp.Header
+			f.Draining = x.dialect().IsDraining(x.resp.Header)
+		}
 	}
 	if f.Kind == KindCancelled && x.confirmsCancel() && written > 0 {
 		f.TargetClosed = x.finishOnceTargetCloses()
--- a/pkg/transport/target/failure.go
+++ b/pkg/transport/target/failure.go
@@ -57,7 +57,8 @@
 	NotRun   bool
 	Draining bool // the target announced that it drains
 	Status   int  // status of the response, if there was one
-	// Header is the head of the response, if there was one.
+	// Header is the head of the response. It is nil if there was none or if it has
+	// the id of another request: a late response states nothing about the target now.
 	Header http.Header
 	// TargetClosed is closed once the target has closed the connection of a
 	// cancelled request, which it may still run until then. It is nil unless
