--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -7,8 +7,6 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // resolution is the shortest suspension that is noticed. Shorter differences
@@ -39,13 +37,3 @@
 // Now returns the current time with a monotonic reading that counts suspended
 // time. It must be compared with other results of Now only.
 func Now() time.Time { return time.Now().Add(Total()) }
-
-// clockOffset returns how far the clock that counts suspended time is ahead of
-// the one that does not.
-func clockOffset() time.Duration {
-	var monotonic, boot unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
-		return 0
-	}
-	return time.Duration(boot.Nano() - monotonic.Nano())
-}
