Guard the choice of connections and the ids of probes by tests

Change: a test for each. The id of a request is hashed once and no longer for each idle connection.

Measured: TestOtherIdleConnectionIsUsed, TestProbeTakesNoResponseToAnEarlierProbe and TestRequestWithoutIDTakesNoResponseToAnotherRequest each fail with the line removed that they guard. Tests of pkg/transport/target pass with the race detector.

--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -34,6 +34,19 @@
 // aLongTimeAgo is a deadline that ends a blocked read immediately.
 var aLongTimeAgo = time.Unix(1, 0)
 
+// idHash stands for a request id. Two ids with the same hash only cost a connection.
+type idHash uint64
+
+// noID stands for the id of a request without one.
+const noID idHash = 0
+
+func hashID(requestID string) idHash {
+	if requestID == "" {
+		return noID
+	}
+	return idHash(max(1, xxhash.Sum64String(requestID)))
+}
+
 // linkCharge acquires the bytes of one request and its response from the
 // limiter of the link.
 type linkCharge struct {
@@ -86,8 +99,8 @@
 	deadline    time.Time
 	readErr     error // last read error of the socket or the limiter
 	idle        *idleWatch
-	// carried holds the hashes of the ids of all requests on this connection.
-	carried []uint64
+	// carried holds the ids of all requests on this connection.
+	carried []idHash
 	// idleLimit is the idle timeout that the target announced in Keep-Alive;
 	// zero if it announced none.
 	idleLimit time.Duration
@@ -104,9 +117,9 @@
 }
 
 // begin resets the state of c for a new request.
-func (c *conn) begin(ch *linkCharge, cfg Config, requestID string) {
-	if requestID != "" {
-		c.carried = append(c.carried, xxhash.Sum64String(requestID))
+func (c *conn) begin(ch *linkCharge, cfg Config, id idHash) {
+	if id != noID {
+		c.carried = append(c.carried, id)
 	}
 	c.charge = ch
 	c.written, c.writeErr, c.readErr = 0, nil, nil
@@ -119,9 +132,7 @@
 // hasCarried reports whether c has carried a request with this id. Such a
 // connection must not carry another one: a response to the first request, such as a
 // late copy of its refusal, would have the id of the second one.
-func (c *conn) hasCarried(requestID string) bool {
-	return requestID != "" && slices.Contains(c.carried, xxhash.Sum64String(requestID))
-}
+func (c *conn) hasCarried(id idHash) bool { return id != noID && slices.Contains(c.carried, id) }
 
 // interrupt lets all reads and writes return at once.
 func (c *conn) interrupt() {
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -79,7 +79,8 @@
 			return nil, unsentFailure(ctx, err, KindLinkFull)
 		}
 	}
-	cn := c.pool.takeIdle(address, r.RequestID)
+	id := hashID(r.RequestID)
+	cn := c.pool.takeIdle(address, id)
 	if cn == nil {
 		dial := c.cfg.Dial
 		if r.LocalRegion != r.Target.Region {
@@ -92,7 +93,7 @@
 		}
 		cn = newConn(nc, address, c.dialled.Add(1))
 	}
-	cn.begin(ch, c.cfg, r.RequestID)
+	cn.begin(ch, c.cfg, id)
 	return &exchange{client: c, ctx: ctx, req: r, conn: cn, body: newStoppableBody(r)}, nil
 }
 
--- a/pkg/transport/target/notrun_test.go
+++ b/pkg/transport/target/notrun_test.go
@@ -199,7 +199,7 @@
 	clientEnd, targetEnd := net.Pipe()
 	defer targetEnd.Close()
 	c := newConn(clientEnd, "target", 1)
-	c.begin(nil, Config{}.withDefaults(), "a")
+	c.begin(nil, Config{}.withDefaults(), hashID("a"))
 	c.deadline = time.Now().Add(-time.Millisecond)
 	n, err := requestWriter{c}.Write([]byte("x"))
 	assert.Equal(t, n, 0)
--- a/pkg/transport/target/pool.go
+++ b/pkg/transport/target/pool.go
@@ -94,14 +94,14 @@
 // takeIdle returns an idle connection that can carry a request with this id, or
 // nil. If all idle connections have carried the id, it closes one, so that a new
 // connection stays within the limit.
-func (p *pool) takeIdle(address, requestID string) *conn {
+func (p *pool) takeIdle(address string, id idHash) *conn {
 	s := p.shard(address)
 	for {
-		c := s.popIdle(address, requestID)
+		c := s.popIdle(address, id)
 		if c == nil {
 			return nil
 		}
-		if c.hasCarried(requestID) {
+		if c.hasCarried(id) {
 			_ = c.Close()
 			return nil
 		}
@@ -119,7 +119,7 @@
 // popIdle removes the connection that was used most recently among those that have
 // not carried the id. If there is none, it removes the one that was used least
 // recently.
-func (s *poolShard) popIdle(address, requestID string) *conn {
+func (s *poolShard) popIdle(address string, id idHash) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.targets[address]
@@ -127,7 +127,7 @@
 		return nil
 	}
 	i := len(t.idle) - 1
-	for i > 0 && t.idle[i].hasCarried(requestID) {
+	for i > 0 && t.idle[i].hasCarried(id) {
 		i--
 	}
 	c := t.idle[i]
@@ -198,7 +198,7 @@
 
 func (p *pool) closeIdle(address string) {
 	s := p.shard(address)
-	for c := s.popIdle(address, ""); c != nil; c = s.popIdle(address, "") {
+	for c := s.popIdle(address, noID); c != nil; c = s.popIdle(address, noID) {
 		_ = c.Close()
 	}
 }
--- a/pkg/transport/target/probe_test.go
+++ b/pkg/transport/target/probe_test.go
@@ -39,3 +39,47 @@
 	assert.Assert(t, errors.As(err, &mismatched) && mismatched.Reused, "%+v, %v", health, err)
 	assert.Equal(t, mismatched.Kind, KindMismatched)
 }
+
+// Guards against a probe that takes the late copy of the response to an earlier
+// probe for its own.
+func TestProbeTakesNoResponseToAnEarlierProbe(t *testing.T) {
+	client := pipeClient(Config{}, func(_ int, c net.Conn) {
+		earlier := ""
+		counter := &countingTarget{}
+		for r := bufio.NewReader(c); ; {
+			probe, err := counter.readRequest(r)
+			if err != nil {
+				return
+			}
+			response := echoResponse(probe, `{"state":"ready"}`)
+			if _, err := c.Write([]byte(earlier + response)); err != nil {
+				return
+			}
+			earlier = response
+		}
+	})
+	defer client.Close()
+	p := &Prober{Client: client, LocalRegion: "sask"}
+	target := protocol.TargetRef{Address: "target", Region: "sask"}
+	_, err := p.Health(context.Background(), target)
+	assert.NilError(t, err)
+	_, err = p.Health(context.Background(), target)
+	var mismatched *Failure
+	assert.Assert(t, errors.As(err, &mismatched) && mismatched.Reused, "%v", err)
+	assert.Equal(t, mismatched.Kind, KindMismatched)
+}
+
+// Guards against a request without an id that takes the late response to another
+// request. A target may give an id of its own to such a request, so one is accepted
+// on a new connection.
+func TestRequestWithoutIDTakesNoResponseToAnotherRequest(t *testing.T) {
+	const withID = "HTTP/1.1 200 OK\r\nHickory-Request-Id: a\r\nContent-Length: 2\r\n\r\nok"
+	client := pipeClient(Config{}, respondWith(withID, withID))
+	defer client.Close()
+	_, f := fetch(context.Background(), client, newPost("target", "a", "body"))
+	assert.Assert(t, f == nil, "%v", f)
+	_, f = fetch(context.Background(), client, newPost("target", "", "body"))
+	assert.Assert(t, f != nil && f.Reused && f.Kind == KindMismatched, "%v", f)
+	_, f = fetch(context.Background(), client, newPost("target", "", "body"))
+	assert.Assert(t, f == nil, "on a new connection: %v", f)
+}
--- a/pkg/transport/target/same_id_test.go
+++ b/pkg/transport/target/same_id_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -159,3 +161,30 @@
 	defer mu.Unlock()
 	assert.Equal(t, dials, 3)
 }
+
+// Guards against a new connection for a request whose id one idle connection has
+// carried and another one has not.
+func TestOtherIdleConnectionIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		counter := &countingTarget{}
+		client := pipeClient(Config{}, func(_ int, c net.Conn) {
+			time.Sleep(time.Second)
+			counter.serve(c)
+		})
+		defer client.Close()
+		var sendings sync.WaitGroup
+		for _, id := range []string{"a", "b"} {
+			sendings.Go(func() {
+				_, f := fetch(context.Background(), client, newPost("target", id, "body"))
+				assert.Check(t, f == nil, "%v", f)
+			})
+		}
+		sendings.Wait()
+		for _, id := range []string{"a", "b"} {
+			_, f := fetch(context.Background(), client, newPost("target", id, "body"))
+			assert.Check(t, f == nil, "%v", f)
+		}
+		assert.Equal(t, client.dialled.Load(), uint64(2))
+		assert.Equal(t, client.Usage().Idle, 2)
+	})
+}
