Give the health probes of hickoryd request ids

Probes took idle connections that had carried requests, but had no id, so a response with the id of an earlier request was accepted as the answer to the probe. The late copy of a refusal made a target that is ready count as not ready until its next probe and warm up again from one slot, and the copy of any other response could count as its health.

Probes now draw their ids from the counter that makes the ids of all attempts unique. A response with another id is an error of the probe, of which two in a row are needed before the target gets no requests.

--- a/pkg/entry/target_manager.go
+++ b/pkg/entry/target_manager.go
@@ -38,6 +38,16 @@
 	probes map[string]*targetProbe
 }
 
+// newProber returns the prober of this VM. Its probes share connections with
+// requests, so they need ids of their own: a late response to a request would
+// otherwise count as the health of the target.
+func newProber(client *target.Client, region string, ids *attemptIDs) *target.Prober {
+	return &target.Prober{
+		Client: client, LocalRegion: region, Timeout: targetProbeTimeout,
+		NewRequestID: func() string { return ids.next("probe") },
+	}
+}
+
 // targetProbe is the running health probe of one owned target.
 type targetProbe struct {
 	ref    protocol.TargetRef
--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -69,6 +69,7 @@
 	linkShares     atomic.Pointer[map[linkcap.Link]float64]
 	seatsChanged   chan struct{}
 	leaving        leavingTargets
+	attemptIDs     attemptIDs
 	aliveMembers   aliveMemberCache
 	packedSettings packed.Cache
 	noticeCount    atomic.Uint64
@@ -146,7 +147,7 @@
 	v.targetClient = target.New(target.Config{Dial: v.cfg.Dial, Limiter: v.links, ConfirmCancel: true})
 	v.targetManager = &targetManager{
 		region: v.cfg.Region, seats: v.seats, slotOwner: v.slotOwner,
-		prober:        &target.Prober{Client: v.targetClient, LocalRegion: v.cfg.Region, Timeout: targetProbeTimeout},
+		prober:        newProber(v.targetClient, v.cfg.Region, &v.attemptIDs),
 		probeInterval: v.cfg.Timing.TargetProbeInterval, now: time.Now, slotNow: suspend.Now,
 		onLeaving: v.handleTargetLeaving, onHealthy: v.handleTargetHealthy, leaving: &v.leaving, effects: effectLog{log: v.log},
 	}
@@ -175,7 +176,7 @@
 		Self:            v.cfg.PeerAddress,
 		Reserver:        &reserver{self: v.cfg.PeerAddress, region: v.cfg.Region, localOwner: v.slotOwner, peers: v.peerClient},
 		Owners:          v.serviceOwners,
-		Sender:          &sender{client: v.targetClient, region: v.cfg.Region},
+		Sender:          &sender{client: v.targetClient, region: v.cfg.Region, attemptIDs: &v.attemptIDs},
 		Rules:           v.serviceRules,
 		Regions:         v.serviceRegions,
 		CrashNotifier:   v,
