Test that the copy of an earlier attempt's response is not accepted

hickoryd sends each attempt with an id of its own, so the late copy of a refusal is told apart from the refusal of a later attempt at the same request on the same connection, also when the caller reuses its id. No unit test was about this.

TestCopyOfEarlierAttemptIsNotAccepted sends two requests with the same id over one connection and a copy of the first response before the second. It fails when attemptIDs.next returns the caller's id: the second request is then reported as refused although its target has run it.

--- a/pkg/entry/sender_test.go
+++ b/pkg/entry/sender_test.go
@@ -74,6 +74,28 @@
 	copyOfResponse = "HTTP/1.1 200 OK\r\nHickory-Request-Id: %s\r\nContent-Length: 20\r\n\r\n{\"state\":\"draining\"}"
 )
 
+// Guards against the copy of a response to an earlier attempt that is taken for
+// the response to a later attempt at a request with the same id.
+func TestCopyOfEarlierAttemptIsNotAccepted(t *testing.T) {
+	for _, surplus := range []string{copyOfRefusal, copyOfResponse} {
+		ref := startRepeatingTarget(t, surplus)
+		client := target.New(target.Config{})
+		defer client.Close()
+		s := &sender{client: client, region: "sask", attemptIDs: &attemptIDs{}}
+		assert.NilError(t, send(s, ref))
+		err := send(s, ref)
+		f := steeringError(t, err)
+		assert.Assert(t, f.Written && !f.NotRun, "%q: %v", surplus, err)
+	}
+}
+
+func steeringError(t *testing.T, err error) *steering.SendError {
+	t.Helper()
+	f, ok := err.(*steering.SendError)
+	assert.Assert(t, ok, "%v", err)
+	return f
+}
+
 // Guards against the copy of a response to a request that is taken for the health
 // of the target by a probe on the same connection: the target would get no
 // requests, although it is ready, or would count as leaving.
