Ignore a late notice that a target is back once it leaves again

Notices were matched to a target by its name alone. They spread by gossip, newest first, so the notice that a target is back from its first departure could arrive after that of its second one and revoke it. An owner that learned of the second departure only by a notice then granted requests on the leaving target until the next signal, which for a target that only the VM list shows as leaving is the next read of the list.

The time of the newest leaving notice of each leaving target is kept, and a notice of its return that precedes it by the hybrid clock is ignored. A leaving notice is never ignored: a wrong one only costs a target requests for leavingSignalTimeout.

--- a/pkg/entry/notices.go
+++ b/pkg/entry/notices.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/state/timeline"
 	"hickoryroute/pkg/transport/platform"
 )
 
@@ -30,6 +31,9 @@
 type leavingTargets struct {
 	mu          sync.Mutex
 	lastSignals map[string]time.Time // by target name
+	// lastNotices holds the time of the newest notice, of this VM or another, that
+	// a target is leaving.
+	lastNotices map[string]protocol.Timestamp
 }
 
 // add records a leaving signal and reports whether it is the target's first.
@@ -44,6 +48,28 @@
 	return !known
 }
 
+// addNotice records a notice that a target is leaving.
+func (l *leavingTargets) addNotice(n protocol.Notice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lastNotices == nil {
+		l.lastNotices = map[string]protocol.Timestamp{}
+	}
+	if timeline.Compare(n.Time, l.lastNotices[n.Subject]) > 0 {
+		l.lastNotices[n.Subject] = n.Time
+	}
+}
+
+// isOutdated reports whether a notice that a target is back precedes the newest
+// notice that it is leaving. Notices may arrive in another order than they were
+// sent, and a target may leave again.
+func (l *leavingTargets) isOutdated(back protocol.Notice) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	leaving, known := l.lastNotices[back.Subject]
+	return known && timeline.Compare(back.Time, leaving) < 0
+}
+
 // sinceLastSignal returns the time since the last leaving signal of a target, or
 // 0 if there was none.
 func (l *leavingTargets) sinceLastSignal(name string, now time.Time) time.Duration {
@@ -69,6 +95,7 @@
 	defer l.mu.Unlock()
 	_, known := l.lastSignals[name]
 	delete(l.lastSignals, name)
+	delete(l.lastNotices, name)
 	return known
 }
 
@@ -76,7 +103,9 @@
 // and reports the first one to the other members.
 func (v *VM) handleTargetLeaving(name string) {
 	if v.markLeaving(name, map[string]any{"target": name}) {
-		v.members.Broadcast(v.newNotice(protocol.NoticeTargetLeaving, name, 0, leavingNoticeTTL))
+		n := v.newNotice(protocol.NoticeTargetLeaving, name, 0, leavingNoticeTTL)
+		v.leaving.addNotice(n)
+		v.members.Broadcast(n)
 	}
 }
 
@@ -133,9 +162,12 @@
 	v.clock.Observe(n.Time)
 	switch n.Kind {
 	case protocol.NoticeTargetLeaving:
+		v.leaving.addNotice(n)
 		v.markLeaving(n.Subject, map[string]any{"target": n.Subject, "told_by": n.Origin})
 	case protocol.NoticeTargetBack:
-		v.clearLeaving(n.Subject, map[string]any{"target": n.Subject, "told_by": n.Origin})
+		if !v.leaving.isOutdated(n) {
+			v.clearLeaving(n.Subject, map[string]any{"target": n.Subject, "told_by": n.Origin})
+		}
 	case protocol.NoticeCrash:
 		v.router.MergeCrashNotice(n)
 	case protocol.NoticeSeats:
