Count a crashed target as back only after a response to a later request

A connection that breaks to a target which another request has just crashed does not count as a crash, since the target is still down. Any response of the target ended this, also one to a request that was sent before the crash and whose response was read after it. A harmless request that was sent next over an idle connection then counted as crashing.

The response counts only if its request was sent at or after the time at which the crash was recorded.

TestEarlierResponseDoesNotShowThatCrashedTargetIsBack fails without the change: the crash level of the harmless request is 1. The tests of steering pass with the race detector.

--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -106,7 +106,7 @@
 		return
 	}
 	a.response = resp
-	a.group.router.crashedTargets.remove(a.grant.reply.Target.Name)
+	a.group.router.crashedTargets.remove(a.grant.reply.Target.Name, a.sentAt)
 	if a.crashLevel > 0 {
 		a.group.router.crashTable.clear(a.group.call.fingerprint())
 	}
--- a/pkg/steering/crashed_targets.go
+++ b/pkg/steering/crashed_targets.go
@@ -47,11 +47,15 @@
 	t.crashes.Add(target, targetCrash{fingerprint, now})
 }
 
-// remove drops the crash of a target that has responded.
-func (t *crashedTargets) remove(target string) {
+// remove drops the crash of a target that has responded to a request sent at the
+// given time. A response to a request sent before the crash does not show that the
+// target has restarted.
+func (t *crashedTargets) remove(target string, sentAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.crashes.Remove(target)
+	if c, ok := t.crashes.Peek(target); ok && !sentAt.Before(c.at) {
+		t.crashes.Remove(target)
+	}
 }
 
 // crashedByOther reports whether a different request has just crashed the
--- a/pkg/steering/crashed_targets_test.go
+++ b/pkg/steering/crashed_targets_test.go
@@ -38,3 +38,39 @@
 		assert.Equal(t, level(notifier.routers[0], "/later"), quarantineCrashes)
 	})
 }
+
+// Guards against quarantining harmless requests because a target that is down
+// counts as back: a response to a request that was sent before the crash does not
+// show that.
+func TestEarlierResponseDoesNotShowThatCrashedTargetIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := &SendError{Kind: FailBroken, Written: true}
+		steps := map[string]sendStep{
+			"/before": {delay: 30 * ms}, "/crashing": {delay: 10 * ms, failure: broken}, "/other": {failure: broken}, "/after": {},
+		}
+		sender := &fakeSender{stepFor: func(req *SendRequest) sendStep { return steps[req.Path] }}
+		reserver := newFakeReserver()
+		reserver.targets = 1
+		r := newTestRouter(reserver, sender)
+		send := func(path string) {
+			response, problem := r.Serve(context.Background(), &Request{Service: "svc", Method: "POST", Path: path, RequestID: path})
+			if problem == nil {
+				assert.NilError(t, response.Body.Close())
+			}
+		}
+		level := func(path string) int {
+			n, _ := r.crashTable.levelOf(&Request{Service: "svc", Method: "POST", Path: path}, time.Now())
+			return n
+		}
+		go send("/before")
+		send("/crashing")
+		time.Sleep(30 * ms) // the response to /before has arrived
+		send("/other")
+		assert.Equal(t, level("/crashing"), 1)
+		assert.Equal(t, level("/other"), 0)
+		// A response to a request that was sent after the crash shows it.
+		send("/after")
+		send("/other")
+		assert.Equal(t, level("/other"), 1)
+	})
+}
