Clear the crash of a request only by a response to a later copy

A response to a copy that knew of a crash when it was sent clears the crash level of its request. Copies compared levels, which do not tell one crash from a later one: when the first was cleared and the request crashed a target again, a copy that had been sent between the two cleared the second crash as well, and the request could crash one target more before it was quarantined.

The time at which the level was reached is kept, and a response clears it only if its copy was sent at or after that time.

TestEarlierResponseDoesNotClearLaterCrash fails without the change: the level is 0 after the second crash. The tests of steering pass with the race detector.

--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -108,7 +108,7 @@
 	a.response = resp
 	a.group.router.crashedTargets.remove(a.grant.reply.Target.Name, a.sentAt)
 	if a.crashLevel > 0 {
-		a.group.router.crashTable.clear(a.group.call.fingerprint())
+		a.group.router.crashTable.clear(a.group.call.fingerprint(), a.sentAt)
 	}
 	a.group.router.countAttempt(a, "answered")
 	a.group.router.reportDraining(a, resp.Draining)
--- a/pkg/steering/crash_table.go
+++ b/pkg/steering/crash_table.go
@@ -46,6 +46,7 @@
 // crashEntry is the crash level of one fingerprint.
 type crashEntry struct {
 	level          int
+	raisedAt       time.Time // when the level was reached
 	expiresAt      time.Time
 	lowestNoticeID string // among the crash notices of this level
 }
@@ -68,6 +69,7 @@
 		return e, false
 	}
 	e.level = level
+	e.raisedAt = now
 	e.expiresAt = now.Add(min(ttl, quarantineTime))
 	return e, true
 }
@@ -96,11 +98,12 @@
 }
 
 // clear removes a fingerprint that is not quarantined. It is called when a
-// target has responded to a copy that was sent after the crash was recorded.
-func (t *crashTable) clear(fingerprint string) {
+// target has responded to a copy that was sent at the given time, and has no
+// effect if that was before the crash was recorded.
+func (t *crashTable) clear(fingerprint string, sentAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.entries[fingerprint]; e != nil && e.level < quarantineCrashes {
+	if e := t.entries[fingerprint]; e != nil && e.level < quarantineCrashes && !sentAt.Before(e.raisedAt) {
 		delete(t.entries, fingerprint)
 	}
 }
--- a/pkg/steering/crashed_targets_test.go
+++ b/pkg/steering/crashed_targets_test.go
@@ -74,3 +74,34 @@
 		assert.Equal(t, level("/other"), 1)
 	})
 }
+
+// Guards against a crashing request whose record is cleared by the response to a
+// copy that was sent before the crash: it would crash one target more before it is
+// quarantined.
+func TestEarlierResponseDoesNotClearLaterCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sender := &fakeSender{}
+		r := newTestRouter(newFakeReserver(), sender)
+		send := func(s sendStep) {
+			sender.set(s)
+			if response, problem := serveOnce(r, false); problem == nil {
+				assert.NilError(t, response.Body.Close())
+			}
+		}
+		level := func() int {
+			n, _ := r.crashTable.levelOf(&Request{Service: "svc", Method: "GET", Path: "/p"}, time.Now())
+			return n
+		}
+		crashes := sendStep{failure: &SendError{Kind: FailBroken, Written: true}}
+		send(crashes)
+		assert.Equal(t, level(), 1)
+		go send(sendStep{delay: 100 * ms})
+		time.Sleep(10 * ms)
+		send(sendStep{})
+		assert.Equal(t, level(), 0, "a response to a copy that was sent after the crash")
+		send(crashes)
+		assert.Equal(t, level(), 1)
+		time.Sleep(100 * ms) // the response to the copy that was sent before this crash
+		assert.Equal(t, level(), 1)
+	})
+}
