Refuse a repeated change that the history no longer shows

An operator whose change ended as unresolved is told to repeat it with the same request id, which is not applied twice. A repeated change was recognised by the history of the head, which holds 50 changes, or by the memory of the VM. After more changes than that, through a VM that did not remember it, it was taken for a new one and accepted a second time, which reverts the changes made since then.

The document names the revision that the first attempt was based on. If the history of the head does not reach back to it, the change is refused with ForgottenError, which tells the operator to read the settings and to use a new request id.

TestRepeatedChangeBeyondHistoryIsNotAccepted fails without the change: the change is accepted again after 60 others. TestChangeOfWhichOnlyTheDocumentWasWrittenIsRepeated, which passes before as well, shows that a change that was not accepted may be repeated. The tests of coordination/config pass with the race detector, and so do those of pkg/entry about operators, edits, access and settings without it.

--- a/pkg/coordination/config/errors.go
+++ b/pkg/coordination/config/errors.go
@@ -59,6 +59,16 @@
 // Unwrap returns the cause.
 func (e *UnresolvedError) Unwrap() error { return e.Err }
 
+// ForgottenError reports that a change was proposed before, and that the history
+// no longer shows whether it was accepted then. This attempt changed nothing.
+type ForgottenError struct{ RequestID string }
+
+// Error names the request and the remedy.
+func (e *ForgottenError) Error() string {
+	return fmt.Sprintf("change %s was proposed before, and the history does not reach back to that; "+
+		"read the settings and propose the change under a new request id if it is missing", e.RequestID)
+}
+
 // EditError reports that a change is incomplete or not valid.
 type EditError struct {
 	Message string
--- a/pkg/coordination/config/manager_test.go
+++ b/pkg/coordination/config/manager_test.go
@@ -162,6 +162,50 @@
 	assert.Equal(t, len(store.heads), 3)
 }
 
+// Guards against a change that is accepted a second time, and so reverts later
+// ones, when it is repeated after so many other changes that it has left the
+// history, through a VM that does not remember it.
+func TestRepeatedChangeBeyondHistoryIsNotAccepted(t *testing.T) {
+	store, m := newStoreWithRevision(t)
+	_, err := m.Propose(t.Context(), setWeightEdit("repeated", 0, 20))
+	assert.NilError(t, err)
+	for n := range 60 {
+		_, err := m.Propose(t.Context(), setWeightEdit(fmt.Sprintf("later-%d", n), 0, 30+n))
+		assert.NilError(t, err)
+	}
+	restarted := newTestManager(store, &fakePeers{})
+	_, err = restarted.Propose(t.Context(), setWeightEdit("repeated", 0, 20))
+	var forgotten *ForgottenError
+	assert.Assert(t, errors.As(err, &forgotten), "%v", err)
+	assert.Equal(t, store.countAccepted(t, "repeated"), 1)
+}
+
+// Guards against a change that cannot be repeated after its document was written
+// and its head was not: the history shows that it was not accepted.
+func TestChangeOfWhichOnlyTheDocumentWasWrittenIsRepeated(t *testing.T) {
+	for _, laterChanges := range []int{0, 3} {
+		store, m := newStoreWithRevision(t)
+		store.nextFault = func(op string) fault {
+			if _, stored := store.entries[RevisionPrefix+"second"]; stored && op == "cas" {
+				return unavailable
+			}
+			return noFault
+		}
+		_, err := m.Propose(t.Context(), setWeightEdit("second", 0, 20))
+		var failed *PlatformError
+		assert.Assert(t, errors.As(err, &failed), "%v", err)
+		assert.Equal(t, store.countAccepted(t, "second"), 0)
+		store.nextFault = func(string) fault { return noFault }
+		for n := range laterChanges {
+			_, err := m.Propose(t.Context(), setWeightEdit(fmt.Sprintf("later-%d", n), 0, 30+n))
+			assert.NilError(t, err)
+		}
+		_, err = newTestManager(store, &fakePeers{}).Propose(t.Context(), setWeightEdit("second", 0, 20))
+		assert.NilError(t, err)
+		assert.Equal(t, store.countAccepted(t, "second"), 1)
+	}
+}
+
 // Guards against a change that is reported as failed although it was accepted
 // and then overwritten around the operator tool before the head was read again.
 func TestOverwrittenChangeIsUnresolved(t *testing.T) {
--- a/pkg/coordination/config/propose.go
+++ b/pkg/coordination/config/propose.go
@@ -62,8 +62,9 @@
 
 // Propose writes a change to the platform and returns its revision. It returns
 // *ConflictError if another change was accepted first, *PlatformError if a call
-// to the platform failed and the settings did not change, and *UnresolvedError
-// if it is unknown whether the change was accepted.
+// to the platform failed and the settings did not change, *UnresolvedError if it
+// is unknown whether the change was accepted, and *ForgottenError if an earlier
+// attempt may have been accepted so long ago that the history does not show it.
 func (m *Manager) Propose(ctx context.Context, edit Edit) (int64, error) {
 	if err := edit.validate(); err != nil {
 		return 0, err
@@ -224,6 +225,9 @@
 			if bytes.Equal(conflict.Current.Value, p.value) {
 				return nil
 			}
+			if !p.historyReaches(conflict.Current) {
+				return &ForgottenError{RequestID: p.RequestID}
+			}
 			expect = conflict.Current.Revision // left by an attempt that was not accepted
 		case isNotWritten(err):
 			return &PlatformError{"writing the document of the change", err}
@@ -238,6 +242,21 @@
 	}
 }
 
+// historyReaches reports whether the head would show that an earlier attempt at the
+// change was accepted, whose document is given. An attempt that is based on the
+// head or a later revision cannot have been accepted before the head.
+func (p *proposal) historyReaches(earlier platform.Entry) bool {
+	d, err := settings.DecodeDocument(earlier.Value)
+	if err != nil || d.Plain {
+		return false
+	}
+	if d.BaseRevision >= p.head.Revision {
+		return true
+	}
+	head, err := settings.DecodeDocument(p.head.Value)
+	return err == nil && !head.Plain && head.CoversChangesSince(d.BaseRevision)
+}
+
 // isDocumentStored reads a document after a write whose reply was lost, and
 // reports whether the write took effect. Repeating the write would not show
 // that, because its reply may be lost too.
--- a/pkg/entry/operator.go
+++ b/pkg/entry/operator.go
@@ -182,6 +182,7 @@
 		conflictErr   *config.ConflictError
 		platformErr   *config.PlatformError
 		unresolvedErr *config.UnresolvedError
+		forgottenErr  *config.ForgottenError
 		errorList     settings.ErrorList
 		settingsErr   *settings.Error
 		editErr       *config.EditError
@@ -199,6 +200,8 @@
 		return newProblem(http.StatusServiceUnavailable, protocol.CodePlatformUnavailable, "nothing was accepted; try again when the platform answers")
 	case errors.As(err, &unresolvedErr):
 		return newProblem(http.StatusServiceUnavailable, protocol.CodePlatformUnavailable, "repeat the edit with the same request_id; it is not applied twice")
+	case errors.As(err, &forgottenErr):
+		return newProblem(http.StatusConflict, protocol.CodeConflict, "read the settings; repeat the edit with a new request_id if it is missing")
 	case errors.As(err, &errorList), errors.As(err, &settingsErr), errors.As(err, &editErr):
 		return newProblem(http.StatusUnprocessableEntity, protocol.CodeInvalidSettings, "correct the tree or path; nothing was changed")
 	default:
