Test late replies and releases between VMs

No code changes.

TestLateReplyEndsOnlyItsOwnCall was not seen failing, since the matching is that of net/rpc.

--- a/pkg/coordination/slot/owner_test.go
+++ b/pkg/coordination/slot/owner_test.go
@@ -324,3 +324,17 @@
 		assert.Equal(t, time.Since(start), time.Duration(0))
 	})
 }
+
+// Guards against the release of a reservation of an earlier process on the same
+// address, which frees the slot of another requester in this one.
+func TestReleaseForEarlierProcessFreesNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		earlier, o := New(Config{}), New(Config{})
+		warmUp(earlier, spec("a", 1))
+		old := earlier.Reserve(background, request("k", 0))
+		warmUp(o, spec("a", 1))
+		assert.Assert(t, old.Granted && o.Reserve(background, request("k", 0)).Granted)
+		release(o, old, protocol.ReleaseOK, time.Millisecond)
+		assert.Equal(t, o.InFlight("a"), 1)
+	})
+}
--- a/pkg/transport/peer/peer_test.go
+++ b/pkg/transport/peer/peer_test.go
@@ -280,3 +280,48 @@
 		assert.ErrorContains(t, err, "failed while it handled the call")
 	}
 }
+
+// gatedHandler answers Execute with the body of the call once the gate of that
+// body is closed.
+type gatedHandler struct {
+	fakeHandler
+	gates   map[string]chan struct{}
+	entered chan string
+}
+
+func (h *gatedHandler) Execute(_ context.Context, req *protocol.ExecuteRequest, reply *protocol.ExecuteReply) error {
+	h.entered <- string(req.Body)
+	<-h.gates[string(req.Body)]
+	reply.Body = req.Body
+	return nil
+}
+
+// Guards against the late reply to a call that has timed out that is taken for the
+// reply to the same call made again on the same connection.
+func TestLateReplyEndsOnlyItsOwnCall(t *testing.T) {
+	h := &gatedHandler{
+		gates:   map[string]chan struct{}{"first": make(chan struct{}), "second": make(chan struct{})},
+		entered: make(chan string, 2),
+	}
+	_, address := startServer(t, ServerConfig{MaxConnections: 1}, h)
+	c := newClient(t, ClientConfig{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var first, second protocol.ExecuteReply
+	firstDone, secondDone := make(chan error, 1), make(chan error, 1)
+	go func() {
+		firstDone <- c.Call(ctx, address, protocol.MethodExecute, &protocol.ExecuteRequest{Body: []byte("first")}, &first)
+	}()
+	<-h.entered
+	cancel()
+	assert.ErrorIs(t, <-firstDone, context.Canceled)
+	go func() {
+		secondDone <- c.Call(context.Background(), address, protocol.MethodExecute, &protocol.ExecuteRequest{Body: []byte("second")}, &second)
+	}()
+	<-h.entered
+	close(h.gates["first"])
+	assert.NilError(t, callExchange(context.Background(), c, address)) // the late reply precedes this one
+	close(h.gates["second"])
+	assert.NilError(t, <-secondDone)
+	assert.Equal(t, string(second.Body), "second")
+	assert.Equal(t, len(first.Body), 0)
+}
