Test seats with writes that take effect long after their calls failed

What tells two writes apart is the revision on which a table is based, and a seat that is being released stays out of use until a newer table settles the release. No code changes.

TestNoSeatHasTwoHoldersAfterLateWrites draws the events of TestNoSeatHasTwoHolders while a fifth of the writes fail and take effect up to 2 min later. The cases of TestNoSeatHasTwoHolders are unchanged.

--- a/pkg/coordination/seat/fakestore_test.go
+++ b/pkg/coordination/seat/fakestore_test.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hickoryroute/pkg/transport/platform"
@@ -30,6 +31,7 @@
 	rng              *rand.Rand
 	lostReplyPercent int // lost replies, half of them of calls without effect
 	staleReadPercent int // reads answered from the state of up to maxStaleness ago
+	lateWritePercent int // writes that take effect up to maxLateness after their call has failed
 	history          []snapshot
 	failLists        bool
 	afterList        func(prefix string, vm *testVM)    // runs before the reply of a list
@@ -45,6 +47,9 @@
 // maxStaleness is the greatest age of the state that a read returns.
 const maxStaleness = 20 * time.Second
 
+// maxLateness is the longest time after which a late write takes effect.
+const maxLateness = 2 * time.Minute
+
 // recordSnapshot records the state after a change and drops old snapshots.
 func (s *fakeStore) recordSnapshot() {
 	s.history = append(s.history, snapshot{time.Now(), maps.Clone(s.entries)})
@@ -126,6 +131,27 @@
 	return err
 }
 
+// write runs op like call, or lets the call fail and runs op later.
+func (c *storeClient) write(ctx context.Context, op func() error) error {
+	c.mu.Lock()
+	late := c.lateWritePercent > 0 && c.rng.IntN(100) < c.lateWritePercent && !c.down && !c.vm.isCutOff()
+	delay := time.Duration(0)
+	if late {
+		delay = time.Duration(c.rng.Int64N(int64(maxLateness)))
+	}
+	c.mu.Unlock()
+	if !late {
+		return c.call(ctx, op)
+	}
+	time.AfterFunc(delay, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.expireLeases()
+		_ = op()
+	})
+	return platform.ErrReplyLost
+}
+
 func (c *storeClient) Get(ctx context.Context, key string) (e platform.Entry, err error) {
 	err = c.call(ctx, func() error {
 		found, ok := c.readState()[key]
@@ -157,8 +183,9 @@
 	return list, err
 }
 
-func (c *storeClient) CompareAndSwap(ctx context.Context, key string, value []byte, expect int64, lease platform.LeaseID) (rev int64, err error) {
-	err = c.call(ctx, func() error {
+func (c *storeClient) CompareAndSwap(ctx context.Context, key string, value []byte, expect int64, lease platform.LeaseID) (int64, error) {
+	var rev atomic.Int64
+	err := c.write(ctx, func() error {
 		current := c.entries[key]
 		if current.Revision != expect {
 			return &platform.ConflictError{Current: current}
@@ -167,15 +194,15 @@
 			return platform.ErrLeaseExpired
 		}
 		c.revision++
-		rev = c.revision
-		c.entries[key] = platform.Entry{Key: key, Value: value, Revision: rev, Lease: lease}
+		rev.Store(c.revision)
+		c.entries[key] = platform.Entry{Key: key, Value: value, Revision: c.revision, Lease: lease}
 		c.recordSnapshot()
 		if c.afterSwap != nil {
 			return c.afterSwap(key, c.vm)
 		}
 		return nil
 	})
-	return rev, err
+	return rev.Load(), err
 }
 
 func (c *storeClient) Grant(ctx context.Context, ttl time.Duration) (id platform.LeaseID, err error) {
@@ -190,7 +217,7 @@
 }
 
 func (c *storeClient) KeepAlive(ctx context.Context, id platform.LeaseID) error {
-	return c.call(ctx, func() error {
+	return c.write(ctx, func() error {
 		if _, ok := c.leases[id]; !ok {
 			return platform.ErrLeaseExpired
 		}
--- a/pkg/coordination/seat/manager_test.go
+++ b/pkg/coordination/seat/manager_test.go
@@ -111,7 +111,15 @@
 // Guards against two processes that both use the same seat, through crashes,
 // freezes, restarts, replaced VMs, partitions from the platform, outages longer
 // than the validity period, lost replies, stale reads and planned stops.
-func TestNoSeatHasTwoHolders(t *testing.T) {
+func TestNoSeatHasTwoHolders(t *testing.T) { checkHoldersOfSeats(t, 0) }
+
+// Guards against a seat with two holders when writes to the store take effect long
+// after their calls have failed, when the table or the process is another one.
+func TestNoSeatHasTwoHoldersAfterLateWrites(t *testing.T) { checkHoldersOfSeats(t, 20) }
+
+// checkHoldersOfSeats draws the events of a region and fails if two processes use
+// the same seat.
+func checkHoldersOfSeats(t *testing.T, lateWritePercent int) {
 	writes := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		events := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) event {
@@ -124,6 +132,7 @@
 		failure := ""
 		synctest.Test(t, func(*testing.T) {
 			r := newTestRegion(4, 7)
+			r.store.update(func() { r.store.lateWritePercent = lateWritePercent })
 			r.advance(time.Minute)
 			for _, e := range events {
 				r.applyEvent(e)
@@ -131,7 +140,7 @@
 			}
 			r.close()
 			failure = r.failure
-			writes += int(r.store.revision)
+			r.store.update(func() { writes += int(r.store.revision) })
 		})
 		if failure != "" {
 			rt.Fatal(failure)
