--- a/test/outcomes/outcomes_test.go
+++ b/test/outcomes/outcomes_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -75,8 +76,17 @@
 }
 
 func newSite(t *testing.T) *site {
-	testproc.TrackSources(t, filepath.Join("..", ".."))
 	s := &site{t: t, ledger: &ledger{entries: map[string]*entry{}}}
+	target := &testTarget{ledger: s.ledger}
+	s.vms = startVMs(t, targetCount, target.serve)
+	s.awaitReady()
+	return s
+}
+
+// startVMs starts the VMs and the targets behind them, whose connections are
+// served by serve.
+func startVMs(t *testing.T, targets int, serve func(net.Conn)) (vms []*vm) {
+	testproc.TrackSources(t, filepath.Join("..", ".."))
 	binary := *binaryPath
 	if binary == "" {
 		dir := t.TempDir()
@@ -87,9 +97,8 @@
 	server := httptest.NewServer(store.Handler())
 	t.Cleanup(server.Close)
 	tree := "rules: {lookup_ttl: 500ms, stop_timeout: 3s}\nregions:\n  sask:\n    zones: [sask-a]\n    services:\n      " + service + ":\n        targets:\n"
-	for n := range targetCount {
-		target := startTarget(t, s.ledger)
-		tree += fmt.Sprintf("          desk-%d: {address: %q, zone: sask-a, slots: 20}\n", n, target.listener.Addr())
+	for n := range targets {
+		tree += fmt.Sprintf("          desk-%d: {address: %q, zone: sask-a, slots: 20}\n", n, startTarget(t, serve))
 	}
 	_, err := store.CompareAndSwap(t.Context(), "settings/head", []byte(tree), 0, 0)
 	assert.NilError(t, err)
@@ -99,12 +108,11 @@
 			"--zone", "sask-a", "--region", "sask", "--platform", server.URL, "--caller-address", ip + ":7101",
 			"--peer-address", ip + ":7201", "--operator-address", ip + ":7301", "--log-format", "json",
 		}}
-		s.vms = append(s.vms, v)
+		vms = append(vms, v)
 		v.start(t)
 		t.Cleanup(v.kill)
 	}
-	s.awaitReady()
-	return s
+	return vms
 }
 
 // awaitReady waits until each VM has a request of its own served.
@@ -128,8 +136,10 @@
 }
 
 // issueTicket returns a new ticket, or "" if the VM issues none.
-func (c *caller) issueTicket() string {
-	resp, err := c.client.Post("http://"+c.address+"/v1/tickets?service="+service, "", nil)
+func (c *caller) issueTicket() string { return issueTicket(&c.client, c.address) }
+
+func issueTicket(client *http.Client, address string) string {
+	resp, err := client.Post("http://"+address+"/v1/tickets?service="+service, "", nil)
 	if err != nil {
 		return ""
 	}
@@ -205,23 +215,29 @@
 }
 
 func (s *site) signal(plan signalPlan) {
-	v := s.vms[0]
+	if s.vms[0].signal(s.t, plan) {
+		s.awaitReady()
+	}
+}
+
+// signal sends a signal and reports whether the VM had to be started again.
+func (v *vm) signal(t *testing.T, plan signalPlan) (restarted bool) {
 	switch plan {
 	case signalTerm:
-		assert.NilError(s.t, v.command.Process.Signal(syscall.SIGTERM))
+		assert.NilError(t, v.command.Process.Signal(syscall.SIGTERM))
 		_ = v.command.Wait() // the status says whether requests were interrupted
 	case signalKill:
 		v.kill()
 	case signalPause:
-		assert.NilError(s.t, v.command.Process.Signal(syscall.SIGSTOP))
+		assert.NilError(t, v.command.Process.Signal(syscall.SIGSTOP))
 		time.Sleep(pauseTime)
-		assert.NilError(s.t, v.command.Process.Signal(syscall.SIGCONT))
-		return
+		assert.NilError(t, v.command.Process.Signal(syscall.SIGCONT))
+		return false
 	default:
-		return
+		return false
 	}
-	v.start(s.t)
-	s.awaitReady()
+	v.start(t)
+	return true
 }
 
 // Guards against an outcome that is wrong about whether a request has run, against
--- a/test/outcomes/target_test.go
+++ b/test/outcomes/target_test.go
@@ -17,27 +17,26 @@
 // lateRunDelay is when a target runs a request of targetRunsLate.
 const lateRunDelay = 4 * time.Second
 
-// testTarget is a target that writes its responses byte by byte.
-type testTarget struct {
-	listener net.Listener
-	ledger   *ledger
-}
-
-func startTarget(t *testing.T, l *ledger) *testTarget {
+// startTarget accepts the connections of a target and returns its address.
+func startTarget(t *testing.T, serve func(net.Conn)) net.Addr {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	target := &testTarget{listener: listener, ledger: l}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go target.serve(conn)
+			go serve(conn)
 		}
 	}()
-	return target
+	return listener.Addr()
+}
+
+// testTarget is a target that writes its responses byte by byte.
+type testTarget struct {
+	ledger *ledger
 }
 
 func (t *testTarget) serve(conn net.Conn) {
@@ -112,13 +111,13 @@
 	return write(conn, http.StatusOK, id, "", e.body())
 }
 
-func refuse(conn net.Conn, id string) bool {
+func refuse(conn io.Writer, id string) bool {
 	return write(conn, http.StatusServiceUnavailable, id, protocol.HeaderNotRun+": true\r\n", "")
 }
 
 // write writes a response and reports whether it was written. An empty id is left
 // out.
-func write(conn net.Conn, status int, id, fields, body string) bool {
+func write(conn io.Writer, status int, id, fields, body string) bool {
 	if id != "" {
 		fields += protocol.HeaderRequestID + ": " + id + "\r\n"
 	}
