Send no body of which an earlier attempt has read a part

What callers could see: an upload in chunks that reaches a target with a hole.

Cause: between the check that a body can still be sent and the start of the next attempt, the writer of the refused attempt may still read from the part that cannot be read again.

Change: the reader of the next attempt fails before its first byte if that has happened.

Measured: TestBodyWithAHoleIsNotSent fails before and passes.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -91,7 +91,8 @@
 }
 
 // newReader returns a reader of the whole body for one attempt. The readers of
-// earlier attempts can no longer read from the rest.
+// earlier attempts can no longer read from the rest. If one of them has, since
+// canSend was called, the reader returns errRestUsed before its first byte.
 func (b *Body) newReader() io.Reader {
 	if b.length == 0 {
 		return nil
@@ -101,21 +102,29 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reader = &bodyReader{body: b, buffered: bytes.NewReader(b.buffered)}
+	b.reader = &bodyReader{body: b, buffered: bytes.NewReader(b.buffered), incomplete: b.restUsed}
 	return b.reader
 }
 
 // errOtherAttempt means that a later attempt sends the body.
 var errOtherAttempt = errors.New("a later attempt sends the request body")
 
+// errRestUsed means that an earlier attempt has read a part of the body that cannot
+// be read again.
+var errRestUsed = errors.New("an earlier attempt has read a part of the request body")
+
 // bodyReader reads a body for one attempt.
 type bodyReader struct {
-	body     *Body
-	buffered *bytes.Reader
+	body       *Body
+	buffered   *bytes.Reader
+	incomplete bool // a part of the rest has been read before
 }
 
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.incomplete {
+		return 0, errRestUsed
+	}
 	if r.buffered.Len() > 0 {
 		return r.buffered.Read(p)
 	}
--- a/pkg/gateway/body_test.go
+++ b/pkg/gateway/body_test.go
@@ -46,6 +46,19 @@
 	assert.Equal(t, string(sent), text)
 }
 
+// Guards against a body with a hole: the writer of a refused attempt reads on after
+// the body was found to be complete, and before the next attempt begins.
+func TestBodyWithAHoleIsNotSent(t *testing.T) {
+	b, _ := longBody64K(t)
+	first := b.newReader()
+	assert.Assert(t, b.canSend())
+	_, err := io.ReadFull(first, make([]byte, maxBufferedBody+100))
+	assert.NilError(t, err)
+	sent, err := io.ReadAll(b.newReader())
+	assert.ErrorIs(t, err, errRestUsed)
+	assert.Equal(t, len(sent), 0)
+}
+
 // Guards against a body that breaks off and reaches a target as if it were whole.
 func TestTruncatedBodyEndsWithAnError(t *testing.T) {
 	brokenOff := errors.New("the caller has left")
