--- a/pkg/coordination/feed/sharedwatch.go
+++ b/pkg/coordination/feed/sharedwatch.go
@@ -51,7 +51,8 @@
 
 // Snapshot implements platform.Feed. It uses a new connection, because it is called
 // when a call has got no reply, and the idle connections may have gone silent as
-// well. The same holds for Changes without a wait. While the store fails, all followers together read it at growing intervals.
+// well. The same holds for Changes without a wait. While the store fails, all
+// followers together read it at growing intervals.
 func (s *SharedWatch) Snapshot(ctx context.Context, prefix string, freshness platform.Freshness) (platform.Snapshot, error) {
 	if !s.backoff.allow(time.Now()) {
 		return platform.Snapshot{}, errBackingOff
--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -24,8 +24,8 @@
 	// writeBufferBytes is large enough to send the head and a short body in one
 	// write.
 	writeBufferBytes = 8 << 10
-	// maxRequestsPerConn bounds the ids that a connection remembers. A new
-	// connection for each 256 requests is far below what idle timeouts cost.
+	// maxRequestsPerConn bounds the ids that a connection remembers to 2 KiB, at the
+	// price of one connection more for each 256 requests.
 	maxRequestsPerConn = 256
 	// readBufferBytes is the size of the bufio.Reader of a connection.
 	readBufferBytes = 4 << 10
