Put the attempt ids of hickoryd back into the sender

Cause: the type attemptIDs was split off so that probes could share it.

Measured: TestCopyOfEarlierAttemptIsNotAccepted and TestProbeDoesNotAcceptResponseToRequest pass.

--- a/pkg/entry/sender.go
+++ b/pkg/entry/sender.go
@@ -13,21 +13,18 @@
 	"hickoryroute/pkg/transport/target"
 )
 
-// attemptIDs issues the request ids of the attempts of this VM at targets. Callers
-// may reuse their ids, and the response to an earlier attempt must not be mistaken
-// for the response to this one.
-type attemptIDs struct{ count atomic.Uint64 }
-
-// next returns an id that no other attempt of this process has.
-func (a *attemptIDs) next(requestID string) string {
-	return requestID + "." + strconv.FormatUint(a.count.Add(1), 36)
-}
-
 // sender implements steering.Sender with the target client.
 type sender struct {
-	client     *target.Client
-	region     string // of this VM
-	attemptIDs attemptIDs
+	client       *target.Client
+	region       string // of this VM
+	attemptCount atomic.Uint64
+}
+
+// newAttemptID returns a unique request id for one attempt. Callers may reuse
+// their ids, and the response to an earlier request with the same id must not
+// be mistaken for the response to this one.
+func (s *sender) newAttemptID(requestID string) string {
+	return requestID + "." + strconv.FormatUint(s.attemptCount.Add(1), 36)
 }
 
 var failureKinds = map[target.Kind]steering.FailureKind{
@@ -54,7 +51,7 @@
 		Header:        r.Header,
 		Body:          bytes.NewReader(r.Body),
 		ContentLength: int64(len(r.Body)),
-		RequestID:     s.attemptIDs.next(r.RequestID),
+		RequestID:     s.newAttemptID(r.RequestID),
 		Ticket:        r.Ticket,
 		Idempotent:    r.Ticket == "", // other requests need a ticket
 		Deadline:      r.Deadline,
