--- a/internal/suspend/offset.go
+++ b/internal/suspend/offset.go
@@ -29,9 +29,8 @@
 func clockOffset() time.Duration { return offsetOf(readClocks) }
 
 // offsetOf reads the clocks until a reading took at most maxReadGap, and otherwise
-// uses the one that took the least time. A process
-// that did not run between the two clocks would take the gap for a suspension of
-// the machine.
+// uses the one that took the least time. A process that did not run between the two
+// clocks would take the gap for a suspension of the machine.
 func offsetOf(read func() (reading, error)) time.Duration {
 	var best reading
 	for n := range maxReads {
