Make the test of a grant that is cancelled deterministic

Cause: TestQueueBoundsAndCancel released a slot and then cancelled the request that waits for it.

Change: the test releases the slot and cancels the request while it holds the lock of the shard, so that the waiting goroutine sees both at once. The check is the same, and now always reaches the case.

--- a/pkg/coordination/slot/owner_test.go
+++ b/pkg/coordination/slot/owner_test.go
@@ -78,13 +78,25 @@
 		ctx, cancel = context.WithCancel(background)
 		go func() { granted <- o.Reserve(ctx, request("k", 9000)).Granted }()
 		synctest.Wait()
-		release(o, held, protocol.ReleaseOK, time.Millisecond)
-		cancel()
+		releaseAndCancel(o, held, cancel)
 		assert.Assert(t, !<-granted, "granted and cancelled at the same instant")
 		assert.Equal(t, o.InFlight("a"), 0)
 	})
 }
 
+// releaseAndCancel releases a slot, which grants it to the waiting request, and
+// cancels that request before its goroutine can see the grant. A cancellation after
+// that would come too late: the request is then granted.
+func releaseAndCancel(o *Owner, held protocol.ReserveReply, cancel context.CancelFunc) {
+	s := o.shardOfReservation(held.ReservationID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.finish(s.reservations[held.ReservationID], protocol.ReleaseOK, now)
+	s.advance(now)
+	cancel()
+}
+
 // Guards against short requests that wait behind long ones, and against
 // starvation of long ones: at most 8 later requests pass a waiting one.
 func TestShortBeforeLongWithAgeing(t *testing.T) {
