Name only as many VMs as carry what the targets serve

Cause: on the large site lookups named all 98 VMs of a region, because its 9 strong VMs have less than 0.8 of the planned capacity of all. Each of the 98 opened its own connections to the 495 targets of the region and knew the requests in flight of 12 others only. 0.84 connections for each request, and targets chosen without the loads of most VMs.

Change: the strongest VMs are enough as well if they carry, with half of their processors and three quarters of their links, what the targets serve: slots by the shortest latency goal of the routes to the service, those of the region or an even part of all, whichever is more. VMs of equal capacity are still named together. Cold targets are sent to by two of these VMs and no longer by two of all VMs, which would mostly get no requests; VMs that do not reach each other still choose the same two.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -279,11 +279,12 @@
 const maxSendersPerColdTarget = 2
 
 // allowColdTarget reports whether this VM is one of the VMs that send to a cold
-// target and has not used up its part of the target's rate.
+// target and has not used up its part of the target's rate. They are chosen among
+// the carriers, because the other VMs seldom get a request to send.
 func (g *Gateway) allowColdTarget(t *targets.Target, now time.Time) bool {
 	perSecond := g.serviceConfig(t.Service).ColdPerSecond
 	senders := limit.ColdSenders(perSecond, maxSendersPerColdTarget)
-	for _, id := range placement.TopRanked(t.ID, idsForRegion(g.vmFeed.List(), t.Region), senders) {
+	for _, id := range placement.TopRanked(t.ID, idsForRegion(g.peers.currentRoles().carriers, t.Region), senders) {
 		if id == g.cfg.Self.ID {
 			return g.coldLimits.Allowed(t.ID, perSecond/float64(senders), now)
 		}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -67,6 +67,8 @@
 	listVMs func() []feed.VM
 	// roles caches the result of currentRoles.
 	roles atomic.Pointer[vmRoles]
+	// demand caches the result of currentDemand.
+	demand atomic.Pointer[demandCache]
 
 	readerCopies *readerCopies
 	// packed caches the compressed form of the newest large entry.
--- a/pkg/gateway/roles.go
+++ b/pkg/gateway/roles.go
@@ -9,17 +9,23 @@
 )
 
 // vmRoles says which VMs lookups return and which VMs read the store. The roles
-// are computed from the VM list and the unresponsive VMs in it. They are cached,
-// because both change seldom and each lookup and exchange needs the roles.
+// are computed from the VM list, the unresponsive VMs in it and the highest demand.
+// They are cached, because these change seldom and each lookup and exchange needs the roles.
 type vmRoles struct {
 	list         []feed.VM
 	unresponsive map[string]bool
+	// demand is the highest demand of each region.
+	demand map[string]float64
 	// small is true if every VM reads the store itself.
 	small bool
 	// named holds the VMs of all regions that lookups return. The unresponsive VMs
 	// of this region are left out.
 	named   []feed.VM
 	isNamed map[string]bool
+	// carriers holds the VMs of all regions that lookups return while all VMs
+	// respond. All VMs with the same VM list have the same carriers, also when some
+	// of them cannot reach each other.
+	carriers []feed.VM
 	// addresses holds the caller addresses of the named VMs of each region. If a
 	// region has too many for one lookup, their order mixes the zones.
 	addresses map[string][]string
@@ -29,15 +35,16 @@
 	selfReads bool
 }
 
-// currentRoles returns the roles for the current VM list and the VMs that are
-// unresponsive now.
+// currentRoles returns the roles for the current VM list, the VMs that are
+// unresponsive now and the highest demand.
 func (p *peers) currentRoles() *vmRoles {
 	list, unresponsive := p.listVMs(), p.unresponsiveVMs()
 	small := p.isSmallSite(list)
-	if r := p.roles.Load(); r != nil && r.small == small && sameList(r.list, list) && maps.Equal(r.unresponsive, unresponsive) {
+	demand := p.currentDemand(list)
+	if r := p.roles.Load(); r != nil && r.small == small && sameList(r.list, list) && maps.Equal(r.unresponsive, unresponsive) && maps.Equal(r.demand, demand) {
 		return r
 	}
-	r := &vmRoles{list: list, unresponsive: unresponsive, small: small}
+	r := &vmRoles{list: list, unresponsive: unresponsive, demand: demand, small: small}
 	r.chooseNamed()
 	r.chooseReaders(p.gateway.cfg.Self)
 	p.roles.Store(r)
@@ -64,25 +71,21 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// chooseNamed chooses the VMs that lookups return.
+// chooseNamed chooses the VMs that lookups return and the carriers.
 func (r *vmRoles) chooseNamed() {
-	candidates := map[string][]entries.VM{}
-	for _, vm := range r.list {
-		if !r.unresponsive[vm.ID] {
-			candidates[vm.Region] = append(candidates[vm.Region], entries.VM{
-				ID: vm.ID, Zone: vm.Zone, Cores: vm.Cores, LinkMbps: vm.LinkMbps,
-			})
-		}
-	}
-	r.isNamed, r.addresses = map[string]bool{}, map[string][]string{}
-	for _, vms := range candidates {
-		maps.Copy(r.isNamed, entries.Choose(vms))
+	r.isNamed, r.addresses = r.choose(r.unresponsive), map[string][]string{}
+	isCarrier := r.isNamed
+	if len(r.unresponsive) > 0 {
+		isCarrier = r.choose(nil)
 	}
 	for _, vm := range r.list {
 		if r.isNamed[vm.ID] {
 			r.named = append(r.named, vm)
 			r.addresses[vm.Region] = append(r.addresses[vm.Region], vm.CallerAddress)
 		}
+		if isCarrier[vm.ID] {
+			r.carriers = append(r.carriers, vm)
+		}
 	}
 	for region, list := range r.addresses {
 		if len(list) > maxLookupAddresses {
@@ -91,6 +94,24 @@
 	}
 }
 
+// choose returns the ids of the VMs of all regions that should carry the requests of
+// callers, without the excluded ones.
+func (r *vmRoles) choose(excluded map[string]bool) map[string]bool {
+	candidates := map[string][]entries.VM{}
+	for _, vm := range r.list {
+		if !excluded[vm.ID] {
+			candidates[vm.Region] = append(candidates[vm.Region], entries.VM{
+				ID: vm.ID, Zone: vm.Zone, Cores: vm.Cores, LinkMbps: vm.LinkMbps,
+			})
+		}
+	}
+	chosen := map[string]bool{}
+	for region, vms := range candidates {
+		maps.Copy(chosen, entries.Choose(vms, r.demand[region]))
+	}
+	return chosen
+}
+
 // chooseReaders chooses the readers among the VMs of this region with fast
 // links. On small sites every VM reads the store itself. Readers are chosen by
 // their addresses: after a power loss the list still holds the records of ended
--- a/pkg/state/targets/targets.go
+++ b/pkg/state/targets/targets.go
@@ -51,6 +51,17 @@
 type View struct {
 	byService map[string][]*Target
 	all       map[string]*Target
+	// slots holds the slots of the usable targets of each service in each region.
+	slots map[string]map[string]int
+}
+
+// Slots returns the slots of the usable targets of a service by region. The
+// returned map must not be modified.
+func (v *View) Slots(service string) map[string]int {
+	if v == nil {
+		return nil
+	}
+	return v.slots[service]
 }
 
 // Usable returns the targets of a service that may get requests, in the order
@@ -95,7 +106,7 @@
 // withTarget returns a view in which t replaces the target with the same id. all
 // already contains t. The lists of other services are shared with v.
 func (v *View) withTarget(t *Target, all map[string]*Target) *View {
-	next := &View{byService: v.byService, all: all}
+	next := &View{byService: v.byService, all: all, slots: v.slots}
 	list := v.byService[t.Service]
 	i := sort.Search(len(list), func(i int) bool { return list[i].ID >= t.ID })
 	if i == len(list) || list[i].ID != t.ID {
@@ -108,12 +119,16 @@
 }
 
 func newView(all map[string]*Target, evacuated map[string]bool) *View {
-	v := &View{byService: map[string][]*Target{}, all: all}
+	v := &View{byService: map[string][]*Target{}, all: all, slots: map[string]map[string]int{}}
 	for _, t := range all {
 		if t.Leaving || evacuated[t.Zone] {
 			continue
 		}
 		v.byService[t.Service] = append(v.byService[t.Service], t)
+		if v.slots[t.Service] == nil {
+			v.slots[t.Service] = map[string]int{}
+		}
+		v.slots[t.Service][t.Region] += t.Slots
 	}
 	for _, list := range v.byService {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
--- a/pkg/steering/entries/entries.go
+++ b/pkg/steering/entries/entries.go
@@ -14,6 +14,11 @@
 	// (docs/CAPACITY.md) and leave the rest for peaks.
 	requestsPerCore = 500.0
 	requestsPerMbps = 9.0
+	// peakRequestsPerCore and peakRequestsPerMbps are the same for the highest
+	// demand that targets can serve. They use half of the processor and three
+	// quarters of the link.
+	peakRequestsPerCore = 1000.0
+	peakRequestsPerMbps = 13.5
 	// sufficientCapacity is the fraction of the largest capacity that is enough
 	// when it takes fewer VMs.
 	sufficientCapacity = 0.8
@@ -40,11 +45,18 @@
 	return min(v.Cores*requestsPerCore, v.LinkMbps*requestsPerMbps)
 }
 
+// peakCapacity returns the requests per second of a VM at the highest demand, or 0
+// if Cores or LinkMbps is not known.
+func (v VM) peakCapacity() float64 {
+	return min(v.Cores*peakRequestsPerCore, v.LinkMbps*peakRequestsPerMbps)
+}
+
 // Choose returns the IDs of the strongest VMs: as few as have nearly the
 // largest capacity that any number of the strongest VMs reaches with evenly
-// spread callers. VMs of equal capacity are chosen together. All VMs are chosen
-// if the capacity of one is not known.
-func Choose(vms []VM) map[string]bool {
+// spread callers, or fewer if they carry the highest demand, in requests per
+// second. A demand of 0 is not known. VMs of equal capacity are chosen together.
+// All VMs are chosen if the capacity of one is not known.
+func Choose(vms []VM, demand float64) map[string]bool {
 	sorted := append([]VM(nil), vms...)
 	sort.Slice(sorted, func(i, j int) bool {
 		if a, b := sorted[i].capacity(), sorted[j].capacity(); a != b {
@@ -53,7 +65,7 @@
 		return sorted[i].ID < sorted[j].ID
 	})
 	chosen := map[string]bool{}
-	for _, v := range sorted[:chosenCount(sorted)] {
+	for _, v := range sorted[:chosenCount(sorted, demand)] {
 		chosen[v.ID] = true
 	}
 	return chosen
@@ -61,10 +73,11 @@
 
 // chosenCount returns how many of the VMs are chosen. They are sorted by
 // falling capacity.
-func chosenCount(sorted []VM) int {
+func chosenCount(sorted []VM, demand float64) int {
 	if len(sorted) == 0 || sorted[len(sorted)-1].capacity() == 0 {
 		return len(sorted)
 	}
+	spread := max(min(minEntries, len(sorted)), countForTwoZones(sorted))
 	best := 0.0
 	for i, v := range sorted {
 		best = max(best, float64(i+1)*v.capacity())
@@ -76,9 +89,12 @@
 		}
 	}
 	for i, v := range sorted {
-		last := i+1 == len(sorted) || sorted[i+1].capacity() < v.capacity()
-		if last && i+1 >= minCount && float64(i+1)*v.capacity() >= minCapacity {
-			return i + 1
+		n := i + 1
+		last := n == len(sorted) || sorted[n].capacity() < v.capacity()
+		nearBest := n >= minCount && float64(n)*v.capacity() >= minCapacity
+		carriesDemand := demand > 0 && n >= spread && float64(n)*v.peakCapacity() >= demand
+		if last && (nearBest || carriesDemand) {
+			return n
 		}
 	}
 	return len(sorted)
--- a/pkg/steering/entries/entries_test.go
+++ b/pkg/steering/entries/entries_test.go
@@ -50,10 +50,69 @@
 		{"none", nil, 0},
 	}
 	for _, test := range tests {
-		assert.Equal(t, len(Choose(test.vms)), test.want, test.name)
+		assert.Equal(t, len(Choose(test.vms, 0)), test.want, test.name)
 	}
 }
 
+// Guards against lookups that name every VM although few carry all that the targets
+// serve: on a site of 295 VMs each of 98 VMs opened connections to the 500 targets of
+// its region, 0.84 connections for each request.
+func TestChooseForDemand(t *testing.T) {
+	large := join(group("a", 3, 0.8, 200), group("b", 3, 0.8, 200), group("c", 3, 0.8, 200),
+		group("a", 26, 0.16, 20), group("b", 28, 0.16, 20), group("c", 35, 0.16, 20))
+	zoneLost := join(group("a", 3, 0.8, 200), group("b", 3, 0.8, 200), group("a", 26, 0.16, 20), group("b", 28, 0.16, 20))
+	tests := []struct {
+		name   string
+		vms    []VM
+		demand float64
+		want   int
+	}{
+		{"not known", large, 0, 98},
+		{"the strong VMs carry it", large, 7200, 9},
+		{"the strong VMs do not carry it", large, 7201, 98},
+		{"a zone is lost", zoneLost, 4800, 6},
+		{"a small demand needs no more than the strong VMs", large, 1, 9},
+		{"a small demand needs two zones", join(group("a", 6, 0.8, 200), group("b", 60, 0.16, 20)), 1, 66},
+		{"a small demand needs four VMs", join(group("a", 1, 0.8, 200), group("b", 1, 0.8, 200), group("b", 60, 0.16, 20)), 1, 62},
+		{"a slow link counts", join(group("a", 4, 0.8, 10), group("b", 4, 0.8, 10), group("b", 90, 0.16, 20)), 1081, 98},
+		{"a capacity is not known", join(group("a", 9, 0.8, 200), group("b", 3, 0, 0)), 1, 12},
+		{"none", nil, 1, 0},
+	}
+	for _, test := range tests {
+		assert.Equal(t, len(Choose(test.vms, test.demand)), test.want, test.name)
+	}
+}
+
+// Whatever the demand is, the chosen VMs must carry it or be those that are chosen
+// without it, and VMs of equal capacity must be chosen together.
+func TestChosenVMsCarryDemand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var vms []VM
+		for i := range rapid.IntRange(1, 60).Draw(t, "vms") {
+			vms = append(vms, VM{
+				ID: fmt.Sprint(i), Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
+				Cores: rapid.SampledFrom([]float64{0.16, 0.32, 0.8, 2}).Draw(t, "cores"), LinkMbps: 100,
+			})
+		}
+		demand := rapid.Float64Range(1, 20_000).Draw(t, "demand")
+		chosen, without := Choose(vms, demand), Choose(vms, 0)
+		assert.Assert(t, len(chosen) <= len(without))
+		weakest := math.Inf(1)
+		for _, v := range vms {
+			if chosen[v.ID] {
+				weakest = min(weakest, v.peakCapacity())
+			}
+		}
+		for _, v := range vms {
+			assert.Equal(t, v.peakCapacity() >= weakest, chosen[v.ID])
+		}
+		if len(chosen) < len(without) {
+			assert.Assert(t, float64(len(chosen))*weakest >= demand)
+			assert.Assert(t, len(chosen) >= min(minEntries, len(vms)))
+		}
+	})
+}
+
 // The choice must not depend on the order of the list, and its capacity must be
 // near the largest one for any set of VMs.
 func TestChooseCarriesEnough(t *testing.T) {
@@ -65,7 +124,7 @@
 				Cores: rapid.SampledFrom([]float64{0.16, 0.32, 0.8, 2}).Draw(t, "cores"), LinkMbps: 100,
 			})
 		}
-		chosen := Choose(vms)
+		chosen := Choose(vms, 0)
 		weakest, best := math.Inf(1), 0.0
 		for _, v := range vms {
 			stronger := 0
@@ -89,6 +148,6 @@
 		for i := range vms {
 			reversed = append(reversed, vms[len(vms)-1-i])
 		}
-		assert.DeepEqual(t, Choose(reversed), chosen)
+		assert.DeepEqual(t, Choose(reversed, 0), chosen)
 	})
 }
