Let VMs read the VM list after the others have registered

Cause: at the first start of the whole system each VM read the VM list at once, when few others had registered. With a short list it took the site for a small one and watched the store itself.

Change: at the first start a VM reads the list 0.6 s after it has started; the other entries were read after 0.9 s before.

--- a/pkg/coordination/feed/feed.go
+++ b/pkg/coordination/feed/feed.go
@@ -70,6 +70,9 @@
 	// VMListWait is how long a VM that starts waits for the VM list, which tells
 	// whether others read the store for it.
 	VMListWait time.Duration
+	// FirstListWait is how long a VM waits before it reads the VM list when the
+	// whole system starts for the first time.
+	FirstListWait time.Duration
 	// FirstStartWait is how long a VM waits for the others to register when the
 	// whole system starts for the first time.
 	FirstStartWait time.Duration
@@ -92,6 +95,7 @@
 		WatchSlack:      500 * time.Millisecond,
 		PollInterval:    450 * time.Millisecond,
 		VMListWait:      700 * time.Millisecond,
+		FirstListWait:   600 * time.Millisecond,
 		FirstStartWait:  900 * time.Millisecond,
 		FirstCopyWait:   time.Second,
 	}
--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -59,6 +59,9 @@
 		if after == 0 && kind != protocol.CopyVMRecords {
 			return c.fetchFirst(ctx, kind, maxAge)
 		}
+		if after == 0 && c.peers.gateway.cfg.FirstStart {
+			c.awaitRegistrations(ctx)
+		}
 		return c.fetchChanges(ctx, kind, after, maxAge)
 	}
 }
@@ -99,6 +102,14 @@
 	}
 }
 
+// awaitRegistrations waits, at the first start of the whole system, until the others
+// have had time to register. A VM that reads the VM list earlier finds too few VMs to
+// know its readers and watches the store itself.
+func (c *readerCopies) awaitRegistrations(ctx context.Context) {
+	g := c.peers.gateway
+	wait.For(ctx, g.cfg.Timing.FirstListWait-g.cfg.Now().Sub(c.startedAt))
+}
+
 // fetchChanges asks the readers until the copy of this VM is older than maxAge. A
 // reader that is slow or restarts for a shorter time costs the store no read. Only
 // the first attempt may last longer.
