Pack the copies of entries that VMs send to each other

Cause: each VM of a large site that starts gets the records of all targets, 250 KB for 1,485, and each burst of changes goes to all VMs in full. Records repeat the same words.

VMs of earlier versions get them as before.

--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -16,12 +16,12 @@
 
 // Copy implements peer.GatewayHandler.
 func (p *peers) Copy(_ context.Context, req *protocol.CopyRequest, reply *protocol.CopyReply) error {
-	if err := p.copyKind(req.Kind, req.After, reply); err != nil {
+	if err := p.copyKind(req.Kind, req.After, req.AcceptsPacked, reply); err != nil {
 		return err
 	}
 	for _, other := range req.Others {
 		var r protocol.CopyReply
-		if err := p.copyKind(other.Kind, other.After, &r); err != nil {
+		if err := p.copyKind(other.Kind, other.After, req.AcceptsPacked, &r); err != nil {
 			return err
 		}
 		reply.Others = append(reply.Others, r)
@@ -31,7 +31,7 @@
 
 // copyKind sets reply to the entries of one kind that have changed after a
 // revision.
-func (p *peers) copyKind(kind protocol.CopyKind, after int64, reply *protocol.CopyReply) error {
+func (p *peers) copyKind(kind protocol.CopyKind, after int64, acceptsPacked bool, reply *protocol.CopyReply) error {
 	follower := p.followerOf(kind)
 	if follower == nil {
 		return errors.Errorf("copy kind %d is not supported by this VM; upgrade it", kind)
@@ -40,12 +40,26 @@
 	reply.Revision, reply.Full, reply.Deleted = d.Revision, d.Full, d.Deleted
 	reply.AgeMs = d.Age.Milliseconds()
 	for _, e := range d.Entries {
-		value := p.packed.Get(e.Revision, e.Value)
-		reply.Entries = append(reply.Entries, protocol.CopyEntry{Key: e.Key, Value: value, Revision: e.Revision})
+		reply.Entries = append(reply.Entries, protocol.CopyEntry{Key: e.Key, Value: e.Value, Revision: e.Revision})
+	}
+	if acceptsPacked {
+		return p.packEntries(packed.CopyID{Kind: kind, After: after, Revision: d.Revision, Full: d.Full}, reply)
+	}
+	for i, e := range reply.Entries {
+		reply.Entries[i].Value = p.packed.Get(e.Revision, e.Value)
 	}
 	return nil
 }
 
+// packEntries replaces the entries of reply by their packed form if they are large.
+func (p *peers) packEntries(id packed.CopyID, reply *protocol.CopyReply) error {
+	data, err := p.packedCopies.Get(id, reply.Entries)
+	if err == nil && data != nil {
+		reply.Packed, reply.Entries = data, nil
+	}
+	return err
+}
+
 // follower is what copies need of a follower of the store.
 type follower interface {
 	DeltaSince(after int64) feed.Delta
@@ -79,7 +93,9 @@
 		defer cancel()
 		results := make(chan copyResult, len(list))
 		for _, vm := range list {
-			go func() { results <- p.callCopy(ctx, vm, &protocol.CopyRequest{Kind: kind, After: after}) }()
+			go func() {
+				results <- p.callCopy(ctx, vm, &protocol.CopyRequest{Kind: kind, After: after, AcceptsPacked: true})
+			}()
 		}
 		var deltas []feed.Delta
 		for range list {
@@ -127,7 +143,16 @@
 		Revision: reply.Revision, Full: reply.Full, Deleted: reply.Deleted,
 		Age: time.Duration(reply.AgeMs) * time.Millisecond,
 	}
-	for _, e := range reply.Entries {
+	entries := reply.Entries
+	if len(reply.Packed) > 0 {
+		unpacked, err := packed.UnpackEntries(reply.Packed)
+		if err != nil {
+			p.gateway.metrics.peerErrors.Inc()
+			return feed.Delta{}, false
+		}
+		entries = unpacked
+	}
+	for _, e := range entries {
 		value, err := packed.Decompress(e.Value)
 		if err != nil {
 			p.gateway.metrics.peerErrors.Inc()
--- /dev/null
+++ b/pkg/gateway/copies_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/transport/platform"
+)
+
+// entriesFeed is a store with a number of VM records.
+type entriesFeed struct {
+	platform.Feed
+	count int
+}
+
+func (f *entriesFeed) Snapshot(context.Context, string, platform.Freshness) (platform.Snapshot, error) {
+	s := platform.Snapshot{Revision: int64(f.count)}
+	for i := range f.count {
+		s.Entries = append(s.Entries, platform.Entry{
+			Key: fmt.Sprintf("vm/vm-%d", i), Revision: int64(i + 1), Value: fmt.Appendf(nil, `{"id":"vm-%d","region":"r"}`, i),
+		})
+	}
+	return s, nil
+}
+
+// Guards against copies that lose entries when they are packed, and against packed
+// copies for VMs of an earlier version, which cannot read them.
+func TestPackedCopyHoldsTheSameEntries(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	store := &entriesFeed{}
+	reader, other := newTestGateway(&now), newTestGateway(&now)
+	reader.cfg.Feed = store
+	reader.createFeeds()
+	for _, count := range []int{1, 400} {
+		store.count = count
+		assert.Assert(t, reader.vmFeed.Confirm(t.Context(), -1, time.Minute))
+		var plain, packedReply protocol.CopyReply
+		assert.NilError(t, reader.peers.Copy(t.Context(), &protocol.CopyRequest{Kind: protocol.CopyVMRecords}, &plain))
+		assert.NilError(t, reader.peers.Copy(t.Context(), &protocol.CopyRequest{Kind: protocol.CopyVMRecords, AcceptsPacked: true}, &packedReply))
+		assert.Equal(t, len(plain.Packed), 0)
+		assert.Equal(t, len(packedReply.Packed) > 0, count > 1, "small copies are sent as they are")
+		want, ok := other.peers.decodeCopy(&plain)
+		assert.Assert(t, ok)
+		assert.Equal(t, len(want.Entries), count)
+		got, ok := other.peers.decodeCopy(&packedReply)
+		assert.Assert(t, ok)
+		byKey := func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) }
+		slices.SortFunc(want.Entries, byKey)
+		slices.SortFunc(got.Entries, byKey)
+		assert.DeepEqual(t, got, want)
+	}
+	_, ok := other.peers.decodeCopy(&protocol.CopyReply{Revision: 1, Packed: []byte(strings.Repeat("x", 100))})
+	assert.Assert(t, !ok, "damaged copies are rejected")
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -71,8 +71,10 @@
 	demand atomic.Pointer[demandCache]
 
 	readerCopies *readerCopies
-	// packed caches the compressed form of the newest large entry.
-	packed packed.Cache
+	// packed caches the compressed form of the newest large entry, and packedCopies
+	// that of the latest large copies.
+	packed       packed.Cache
+	packedCopies packed.EntriesCache
 
 	mu            sync.Mutex
 	lastMessageAt map[string]time.Time // time of the last message of each VM, by id
--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -229,7 +229,7 @@
 // newRequest returns a request for one kind and for the changes that the followers
 // of the other kinds lack.
 func (c *readerCopies) newRequest(kind protocol.CopyKind, after int64) *protocol.CopyRequest {
-	req := &protocol.CopyRequest{Kind: kind, After: after}
+	req := &protocol.CopyRequest{Kind: kind, After: after, AcceptsPacked: true}
 	for _, other := range []protocol.CopyKind{protocol.CopyOperatorEntries, protocol.CopyTargetRecords, protocol.CopyVMRecords} {
 		if other != kind {
 			req.Others = append(req.Others, protocol.CopyPosition{Kind: other, After: c.peers.followerOf(other).Revision()})
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -87,6 +87,9 @@
 	Kind   CopyKind
 	After  int64
 	Others []CopyPosition
+	// AcceptsPacked is true if the sender can read CopyReply.Packed. Peers of
+	// earlier versions cannot.
+	AcceptsPacked bool
 }
 
 // CopyPosition is the revision up to which the sender has the entries of one
@@ -110,6 +113,9 @@
 	// Full is true if Entries holds all entries instead of only the changes.
 	Full    bool
 	Entries []CopyEntry
+	// Packed holds many entries in place of Entries, compressed. Records of targets
+	// repeat the same words, so this takes a small part of their size.
+	Packed  []byte
 	Deleted []string
 	AgeMs   int64 // time since the store last confirmed the entries
 	// Others holds the replies for CopyRequest.Others, in their order. Peers of
--- /dev/null
+++ b/pkg/transport/packed/entries_test.go
@@ -0,0 +1,83 @@
+package packed
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"hickoryroute/pkg/protocol"
+)
+
+// targetRecords returns records as targets write them.
+func targetRecords(n int) []protocol.CopyEntry {
+	var list []protocol.CopyEntry
+	for i := range n {
+		list = append(list, protocol.CopyEntry{
+			Key: fmt.Sprintf("servers/i-%010x", i*7919), Revision: int64(i + 1),
+			Value: fmt.Appendf(nil, `{"service":"desk","address":"10.1.%d.%d:8422","zone":"z%d","version":"v1","slots":5,"state":"ready","cold_left_ms":0,"sequence":1,"born":%d}`,
+				i/250, i%250, i%9, 1785101296000+i*37),
+		})
+	}
+	return list
+}
+
+// Guards against copies that take their full size on the links of weak VMs: on the
+// large site each VM that starts gets the records of 1,485 targets.
+func TestTargetRecordsTakeASmallPartOfTheirSize(t *testing.T) {
+	records := targetRecords(1485)
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	var cache EntriesCache
+	data, err := cache.Get(CopyID{Revision: 1485, Full: true}, records)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) < size/5, "%d of %d bytes", len(data), size)
+	t.Logf("%d of %d bytes", len(data), size)
+}
+
+// Any entries must arrive as they were sent, those of one copy never in place of
+// those of another one.
+func TestPackedEntriesArriveUnchanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var cache EntriesCache
+		copies := map[CopyID][]protocol.CopyEntry{}
+		for range rapid.IntRange(1, 2*cachedCopies).Draw(t, "copies") {
+			id := CopyID{
+				Kind:  protocol.CopyKind(rapid.IntRange(1, 3).Draw(t, "kind")),
+				After: rapid.Int64Range(0, 3).Draw(t, "after"), Revision: rapid.Int64Range(1, 5).Draw(t, "revision"), Full: rapid.Bool().Draw(t, "full"),
+			}
+			if copies[id] == nil {
+				copies[id] = []protocol.CopyEntry{
+					{Key: fmt.Sprint(len(copies)), Value: bytes.Repeat([]byte{byte(len(copies))}, rapid.IntRange(1, 3*minBytesToCompress).Draw(t, "size")), Revision: 7},
+					{Key: "empty"},
+				}
+			}
+			data, err := cache.Get(id, copies[id])
+			assert.NilError(t, err)
+			if data == nil {
+				assert.Assert(t, len(copies[id][0].Value) < minBytesToCompress)
+				continue
+			}
+			got, err := UnpackEntries(data)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got, copies[id])
+		}
+	})
+}
+
+// Guards against damaged data that is taken for entries, and against a small message
+// that decompresses to more than any copy holds.
+func TestDamagedOrHugeEntriesAreRejected(t *testing.T) {
+	data, err := packEntries(targetRecords(100))
+	assert.NilError(t, err)
+	_, err = UnpackEntries(data[:len(data)/2])
+	assert.ErrorContains(t, err, "decompress")
+	_, err = UnpackEntries(Compress([]byte("no entries")))
+	assert.ErrorContains(t, err, "decode the entries of a peer")
+	_, err = UnpackEntries(Compress(make([]byte, maxEntriesBytes+1)))
+	assert.ErrorContains(t, err, "exceeds")
+}
--- a/pkg/transport/packed/packed.go
+++ b/pkg/transport/packed/packed.go
@@ -55,6 +55,10 @@
 // Decompress returns the document in data, which may be compressed or not. It
 // returns an error if the document is larger than the largest value of the store.
 func Decompress(data []byte) ([]byte, error) {
+	return decompress(data, platform.MaxValueBytes)
+}
+
+func decompress(data []byte, maxBytes int64) ([]byte, error) {
 	if !bytes.HasPrefix(data, gzipMagic) {
 		return data, nil
 	}
@@ -62,12 +66,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress the document of a peer")
 	}
-	document, err := io.ReadAll(io.LimitReader(r, platform.MaxValueBytes+1))
+	document, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress the document of a peer")
 	}
-	if len(document) > platform.MaxValueBytes {
-		return nil, errors.Errorf("the document of a peer exceeds %d bytes uncompressed; check that the peer runs this version", platform.MaxValueBytes)
+	if int64(len(document)) > maxBytes {
+		return nil, errors.Errorf("the document of a peer exceeds %d bytes uncompressed; check that the peer runs this version", maxBytes)
 	}
 	return document, nil
 }
