Keep idle connections until 2 s before the target's timeout

Cause: an idle connection was closed after two thirds of the timeout that its target announces, 6.7 of 10 s.

Change: the margin is a third, but 2 s at most. It covers the time that a response was on its way, since the target counts from sending it.

--- a/pkg/transport/target/pool.go
+++ b/pkg/transport/target/pool.go
@@ -157,14 +157,19 @@
 	s.unref(address, t, true)
 }
 
-// idleTimeout returns how long c may stay idle before it is closed. It is two
-// thirds of the timeout that the target announced, because the target counts
-// from the moment at which it sent its response.
+// maxIdleMargin is the longest time by which a connection is closed before the idle
+// timeout of its target.
+const maxIdleMargin = 2 * time.Second
+
+// idleTimeout returns how long c may stay idle before it is closed. It is shorter
+// than the timeout that the target announced, because the target counts from the
+// moment at which it sent its response: by a third, or by maxIdleMargin if that is
+// less.
 func (p *pool) idleTimeout(c *conn) time.Duration {
 	if c.idleLimit == 0 {
 		return p.cfg.IdleTimeout
 	}
-	return c.idleLimit * 2 / 3
+	return c.idleLimit - min(c.idleLimit/3, maxIdleMargin)
 }
 
 // watchIdle reads from an idle connection until takeIdle stops it. If the read
--- a/pkg/transport/target/pool_test.go
+++ b/pkg/transport/target/pool_test.go
@@ -234,3 +234,16 @@
 		}
 	})
 }
+
+// Guards against requests that cross the end of an idle connection, and against new
+// connections in place of those that the target keeps: with a timeout of 10 s, a
+// third of the time was given away.
+func TestIdleConnectionsEndBeforeTheTargetsTimeout(t *testing.T) {
+	p := newPool(Config{IdleTimeout: 5 * time.Second})
+	for _, test := range []struct{ announced, want time.Duration }{
+		{0, 5 * time.Second}, {time.Second, 666_666_667 * time.Nanosecond}, {3 * time.Second, 2 * time.Second},
+		{6 * time.Second, 4 * time.Second}, {10 * time.Second, 8 * time.Second}, {60 * time.Second, 58 * time.Second},
+	} {
+		assert.Equal(t, p.idleTimeout(&conn{idleLimit: test.announced}), test.want, "%s", test.announced)
+	}
+}
