Limit the idle connections of all targets together

Cause: by reading. A VM keeps up to six idle connections to each target.

Change: idle connections hold at most 0.4 of the descriptors that the settings name (limits.max_fds). Above that a connection is closed after its request.

Result: TestIdleConnectionsOfAllTargetsAreLimited; the pool had no such limit before. Earlier sites have too few targets to reach it.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -58,6 +58,9 @@
 	Feed    platform.Feed
 	Layout  feed.Layout
 	Timing  feed.Timing
+	// MaxDescriptors is the number of file descriptors that the process may open; 0
+	// means that it is not known.
+	MaxDescriptors int
 	// Dialect describes the header names and the HTTP behaviour of the targets.
 	Dialect target.Dialect
 	// ParseResponseHead extracts what a target states in the head of a response.
@@ -93,6 +96,9 @@
 	idleTimeout = 5 * time.Second
 	// maxIdlePerTarget limits the idle connections kept to one target.
 	maxIdlePerTarget = 6
+	// idleDescriptorShare is the share of the file descriptors that idle connections
+	// to targets may hold. The rest is for callers and for requests in flight.
+	idleDescriptorShare = 0.4
 	// maxResponseHeaderBytes limits the head of a response.
 	maxResponseHeaderBytes = 64 << 10
 )
@@ -143,6 +149,7 @@
 		Dial:             dialer.DialTCP,
 		LinkDial:         dialer.DialTCP,
 		MaxIdlePerTarget: maxIdlePerTarget,
+		MaxIdle:          int(idleDescriptorShare * float64(cfg.MaxDescriptors)),
 		IdleTimeout:      idleTimeout,
 		MaxHeaderBytes:   maxResponseHeaderBytes,
 		Dialect:          cfg.Dialect,
--- a/pkg/transport/target/pool.go
+++ b/pkg/transport/target/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,9 +17,12 @@
 type pool struct {
 	cfg    Config
 	shards [poolShards]poolShard
+	// idleCount is the number of idle connections of all targets.
+	idleCount atomic.Int64
 }
 
 type poolShard struct {
+	pool    *pool
 	mu      sync.Mutex
 	closed  bool
 	targets map[string]*targetPool
@@ -42,7 +46,7 @@
 func newPool(cfg Config) *pool {
 	p := &pool{cfg: cfg}
 	for i := range p.shards {
-		p.shards[i].targets = map[string]*targetPool{}
+		p.shards[i].pool, p.shards[i].targets = p, map[string]*targetPool{}
 	}
 	return p
 }
@@ -132,20 +136,22 @@
 	}
 	c := t.idle[i]
 	t.idle = slices.Delete(t.idle, i, i+1)
+	s.pool.idleCount.Add(-1)
 	return c
 }
 
 // release ends the use of c, which may be nil. The connection is kept only if
-// reusable is true and the number of idle connections is below its limit.
+// reusable is true and the numbers of idle connections are below their limits.
 func (p *pool) release(address string, c *conn, reusable bool) {
 	s := p.shard(address)
 	s.mu.Lock()
 	t := s.targets[address]
-	if c != nil && reusable && !s.closed && len(t.idle) < p.cfg.MaxIdlePerTarget {
+	if c != nil && reusable && !s.closed && p.mayKeepIdle(t) {
 		c.charge = nil
 		c.idle = &idleWatch{done: make(chan struct{})}
 		if c.SetDeadline(time.Now().Add(p.idleTimeout(c))) == nil {
 			t.idle = append(t.idle, c)
+			p.idleCount.Add(1)
 			go p.watchIdle(s, t, c, c.idle)
 			c = nil
 		}
@@ -157,6 +163,12 @@
 	s.unref(address, t, true)
 }
 
+// mayKeepIdle reports whether one more idle connection of a target may be kept. The
+// limit for all targets is exceeded by a few if requests end at the same time.
+func (p *pool) mayKeepIdle(t *targetPool) bool {
+	return len(t.idle) < p.cfg.MaxIdlePerTarget && (p.cfg.MaxIdle == 0 || p.idleCount.Load() < int64(p.cfg.MaxIdle))
+}
+
 // maxIdleMargin is the longest time by which a connection is closed before the idle
 // timeout of its target.
 const maxIdleMargin = 2 * time.Second
@@ -183,6 +195,7 @@
 	for i, other := range t.idle {
 		if other == c {
 			t.idle = append(t.idle[:i], t.idle[i+1:]...)
+			p.idleCount.Add(-1)
 			taken = false
 			break
 		}
--- a/pkg/transport/target/pool_test.go
+++ b/pkg/transport/target/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -247,3 +248,30 @@
 		assert.Equal(t, p.idleTimeout(&conn{idleLimit: test.announced}), test.want, "%s", test.announced)
 	}
 }
+
+// Guards against idle connections to many targets that use up the file descriptors
+// of a VM, and against a limit that still counts connections that have ended or are
+// in use again.
+func TestIdleConnectionsOfAllTargetsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 5
+		counter := &countingTarget{}
+		client := pipeClient(Config{MaxIdlePerTarget: 2, MaxIdle: limit, IdleTimeout: time.Second}, func(_ int, c net.Conn) { counter.serve(c) })
+		request := func(target int) {
+			_, f := fetch(context.Background(), client, newPost(fmt.Sprintf("target-%d", target), "a", "body"))
+			assert.Check(t, f == nil)
+		}
+		for round := range 3 {
+			for i := range 4 * limit {
+				request(i)
+				synctest.Wait()
+				assert.Assert(t, client.Usage().Idle <= limit, "%d idle connections", client.Usage().Idle)
+			}
+			assert.Equal(t, client.Usage().Idle, limit, "round %d", round)
+			assert.Equal(t, client.pool.idleCount.Load(), int64(limit))
+			time.Sleep(2 * time.Second) // all end
+			synctest.Wait()
+			assert.Equal(t, client.pool.idleCount.Load(), int64(0))
+		}
+	})
+}
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -84,6 +84,9 @@
 	// higher limit saves dials (about 1 ms each) and holds more file
 	// descriptors.
 	MaxIdlePerTarget int
+	// MaxIdle limits the idle connections kept for all targets together, each of
+	// which holds a file descriptor. 0 means no limit.
+	MaxIdle int
 	// MaxConnsPerTarget limits the open connections to one target. Requests
 	// above the limit wait until their deadline.
 	MaxConnsPerTarget int
