--- a/pkg/gateway/roles.go
+++ b/pkg/gateway/roles.go
@@ -10,7 +10,8 @@
 
 // vmRoles says which VMs lookups return and which VMs read the store. The roles
 // are computed from the VM list, the unresponsive VMs in it and the highest demand.
-// They are cached, because these change seldom and each lookup and exchange needs the roles.
+// They are cached, because these change seldom and each lookup and exchange needs
+// the roles.
 type vmRoles struct {
 	list         []feed.VM
 	unresponsive map[string]bool
@@ -23,8 +24,8 @@
 	named   []feed.VM
 	isNamed map[string]bool
 	// carriers holds the VMs of all regions that lookups return while all VMs
-	// respond. All VMs with the same VM list have the same carriers, also when some
-	// of them cannot reach each other.
+	// respond. VMs with the same VM list, routes and targets have the same carriers,
+	// also when some of them cannot reach each other.
 	carriers []feed.VM
 	// addresses holds the caller addresses of the named VMs of each region. If a
 	// region has too many for one lookup, their order mixes the zones.
