Pass on deletions of entries that a reader no longer has

A read of several pages has the revision of its first one. If an entry is deleted between two pages, the reader lacks it at that revision, and it recorded no deletion when the watch reported it. A VM that had copied the entry before never heard of it, and kept a target that had gone.

Change: a deletion that the watch reports is always recorded.

Result: TestDeletionDuringPagedReadReachesOtherVMs fails without it. Rare: it needs a full read of several pages at the moment of a removal.

--- a/pkg/coordination/feed/entry_cache.go
+++ b/pkg/coordination/feed/entry_cache.go
@@ -94,10 +94,10 @@
 		switch {
 		case change.Entry.Revision <= c.revision:
 		case change.Deleted:
-			if _, ok := c.entries[change.Entry.Key]; ok {
-				delete(c.entries, change.Entry.Key)
-				c.recordDeletion(change.Entry.Key, change.Entry.Revision)
-			}
+			// A VM that reads from this one may have the entry although this one has not:
+			// it was deleted between two pages of a read with an earlier revision.
+			delete(c.entries, change.Entry.Key)
+			c.recordDeletion(change.Entry.Key, change.Entry.Revision)
 		default:
 			c.entries[change.Entry.Key] = change.Entry
 		}
--- a/pkg/coordination/feed/entry_cache_test.go
+++ b/pkg/coordination/feed/entry_cache_test.go
@@ -65,3 +65,17 @@
 	assert.Assert(t, !m.replace(nil, 8))
 	assert.Equal(t, len(m.entries), 1)
 }
+
+// Guards against VMs that keep a target that has gone: its record was deleted between
+// two pages of a reader's read, which has the revision of its first page.
+func TestDeletionDuringPagedReadReachesOtherVMs(t *testing.T) {
+	entry := func(key string) platform.Entry { return platform.Entry{Key: key, Revision: 5} }
+	reader, vm := newEntryCache(), newEntryCache()
+	reader.replace([]platform.Entry{entry("a"), entry("b")}, 10)
+	vm.merge(reader.deltaSince(0, time.Now()))
+	reader.replace([]platform.Entry{entry("a")}, 10)
+	reader.apply(platform.Changes{Revision: 11, Changes: []platform.Change{{Deleted: true, Entry: platform.Entry{Key: "b", Revision: 11}}}})
+	vm.merge(reader.deltaSince(vm.revision, time.Now()))
+	_, listed := vm.entries["b"]
+	assert.Assert(t, !listed)
+}
