Cache packed copies by their entries and not by their revisions

Cause: found by a review. A revision does not identify the entries of a copy, because a read of several pages has that of its first one. A packed copy could hold an entry that the VM no longer had. A record of another writer that starts like compressed data made VMs reject the whole copy; that fault is older.

Change: packed copies are cached by the keys and revisions of their entries. Values in packed copies are not decompressed again, and a value that only looks compressed is kept as it is. A copy of more than 8 MiB is sent as it is, because receivers reject packed copies above 16 MiB.

--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -43,7 +43,7 @@
 		reply.Entries = append(reply.Entries, protocol.CopyEntry{Key: e.Key, Value: e.Value, Revision: e.Revision})
 	}
 	if acceptsPacked {
-		return p.packEntries(packed.CopyID{Kind: kind, After: after, Revision: d.Revision, Full: d.Full}, reply)
+		return p.packEntries(reply)
 	}
 	for i, e := range reply.Entries {
 		reply.Entries[i].Value = p.packed.Get(e.Revision, e.Value)
@@ -52,8 +52,8 @@
 }
 
 // packEntries replaces the entries of reply by their packed form if they are large.
-func (p *peers) packEntries(id packed.CopyID, reply *protocol.CopyReply) error {
-	data, err := p.packedCopies.Get(id, reply.Entries)
+func (p *peers) packEntries(reply *protocol.CopyReply) error {
+	data, err := p.packedCopies.Get(reply.Entries)
 	if err == nil && data != nil {
 		reply.Packed, reply.Entries = data, nil
 	}
@@ -133,8 +133,8 @@
 	return result
 }
 
-// decodeCopy returns false if the VM that replied has read nothing yet, or if an
-// entry cannot be decompressed.
+// decodeCopy returns false if the VM that replied has read nothing yet, or if its
+// copy cannot be decompressed.
 func (p *peers) decodeCopy(reply *protocol.CopyReply) (feed.Delta, bool) {
 	if reply.Revision == 0 {
 		return feed.Delta{}, false
@@ -153,12 +153,22 @@
 		entries = unpacked
 	}
 	for _, e := range entries {
-		value, err := packed.Decompress(e.Value)
-		if err != nil {
-			p.gateway.metrics.peerErrors.Inc()
-			return feed.Delta{}, false
+		value := e.Value
+		if len(reply.Packed) == 0 {
+			value = p.decompressValue(value)
 		}
 		d.Entries = append(d.Entries, platform.Entry{Key: e.Key, Value: value, Revision: e.Revision})
 	}
 	return d, true
 }
+
+// decompressValue returns the value of an entry that was sent by itself. One that
+// only looks compressed was written to the store so, by another writer.
+func (p *peers) decompressValue(data []byte) []byte {
+	value, err := packed.Decompress(data)
+	if err != nil {
+		p.gateway.metrics.peerErrors.Inc()
+		return data
+	}
+	return value
+}
--- a/pkg/gateway/copies_test.go
+++ b/pkg/gateway/copies_test.go
@@ -14,14 +14,16 @@
 	"hickoryroute/pkg/transport/platform"
 )
 
-// entriesFeed is a store with a number of VM records.
+// entriesFeed is a store with a number of VM records and some other entries.
 type entriesFeed struct {
 	platform.Feed
-	count int
+	count    int
+	revision int64
+	others   []platform.Entry
 }
 
 func (f *entriesFeed) Snapshot(context.Context, string, platform.Freshness) (platform.Snapshot, error) {
-	s := platform.Snapshot{Revision: int64(f.count)}
+	s := platform.Snapshot{Revision: f.revision, Entries: slices.Clone(f.others)}
 	for i := range f.count {
 		s.Entries = append(s.Entries, platform.Entry{
 			Key: fmt.Sprintf("vm/vm-%d", i), Revision: int64(i + 1), Value: fmt.Appendf(nil, `{"id":"vm-%d","region":"r"}`, i),
@@ -38,8 +40,11 @@
 	reader, other := newTestGateway(&now), newTestGateway(&now)
 	reader.cfg.Feed = store
 	reader.createFeeds()
-	for _, count := range []int{1, 400} {
-		store.count = count
+	// A read of several pages has the revision of its first one, so that one revision
+	// may stand for two lists. A record of another writer may look compressed.
+	store.others = []platform.Entry{{Key: "vm/odd", Revision: 1, Value: []byte{0x1f, 0x8b, 1}}}
+	for i, count := range []int{1, 400, 399} {
+		store.count, store.revision = count, int64(min(i, 1)+400)
 		assert.Assert(t, reader.vmFeed.Confirm(t.Context(), -1, time.Minute))
 		var plain, packedReply protocol.CopyReply
 		assert.NilError(t, reader.peers.Copy(t.Context(), &protocol.CopyRequest{Kind: protocol.CopyVMRecords}, &plain))
@@ -48,7 +53,7 @@
 		assert.Equal(t, len(packedReply.Packed) > 0, count > 1, "small copies are sent as they are")
 		want, ok := other.peers.decodeCopy(&plain)
 		assert.Assert(t, ok)
-		assert.Equal(t, len(want.Entries), count)
+		assert.Equal(t, len(want.Entries), count+len(store.others))
 		got, ok := other.peers.decodeCopy(&packedReply)
 		assert.Assert(t, ok)
 		byKey := func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) }
--- a/pkg/transport/packed/entries.go
+++ b/pkg/transport/packed/entries.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/gob"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"hickoryroute/internal/lru"
@@ -12,42 +14,56 @@
 )
 
 const (
-	// maxEntriesBytes limits the uncompressed size of packed entries. It exceeds the
-	// records of 8,000 targets and a configuration of the largest size.
+	// maxEntriesBytes limits the uncompressed size of packed entries. Half of it exceeds
+	// the records of 8,000 targets and a configuration of the largest size.
 	maxEntriesBytes = 16 << 20
 	// cachedCopies is the number of packed copies that a VM keeps. The VMs that it
 	// reads for have mostly one of the latest revisions.
 	cachedCopies = 8
 )
 
-// CopyID identifies the changes of one kind of entries from one revision to another.
-type CopyID struct {
-	Kind            protocol.CopyKind
-	After, Revision int64
-	Full            bool
-}
-
 // EntriesCache holds the packed form of the latest copies, because a VM sends each
 // of them to many others. The zero value is empty.
 type EntriesCache struct {
 	mu     sync.Mutex
-	packed *lru.Table[CopyID, []byte]
+	packed *lru.Table[contents, []byte]
+}
+
+// contents identifies the entries of a copy by their keys and revisions, in any
+// order. The revision of a copy does not: a read of several pages has that of its
+// first one.
+type contents struct {
+	count int
+	bytes int
+	sum   uint64
 }
 
-// Get returns the packed form of the entries of a copy, or nil if they are so small
-// that they are sent as they are.
-func (c *EntriesCache) Get(id CopyID, entries []protocol.CopyEntry) ([]byte, error) {
-	size := 0
+func contentsOf(entries []protocol.CopyEntry) contents {
+	c := contents{count: len(entries)}
+	hash := xxhash.New()
+	var revision [8]byte
 	for _, e := range entries {
-		size += len(e.Key) + len(e.Value)
+		c.bytes += len(e.Key) + len(e.Value)
+		binary.LittleEndian.PutUint64(revision[:], uint64(e.Revision))
+		hash.Reset()
+		_, _ = hash.WriteString(e.Key) // a hash returns no error
+		_, _ = hash.Write(revision[:])
+		c.sum += hash.Sum64()
 	}
-	if size < minBytesToCompress {
+	return c
+}
+
+// Get returns the packed form of the entries of a copy, or nil if they are so few or
+// so many that they are sent as they are.
+func (c *EntriesCache) Get(entries []protocol.CopyEntry) ([]byte, error) {
+	id := contentsOf(entries)
+	if id.bytes < minBytesToCompress || id.bytes > maxEntriesBytes/2 {
 		return nil, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.packed == nil {
-		c.packed = lru.New[CopyID, []byte](cachedCopies)
+		c.packed = lru.New[contents, []byte](cachedCopies)
 	}
 	if data, ok := c.packed.Get(id); ok {
 		return data, nil
--- a/pkg/transport/packed/entries_test.go
+++ b/pkg/transport/packed/entries_test.go
@@ -33,7 +33,7 @@
 		size += len(r.Key) + len(r.Value)
 	}
 	var cache EntriesCache
-	data, err := cache.Get(CopyID{Revision: 1485, Full: true}, records)
+	data, err := cache.Get(records)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) < size/5, "%d of %d bytes", len(data), size)
 	t.Logf("%d of %d bytes", len(data), size)
@@ -44,31 +44,35 @@
 func TestPackedEntriesArriveUnchanged(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var cache EntriesCache
-		copies := map[CopyID][]protocol.CopyEntry{}
-		for range rapid.IntRange(1, 2*cachedCopies).Draw(t, "copies") {
-			id := CopyID{
-				Kind:  protocol.CopyKind(rapid.IntRange(1, 3).Draw(t, "kind")),
-				After: rapid.Int64Range(0, 3).Draw(t, "after"), Revision: rapid.Int64Range(1, 5).Draw(t, "revision"), Full: rapid.Bool().Draw(t, "full"),
+		size := rapid.IntRange(minBytesToCompress/4, minBytesToCompress).Draw(t, "size")
+		for range rapid.IntRange(1, cachedCopies+2).Draw(t, "copies") {
+			var entries []protocol.CopyEntry
+			for i := range rapid.IntRange(1, 3).Draw(t, "entries") {
+				revision := rapid.Int64Range(1, 3).Draw(t, "revision")
+				value := bytes.Repeat([]byte{byte(i), byte(revision)}, size) // a key and a revision have one value
+				entries = append(entries, protocol.CopyEntry{Key: fmt.Sprint(i), Value: value, Revision: revision})
 			}
-			if copies[id] == nil {
-				copies[id] = []protocol.CopyEntry{
-					{Key: fmt.Sprint(len(copies)), Value: bytes.Repeat([]byte{byte(len(copies))}, rapid.IntRange(1, 3*minBytesToCompress).Draw(t, "size")), Revision: 7},
-					{Key: "empty"},
-				}
-			}
-			data, err := cache.Get(id, copies[id])
+			data, err := cache.Get(entries)
 			assert.NilError(t, err)
+			assert.Equal(t, data == nil, contentsOf(entries).bytes < minBytesToCompress)
 			if data == nil {
-				assert.Assert(t, len(copies[id][0].Value) < minBytesToCompress)
 				continue
 			}
 			got, err := UnpackEntries(data)
 			assert.NilError(t, err)
-			assert.DeepEqual(t, got, copies[id])
+			assert.DeepEqual(t, got, entries)
 		}
 	})
 }
 
+// Guards against a copy that its receivers reject for its size.
+func TestTooManyEntriesAreSentAsTheyAre(t *testing.T) {
+	var cache EntriesCache
+	data, err := cache.Get([]protocol.CopyEntry{{Key: "a", Value: make([]byte, maxEntriesBytes)}})
+	assert.NilError(t, err)
+	assert.Assert(t, data == nil)
+}
+
 // Guards against damaged data that is taken for entries, and against a small message
 // that decompresses to more than any copy holds.
 func TestDamagedOrHugeEntriesAreRejected(t *testing.T) {
