Wait as long for the VM list and the first copy at a first start

Cause: found by a review. The VM list is read 0.6 s after the start since, but the wait for it ended 0.7 s after the start, and that for the first copy 1 s after it, 0.1 s after readers begin to read. With a read of 350 ms a VM took a large site for a small one and read everything itself.

Change: at a first start both waits count from the moment at which what they wait for begins.

--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -71,6 +71,10 @@
 // VM read everything itself.
 func (c *readerCopies) fetchFirst(ctx context.Context, kind protocol.CopyKind, maxAge time.Duration) (feed.Delta, bool) {
 	c.awaitVMList(ctx)
+	waitEnd := c.startedAt.Add(c.peers.gateway.cfg.Timing.FirstCopyWait)
+	if c.peers.gateway.cfg.FirstStart { // readers have begun to read just now
+		waitEnd = c.peers.gateway.cfg.Now().Add(c.peers.gateway.cfg.Timing.FirstCopyWait)
+	}
 	for {
 		if d, ok := c.fetch(ctx, kind, 0, maxAge); ok {
 			return d, true
@@ -78,7 +82,7 @@
 		if c.peers.currentRoles().selfReads {
 			return c.fetchFromOtherReaders(ctx, kind, maxAge)
 		}
-		if c.peers.gateway.cfg.Now().Sub(c.startedAt) >= c.peers.gateway.cfg.Timing.FirstCopyWait || !wait.For(ctx, copyRetryPause) {
+		if !c.peers.gateway.cfg.Now().Before(waitEnd) || !wait.For(ctx, copyRetryPause) {
 			return feed.Delta{}, false
 		}
 	}
@@ -88,14 +92,15 @@
 // the whole system, until the others have had time to register.
 func (c *readerCopies) awaitVMList(ctx context.Context) {
 	g := c.peers.gateway
-	minWait := time.Duration(0)
+	minWait, listWait := time.Duration(0), g.cfg.Timing.VMListWait
 	if g.cfg.FirstStart {
 		minWait = g.cfg.Timing.FirstStartWait
+		listWait += g.cfg.Timing.FirstListWait
 	}
 	for {
 		age := g.cfg.Now().Sub(c.startedAt)
 		_, confirmed := g.vmFeed.Age()
-		listed := confirmed || age >= g.cfg.Timing.VMListWait
+		listed := confirmed || age >= listWait
 		if listed && age >= minWait || !wait.For(ctx, readyCheckInterval) {
 			return
 		}
