Let new idle connections take the place of older ones

Cause: found by a review. With the limit for all targets reached by idle connections to targets that are not used any more, each request to another target opened a connection, until the older ones ended.

Change: above the limit the connection of the same shard that was used least recently is closed.

Result: 20 requests open 1 connection in place of 20 (TestIdleConnectionTakesThePlaceOfAnOlderOne).

--- a/pkg/transport/target/pool.go
+++ b/pkg/transport/target/pool.go
@@ -39,6 +39,7 @@
 // idleWatch is the state of the goroutine that reads from an idle connection to
 // detect unexpected bytes, its end or the idle timeout.
 type idleWatch struct {
+	since time.Time // when the connection became idle
 	done  chan struct{}
 	clean bool // valid after done: the watch was stopped and detected nothing
 }
@@ -141,32 +142,61 @@
 }
 
 // release ends the use of c, which may be nil. The connection is kept only if
-// reusable is true and the numbers of idle connections are below their limits.
+// reusable is true and the number of idle connections to its target is below its
+// limit. Above the limit for all targets it takes the place of an older one.
 func (p *pool) release(address string, c *conn, reusable bool) {
 	s := p.shard(address)
 	s.mu.Lock()
 	t := s.targets[address]
-	if c != nil && reusable && !s.closed && p.mayKeepIdle(t) {
-		c.charge = nil
-		c.idle = &idleWatch{done: make(chan struct{})}
-		if c.SetDeadline(time.Now().Add(p.idleTimeout(c))) == nil {
-			t.idle = append(t.idle, c)
-			p.idleCount.Add(1)
-			go p.watchIdle(s, t, c, c.idle)
-			c = nil
+	var replaced *conn
+	if c != nil && reusable && !s.closed && len(t.idle) < p.cfg.MaxIdlePerTarget {
+		room := p.cfg.MaxIdle <= 0 || p.idleCount.Load() < int64(p.cfg.MaxIdle)
+		if !room {
+			replaced = s.popOldestIdle()
+		}
+		if room || replaced != nil {
+			c = p.keepIdle(s, t, c)
 		}
 	}
 	s.mu.Unlock()
-	if c != nil {
-		_ = c.Close()
+	for _, unused := range []*conn{c, replaced} {
+		if unused != nil {
+			_ = unused.Close()
+		}
 	}
 	s.unref(address, t, true)
 }
 
-// mayKeepIdle reports whether one more idle connection of a target may be kept. The
-// limit for all targets is exceeded by a few if requests end at the same time.
-func (p *pool) mayKeepIdle(t *targetPool) bool {
-	return len(t.idle) < p.cfg.MaxIdlePerTarget && (p.cfg.MaxIdle == 0 || p.idleCount.Load() < int64(p.cfg.MaxIdle))
+// keepIdle adds a connection to the idle ones. It returns nil, or the connection if
+// it is broken. The caller holds the lock of the shard.
+func (p *pool) keepIdle(s *poolShard, t *targetPool, c *conn) *conn {
+	c.charge = nil
+	c.idle = &idleWatch{since: time.Now(), done: make(chan struct{})}
+	if c.SetDeadline(c.idle.since.Add(p.idleTimeout(c))) != nil {
+		return c
+	}
+	t.idle = append(t.idle, c)
+	p.idleCount.Add(1)
+	go p.watchIdle(s, t, c, c.idle)
+	return nil
+}
+
+// popOldestIdle removes the idle connection of all targets of the shard that was used
+// least recently. It returns nil if there is none. The caller holds the lock.
+func (s *poolShard) popOldestIdle() *conn {
+	var oldest *targetPool
+	for _, t := range s.targets {
+		if len(t.idle) > 0 && (oldest == nil || t.idle[0].idle.since.Before(oldest.idle[0].idle.since)) {
+			oldest = t
+		}
+	}
+	if oldest == nil {
+		return nil
+	}
+	c := oldest.idle[0]
+	oldest.idle = slices.Delete(oldest.idle, 0, 1)
+	s.pool.idleCount.Add(-1)
+	return c
 }
 
 // maxIdleMargin is the longest time by which a connection is closed before the idle
@@ -252,6 +282,7 @@
 		var idle []*conn
 		for _, t := range s.targets {
 			idle = append(idle, t.idle...)
+			p.idleCount.Add(-int64(len(t.idle)))
 			t.idle = nil
 		}
 		s.mu.Unlock()
--- a/pkg/transport/target/pool_test.go
+++ b/pkg/transport/target/pool_test.go
@@ -275,3 +275,35 @@
 		}
 	})
 }
+
+// Guards against a new connection for each request to a target in use while the limit
+// for all targets is taken up by connections to targets that are not used any more.
+func TestIdleConnectionTakesThePlaceOfAnOlderOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		counter := &countingTarget{}
+		client := pipeClient(Config{MaxIdlePerTarget: 2, MaxIdle: 200, IdleTimeout: 8 * time.Second}, func(_ int, c net.Conn) {
+			dials++
+			counter.serve(c)
+		})
+		requests := 0
+		request := func(target string) {
+			requests++
+			_, f := fetch(context.Background(), client, newPost(target, fmt.Sprint(requests), "body"))
+			assert.Check(t, f == nil)
+			synctest.Wait()
+		}
+		for i := range 200 {
+			request(fmt.Sprintf("unused-%d", i))
+		}
+		before := dials
+		for range 20 {
+			request("used")
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Check(t, dials-before == 1, "%d connections", dials-before)
+		assert.Check(t, client.pool.idleCount.Load() == 200, "%d idle", client.pool.idleCount.Load())
+		client.Close()
+		assert.Equal(t, client.pool.idleCount.Load(), int64(0))
+	})
+}
