Hold the demand, and let other VMs send to cold targets too

(1) All senders of a cold target were carriers. While these are dead but still listed, because their leases run or the store is away, no living VM sent to cold targets, although lookups name others after 2.5 s. (2) At a step of the demand one target more or less changed all named VMs, and with them the senders of cold targets; in that second these got up to twice their rate. (3) When most targets were lost, fewer VMs were named at the moment at which the callers had to be refused. (4) The choice for a demand took the peak capacity of the last VM, which need not be the lowest.

Change: carriers divide three quarters of the rate of a cold target, two of the other VMs the rest. A higher demand counts at once, a lower one after 30 s. The lowest peak capacity counts.

Result: TestColdTargetsAreSentToByCarriersAndFewOthers, TestColdRateIsDividedOverAllSenders, TestDemandRisesAtOnceAndFallsLater and the property test with links of several speeds.

--- a/pkg/coordination/feed/vm_registry.go
+++ b/pkg/coordination/feed/vm_registry.go
@@ -117,8 +117,8 @@
 }
 
 // reregisterInterval is the time between two renewals after several have failed. It
-// is shorter than reregisterGrace, so that a VM whose lease has expired in an outage
-// registers again while the others still list it.
+// is shorter than reregisterGrace, so that a VM whose calls were refused at once in
+// an outage registers again while the others still list it.
 const reregisterInterval = 1300 * time.Millisecond
 
 // renewPause returns the time until the next renewal. The first failure in a row is
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -11,40 +11,88 @@
 	"hickoryroute/pkg/state/targets"
 )
 
-// demandStep is the ratio of neighbouring values to which the highest demand is
-// rounded up, so that the VMs that lookups return stay the same while single
-// targets join and leave.
-const demandStep = 1.25
+const (
+	// demandStep is the ratio of neighbouring values to which the highest demand is
+	// rounded up, so that it changes seldom while single targets join and leave.
+	demandStep = 1.25
+	// demandHoldTime is how long the highest demand must have been lower before it is
+	// lowered. Callers go on while targets are lost, and fewer named VMs would have to
+	// refuse them. VMs that have started since may have a lower value for that time.
+	demandHoldTime = 30 * time.Second
+)
 
-// demandCache holds the highest demand of each region with what it was computed
-// from. These are replaced and never modified.
-type demandCache struct {
-	table     *route.Table
-	view      *targets.View
-	list      []feed.VM
-	perRegion map[string]float64
+// demandState is the highest demand of each region.
+type demandState struct {
+	// table, view and list are those from which the demand was computed last.
+	table *route.Table
+	view  *targets.View
+	list  []feed.VM
+	// perRegion is the demand in use; nil if it is not known. lowerSince is when the
+	// computed one became lower, or zero.
+	perRegion  map[string]float64
+	lowerSince time.Time
 }
 
-// currentDemand returns the result of peakDemand for the regions of a VM list.
+// currentDemand returns the result of peakDemand for the regions of a VM list. It
+// follows a higher demand at once and a lower one after demandHoldTime.
 func (p *peers) currentDemand(list []feed.VM) map[string]float64 {
+	p.demandMu.Lock()
+	defer p.demandMu.Unlock()
+	now := p.gateway.cfg.Now()
 	table, view := p.gateway.routes.Load(), p.gateway.targetSet.View()
-	if c := p.demand.Load(); c != nil && c.table == table && c.view == view && sameList(c.list, list) {
-		return c.perRegion
+	held := &p.demand
+	holdEnded := !held.lowerSince.IsZero() && now.Sub(held.lowerSince) >= demandHoldTime
+	if held.table == table && held.view == view && sameList(held.list, list) && !holdEnded {
+		return held.perRegion
+	}
+	held.table, held.view, held.list = table, view, list
+	computed := peakDemand(table, view, regionsOf(list))
+	if holdEnded || !isLower(computed, held.perRegion) {
+		held.perRegion, held.lowerSince = computed, time.Time{}
+		return held.perRegion
+	}
+	if held.lowerSince.IsZero() {
+		held.lowerSince = now
 	}
+	held.perRegion = higherOf(computed, held.perRegion)
+	return held.perRegion
+}
+
+func regionsOf(list []feed.VM) []string {
 	regions := map[string]bool{}
 	for _, vm := range list {
 		regions[vm.Region] = true
 	}
-	c := &demandCache{table: table, view: view, list: list, perRegion: peakDemand(table, view, slices.Collect(maps.Keys(regions)))}
-	p.demand.Store(c)
-	return c.perRegion
+	return slices.Collect(maps.Keys(regions))
+}
+
+// isLower reports whether the demand of a region is lower in computed than in held.
+// A demand that is not known any more counts as lower.
+func isLower(computed, held map[string]float64) bool {
+	for region, demand := range held {
+		if computed[region] < demand {
+			return true
+		}
+	}
+	return false
+}
+
+// higherOf returns the higher demand of each region.
+func higherOf(a, b map[string]float64) map[string]float64 {
+	higher := maps.Clone(b)
+	for region, demand := range a {
+		higher[region] = max(higher[region], demand)
+	}
+	return higher
 }
 
 // peakDemand returns the requests per second that the VMs of each region have to
-// carry at most: as many as the targets of the region serve within the latency
-// goals if all their slots are in use, but not less than an even part of those of
-// all regions, because VMs also send requests to the targets of other regions. It
-// returns nil if the goal of a service or the number of targets is not known.
+// carry at most: as many as the targets of the region serve if all their slots are
+// in use and each request takes its latency goal, but not less than an even part of
+// those of all regions, because VMs also send requests to the targets of other
+// regions. Requests that take half of their goal find the VMs with half of their
+// room left. It returns nil if the goal of a service or the number of targets is not
+// known.
 func peakDemand(table *route.Table, view *targets.View, regions []string) map[string]float64 {
 	if table == nil || view == nil || len(regions) == 0 {
 		return nil
--- a/pkg/gateway/demand_test.go
+++ b/pkg/gateway/demand_test.go
@@ -10,7 +10,7 @@
 	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/state/route"
 	"hickoryroute/pkg/state/targets"
-	"hickoryroute/pkg/steering/placement"
+	"hickoryroute/pkg/steering/limit"
 )
 
 // twoServices returns a table with two routes to the service s, with goals of 500 ms
@@ -59,7 +59,7 @@
 
 	before := g.peers.currentRoles()
 	g.targetSet.Replace(demandRecords(map[string]int{"s": 101, "u": 50}), 2, now)
-	assert.Equal(t, g.peers.currentRoles(), before, "one target more changes no roles")
+	assert.Equal(t, g.peers.currentRoles(), before, "one target more changes no roles between two steps")
 	g.targetSet.Replace(demandRecords(map[string]int{"s": 200, "u": 50}), 3, now)
 	assert.Assert(t, g.peers.currentRoles() != before)
 
@@ -81,38 +81,105 @@
 	assert.Equal(t, len(many.Lookup("h", "r", "z")), maxLookupAddresses)
 }
 
-// Guards against cold targets whose senders are VMs that get no requests: of 98 VMs
-// in a region, nine are named. Also guards against a new sender for each VM that does
-// not reach the others, because all senders together must keep to the target's rate.
-func TestColdTargetsAreSentToByCarriers(t *testing.T) {
+// Guards against cold targets whose senders are VMs that get no requests (of 98 VMs
+// in a region, nine are named), or VMs that have ended while they are still listed.
+// Also guards against a new sender for each VM that does not reach the others, since
+// all senders together must keep to the target's rate.
+func TestColdTargetsAreSentToByCarriersAndFewOthers(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	config := twoServices()
-	config.Services = map[string]route.Service{"s": {Name: "s", ColdPerSecond: 4}}
+	const perSecond = 4
+	config.Services = map[string]route.Service{"s": {Name: "s", ColdPerSecond: perSecond}}
 	g := newDemandGateway(&now, config, map[string]int{"s": 100, "u": 50})
-	senders := func(id string) []string {
-		var list []string
+	senders := func(id string) (named, others []string) {
 		for i := range 98 {
 			g.cfg.Self = feed.VM{ID: fmt.Sprintf("vm-%d", i), Region: "r"}
-			if g.allowColdTarget(&targets.Target{Record: targets.Record{ID: id, Service: "s"}, Region: "r"}, now) {
-				list = append(list, g.cfg.Self.ID)
+			if !g.allowColdTarget(&targets.Target{Record: targets.Record{ID: id, Service: "s"}, Region: "r"}, now) {
+				continue
+			}
+			if i < 9 {
+				named = append(named, g.cfg.Self.ID)
+			} else {
+				others = append(others, g.cfg.Self.ID)
 			}
 		}
-		return list
+		return named, others
 	}
 	before := map[string][]string{}
 	for i := range 50 {
 		id := fmt.Sprintf("s-%d", i)
-		before[id] = senders(id)
-		assert.Equal(t, len(before[id]), maxSendersPerColdTarget)
-		for _, vm := range before[id] {
-			assert.Assert(t, g.peers.currentRoles().isNamed[vm], "%s gets no requests", vm)
-		}
+		named, others := senders(id)
+		assert.Equal(t, len(named), maxSendersPerColdTarget)
+		assert.Assert(t, len(others) > 0, "no sender is left when the named VMs have ended")
+		before[id] = append(named, others...)
 	}
-	for _, vm := range placement.TopRanked("s-0", before["s-0"], 1) { // this VM does not reach it any more
-		g.peers.applyPeerState(vm, "r", true, nil, nil)
+	for i := range 9 { // this VM does not reach them any more
+		g.peers.applyPeerState(fmt.Sprintf("vm-%d", i), "r", true, nil, nil)
 	}
 	now = now.Add(2 * unresponsiveAfter)
+	assert.Assert(t, !g.peers.currentRoles().isNamed["vm-0"])
 	for id, want := range before {
-		assert.DeepEqual(t, senders(id), want)
+		named, others := senders(id)
+		assert.DeepEqual(t, append(named, others...), want)
+	}
+}
+
+// All VMs together must keep to the rate of a cold target, however it is divided.
+func TestColdRateIsDividedOverAllSenders(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, perSecond := range []float64{1, 2.8, 4, 5.4, 20} {
+		config := twoServices()
+		config.Services = map[string]route.Service{"s": {Name: "s", ColdPerSecond: perSecond}}
+		for _, count := range []int{100, 900} { // 9 and all 98 VMs are named
+			g := newDemandGateway(&now, config, map[string]int{"s": count, "u": count / 2})
+			for _, region := range []string{"r", "without VMs"} {
+				target := &targets.Target{Record: targets.Record{ID: "s-7", Service: "s"}, Region: region}
+				carriers, others := g.peers.currentRoles().coldSenders(region)
+				sum, sent := 0.0, 0
+				for _, id := range append(append([]string(nil), carriers...), others...) {
+					g.cfg.Self = feed.VM{ID: id}
+					g.coldLimits = limit.NewColdLimiter()
+					for g.allowColdTarget(target, now) {
+						g.coldLimits.Take(target.ID, now)
+						sent++
+					}
+					if len(others) == 0 {
+						sum += g.partOfColdRate(target, carriers, perSecond)
+						continue
+					}
+					sum += g.partOfColdRate(target, carriers, perSecond*carrierColdShare) + g.partOfColdRate(target, others, perSecond*(1-carrierColdShare))
+				}
+				assert.Assert(t, sum > 0.99*perSecond && sum < 1.01*perSecond, "%v a second of %v", sum, perSecond)
+				assert.Assert(t, float64(sent) <= perSecond+1, "%d at once of %v a second", sent, perSecond)
+			}
+		}
+	}
+}
+
+// Guards against a choice of VMs that changes with each target that joins or leaves,
+// and against fewer VMs at the moment at which most targets are lost and the callers
+// must be refused.
+func TestDemandRisesAtOnceAndFallsLater(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newDemandGateway(&now, twoServices(), map[string]int{"s": 100})
+	revision := int64(1)
+	named := func(count int) int {
+		revision++
+		g.targetSet.Replace(demandRecords(map[string]int{"s": count}), revision, now)
+		return len(g.Lookup("h", "r", "z"))
+	}
+	const most, few = 752, 9 // nine VMs carry what 752 targets serve
+	assert.Equal(t, named(most), few)
+	assert.Equal(t, named(most+1), maxLookupAddresses, "a higher demand counts at once")
+	for range 5 {
+		now = now.Add(time.Second)
+		assert.Equal(t, named(most), maxLookupAddresses)
+		assert.Equal(t, named(most+1), maxLookupAddresses)
 	}
+	assert.Equal(t, named(most/10), maxLookupAddresses)
+	assert.Equal(t, named(0), maxLookupAddresses)
+	now = now.Add(demandHoldTime - time.Second)
+	assert.Equal(t, named(most/10), maxLookupAddresses)
+	now = now.Add(2 * time.Second)
+	assert.Equal(t, len(g.Lookup("h", "r", "z")), few)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"hickoryroute/internal/suspend"
@@ -285,18 +286,31 @@
 // use if the first one fails.
 const maxSendersPerColdTarget = 2
 
+// carrierColdShare is the part of the rate of a cold target that carriers divide.
+// The other VMs divide the rest: they seldom get a request to send, but they carry
+// the requests while the carriers cannot and are still listed.
+const carrierColdShare = 0.75
+
 // allowColdTarget reports whether this VM is one of the VMs that send to a cold
-// target and has not used up its part of the target's rate. They are chosen among
-// the carriers, because the other VMs seldom get a request to send.
+// target and has not used up its part of the target's rate.
 func (g *Gateway) allowColdTarget(t *targets.Target, now time.Time) bool {
 	perSecond := g.serviceConfig(t.Service).ColdPerSecond
+	carriers, others := g.peers.currentRoles().coldSenders(t.Region)
+	rate := g.partOfColdRate(t, carriers, perSecond)
+	if len(others) > 0 {
+		rate = g.partOfColdRate(t, carriers, perSecond*carrierColdShare) + g.partOfColdRate(t, others, perSecond*(1-carrierColdShare))
+	}
+	return rate > 0 && g.coldLimits.Allowed(t.ID, rate, now)
+}
+
+// partOfColdRate returns the part of the rate of a cold target that this VM has if
+// the VMs with some ids divide it, or 0 if it is none of its senders.
+func (g *Gateway) partOfColdRate(t *targets.Target, ids []string, perSecond float64) float64 {
 	senders := limit.ColdSenders(perSecond, maxSendersPerColdTarget)
-	for _, id := range placement.TopRanked(t.ID, idsForRegion(g.peers.currentRoles().carriers, t.Region), senders) {
-		if id == g.cfg.Self.ID {
-			return g.coldLimits.Allowed(t.ID, perSecond/float64(senders), now)
-		}
+	if slices.Contains(placement.TopRanked(t.ID, ids, senders), g.cfg.Self.ID) {
+		return perSecond / float64(senders)
 	}
-	return false
+	return 0
 }
 
 // HasSynced reports whether this VM has read the routes and the targets.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -67,8 +67,9 @@
 	listVMs func() []feed.VM
 	// roles caches the result of currentRoles.
 	roles atomic.Pointer[vmRoles]
-	// demand caches the result of currentDemand.
-	demand atomic.Pointer[demandCache]
+
+	demandMu sync.Mutex
+	demand   demandState // guarded by demandMu
 
 	readerCopies *readerCopies
 	// packed caches the compressed form of the newest large entry, and packedCopies
--- a/pkg/gateway/roles.go
+++ b/pkg/gateway/roles.go
@@ -23,10 +23,11 @@
 	// of this region are left out.
 	named   []feed.VM
 	isNamed map[string]bool
-	// carriers holds the VMs of all regions that lookups return while all VMs
-	// respond. VMs with the same VM list, routes and targets have the same carriers,
-	// also when some of them cannot reach each other.
-	carriers []feed.VM
+	// carrierIDs and otherIDs hold the ids of the carriers and of the other VMs of
+	// each region; the key "" stands for a region without VMs. Carriers are the VMs
+	// that lookups return while all VMs respond. VMs with the same VM list and demand
+	// have the same carriers, also when some of them cannot reach each other.
+	carrierIDs, otherIDs map[string][]string
 	// addresses holds the caller addresses of the named VMs of each region. If a
 	// region has too many for one lookup, their order mixes the zones.
 	addresses map[string][]string
@@ -72,7 +73,7 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// chooseNamed chooses the VMs that lookups return and the carriers.
+// chooseNamed chooses the VMs that lookups return, and the carriers.
 func (r *vmRoles) chooseNamed() {
 	r.isNamed, r.addresses = r.choose(r.unresponsive), map[string][]string{}
 	isCarrier := r.isNamed
@@ -84,15 +85,36 @@
 			r.named = append(r.named, vm)
 			r.addresses[vm.Region] = append(r.addresses[vm.Region], vm.CallerAddress)
 		}
-		if isCarrier[vm.ID] {
-			r.carriers = append(r.carriers, vm)
-		}
 	}
 	for region, list := range r.addresses {
 		if len(list) > maxLookupAddresses {
 			r.addresses[region] = placement.TopRanked("directory", list, len(list))
 		}
 	}
+	r.divideByRegion(isCarrier)
+}
+
+// divideByRegion sets carrierIDs and otherIDs.
+func (r *vmRoles) divideByRegion(isCarrier map[string]bool) {
+	r.carrierIDs, r.otherIDs = map[string][]string{}, map[string][]string{}
+	for _, vm := range r.list {
+		ids := r.otherIDs
+		if isCarrier[vm.ID] {
+			ids = r.carrierIDs
+		}
+		for _, region := range []string{vm.Region, ""} {
+			ids[region] = append(ids[region], vm.ID)
+		}
+	}
+}
+
+// coldSenders returns the ids of the carriers and of the other VMs that divide the
+// rates of the cold targets of a region: those of the region, or all if it has none.
+func (r *vmRoles) coldSenders(region string) (carriers, others []string) {
+	if len(r.carrierIDs[region]) == 0 {
+		region = ""
+	}
+	return r.carrierIDs[region], r.otherIDs[region]
 }
 
 // choose returns the ids of the VMs of all regions that should carry the requests of
--- a/pkg/state/targets/targets.go
+++ b/pkg/state/targets/targets.go
@@ -51,7 +51,8 @@
 type View struct {
 	byService map[string][]*Target
 	all       map[string]*Target
-	// slots holds the slots of the usable targets of each service in each region.
+	// slots holds the slots of the usable targets of each service in each region. A
+	// change of one target that leaves it usable does not change them.
 	slots map[string]map[string]int
 }
 
--- a/pkg/steering/entries/entries.go
+++ b/pkg/steering/entries/entries.go
@@ -88,11 +88,14 @@
 			minCount, minCapacity = n, min(minCapacity, float64(n)*sorted[n-1].capacity())
 		}
 	}
+	weakestPeak := sorted[0].peakCapacity()
 	for i, v := range sorted {
+		// The order by capacity is not that by peak capacity.
+		weakestPeak = min(weakestPeak, v.peakCapacity())
 		n := i + 1
 		last := n == len(sorted) || sorted[n].capacity() < v.capacity()
 		nearBest := n >= minCount && float64(n)*v.capacity() >= minCapacity
-		carriesDemand := demand > 0 && n >= spread && float64(n)*v.peakCapacity() >= demand
+		carriesDemand := demand > 0 && n >= spread && float64(n)*weakestPeak >= demand
 		if last && (nearBest || carriesDemand) {
 			return n
 		}
--- a/pkg/steering/entries/entries_test.go
+++ b/pkg/steering/entries/entries_test.go
@@ -75,6 +75,7 @@
 		{"a small demand needs two zones", join(group("a", 6, 0.8, 200), group("b", 60, 0.16, 20)), 1, 66},
 		{"a small demand needs four VMs", join(group("a", 1, 0.8, 200), group("b", 1, 0.8, 200), group("b", 60, 0.16, 20)), 1, 62},
 		{"a slow link counts", join(group("a", 4, 0.8, 10), group("b", 4, 0.8, 10), group("b", 90, 0.16, 20)), 1081, 98},
+		{"the weakest at the peak counts", join(group("a", 8, 10, 56), group("b", 1, 1, 100), group("b", 90, 0.5, 100)), 9000, 99},
 		{"a capacity is not known", join(group("a", 9, 0.8, 200), group("b", 3, 0, 0)), 1, 12},
 		{"none", nil, 1, 0},
 	}
@@ -91,23 +92,23 @@
 		for i := range rapid.IntRange(1, 60).Draw(t, "vms") {
 			vms = append(vms, VM{
 				ID: fmt.Sprint(i), Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
-				Cores: rapid.SampledFrom([]float64{0.16, 0.32, 0.8, 2}).Draw(t, "cores"), LinkMbps: 100,
+				Cores: rapid.SampledFrom([]float64{0.16, 0.32, 0.8, 2}).Draw(t, "cores"), LinkMbps: rapid.SampledFrom([]float64{10, 30, 100}).Draw(t, "mbps"),
 			})
 		}
 		demand := rapid.Float64Range(1, 20_000).Draw(t, "demand")
 		chosen, without := Choose(vms, demand), Choose(vms, 0)
 		assert.Assert(t, len(chosen) <= len(without))
-		weakest := math.Inf(1)
+		weakest, weakestPeak := math.Inf(1), math.Inf(1)
 		for _, v := range vms {
 			if chosen[v.ID] {
-				weakest = min(weakest, v.peakCapacity())
+				weakest, weakestPeak = min(weakest, v.capacity()), min(weakestPeak, v.peakCapacity())
 			}
 		}
 		for _, v := range vms {
-			assert.Equal(t, v.peakCapacity() >= weakest, chosen[v.ID])
+			assert.Equal(t, v.capacity() >= weakest, chosen[v.ID])
 		}
 		if len(chosen) < len(without) {
-			assert.Assert(t, float64(len(chosen))*weakest >= demand)
+			assert.Assert(t, float64(len(chosen))*weakestPeak >= demand)
 			assert.Assert(t, len(chosen) >= min(minEntries, len(vms)))
 		}
 	})
