--- a/pkg/transport/target/pool_test.go
+++ b/pkg/transport/target/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -247,3 +248,62 @@
 		assert.Equal(t, p.idleTimeout(&conn{idleLimit: test.announced}), test.want, "%s", test.announced)
 	}
 }
+
+// Guards against idle connections to many targets that use up the file descriptors
+// of a VM, and against a limit that still counts connections that have ended or are
+// in use again.
+func TestIdleConnectionsOfAllTargetsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 5
+		counter := &countingTarget{}
+		client := pipeClient(Config{MaxIdlePerTarget: 2, MaxIdle: limit, IdleTimeout: time.Second}, func(_ int, c net.Conn) { counter.serve(c) })
+		request := func(target int) {
+			_, f := fetch(context.Background(), client, newPost(fmt.Sprintf("target-%d", target), "a", "body"))
+			assert.Check(t, f == nil)
+		}
+		for round := range 3 {
+			for i := range 4 * limit {
+				request(i)
+				synctest.Wait()
+				assert.Assert(t, client.Usage().Idle <= limit, "%d idle connections", client.Usage().Idle)
+			}
+			assert.Equal(t, client.Usage().Idle, limit, "round %d", round)
+			assert.Equal(t, client.pool.idleCount.Load(), int64(limit))
+			time.Sleep(2 * time.Second) // all end
+			synctest.Wait()
+			assert.Equal(t, client.pool.idleCount.Load(), int64(0))
+		}
+	})
+}
+
+// Guards against a new connection for each request to a target in use while the limit
+// for all targets is taken up by connections to targets that are not used any more.
+func TestIdleConnectionTakesThePlaceOfAnOlderOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		counter := &countingTarget{}
+		client := pipeClient(Config{MaxIdlePerTarget: 2, MaxIdle: 200, IdleTimeout: 8 * time.Second}, func(_ int, c net.Conn) {
+			dials++
+			counter.serve(c)
+		})
+		requests := 0
+		request := func(target string) {
+			requests++
+			_, f := fetch(context.Background(), client, newPost(target, fmt.Sprint(requests), "body"))
+			assert.Check(t, f == nil)
+			synctest.Wait()
+		}
+		for i := range 200 {
+			request(fmt.Sprintf("unused-%d", i))
+		}
+		before := dials
+		for range 20 {
+			request("used")
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Check(t, dials-before == 1, "%d connections", dials-before)
+		assert.Check(t, client.pool.idleCount.Load() == 200, "%d idle", client.pool.idleCount.Load())
+		client.Close()
+		assert.Equal(t, client.pool.idleCount.Load(), int64(0))
+	})
+}
