Give each test process loopback addresses of its own

The logs of its VMs say that 127.215.1.2:7000 and others were in use. Tests derived their addresses from the process id modulo 250, so two test processes whose ids differed by a multiple of 250 had the same ones, and the callers of one reached the VMs of the other, which have other hosts. The ids of that run are not recorded; nothing else listens at these addresses. The tests of hickoryd had the same code twice more.

Change: one function, internal/testnet.LoopbackIP, for all of them.

--- a/test/outcomes/outcomes_test.go
+++ b/test/outcomes/outcomes_test.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
@@ -21,6 +20,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hickoryroute/internal/testnet"
 	"hickoryroute/internal/testproc"
 	"hickoryroute/internal/testseeds"
 	"hickoryroute/pkg/protocol"
@@ -102,8 +102,8 @@
 	}
 	_, err := store.CompareAndSwap(t.Context(), "settings/head", []byte(tree), 0, 0)
 	assert.NilError(t, err)
-	for n := range vmCount {
-		ip := fmt.Sprintf("127.%d.200.%d", 1+os.Getpid()%250, 1+n)
+	for range vmCount {
+		ip := testnet.LoopbackIP()
 		v := &vm{binary: binary, address: ip + ":7101", args: []string{
 			"--zone", "sask-a", "--region", "sask", "--platform", server.URL, "--caller-address", ip + ":7101",
 			"--peer-address", ip + ":7201", "--operator-address", ip + ":7301", "--log-format", "json",
--- a/test/scenario/system_test.go
+++ b/test/scenario/system_test.go
@@ -10,12 +10,12 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"hickoryroute/internal/testnet"
 	"hickoryroute/internal/testproc"
 )
 
@@ -88,17 +88,11 @@
 // vmPort is the port of all VM addresses, which differ in their IP addresses.
 const vmPort = 7000
 
-var addressCount atomic.Int64
-
-// newAddresses returns loopback addresses that no other VM uses. Checking whether
-// a port is free by listening on it doesn't work: a program that another script
-// starts at that moment inherits the socket until its exec, so that the VM finds
-// its port in use. Outgoing connections use 127.0.0.1 and can't take the ports.
+// newAddresses returns loopback addresses that no other VM uses.
 func newAddresses(n int) []string {
 	list := make([]string, 0, n)
 	for range n {
-		number := addressCount.Add(1)
-		list = append(list, fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%250, number/250, 1+number%250, vmPort))
+		list = append(list, fmt.Sprintf("%s:%d", testnet.LoopbackIP(), vmPort))
 	}
 	return list
 }
