Say what the demand leaves out

The comment of peakDemand and docs/platform.md promised room where requests take half of their goal; the plan leaves none.

--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -90,9 +90,8 @@
 // carry at most: as many as the targets of the region serve if all their slots are
 // in use and each request takes its latency goal, but not less than an even part of
 // those of all regions, because VMs also send requests to the targets of other
-// regions. Requests that take half of their goal find the VMs with half of their
-// room left. It returns nil if the goal of a service or the number of targets is not
-// known.
+// regions. Targets whose requests take much less than their goal serve more than
+// that. It returns nil if the goal of a service or the number of targets is not known.
 func peakDemand(table *route.Table, view *targets.View, regions []string) map[string]float64 {
 	if table == nil || view == nil || len(regions) == 0 {
 		return nil
