--- a/pkg/steering/entries/entries_test.go
+++ b/pkg/steering/entries/entries_test.go
@@ -84,17 +84,24 @@
 	}
 }
 
+// drawVMs draws at most most VMs of several strengths, with links of some speeds.
+func drawVMs(t *rapid.T, most int, mbps ...float64) []VM {
+	var vms []VM
+	for i := range rapid.IntRange(1, most).Draw(t, "vms") {
+		vms = append(vms, VM{
+			ID: fmt.Sprint(i), Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
+			Cores:    rapid.SampledFrom([]float64{0.16, 0.32, 0.8, 2}).Draw(t, "cores"),
+			LinkMbps: rapid.SampledFrom(mbps).Draw(t, "mbps"),
+		})
+	}
+	return vms
+}
+
 // Whatever the demand is, the chosen VMs must carry it or be those that are chosen
 // without it, and VMs of equal capacity must be chosen together.
 func TestChosenVMsCarryDemand(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var vms []VM
-		for i := range rapid.IntRange(1, 60).Draw(t, "vms") {
-			vms = append(vms, VM{
-				ID: fmt.Sprint(i), Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
-				Cores: rapid.SampledFrom([]float64{0.16, 0.32, 0.8, 2}).Draw(t, "cores"), LinkMbps: rapid.SampledFrom([]float64{10, 30, 100}).Draw(t, "mbps"),
-			})
-		}
+		vms := drawVMs(t, 60, 10, 30, 100)
 		demand := rapid.Float64Range(1, 20_000).Draw(t, "demand")
 		chosen, without := Choose(vms, demand), Choose(vms, 0)
 		assert.Assert(t, len(chosen) <= len(without))
@@ -118,13 +125,7 @@
 // near the largest one for any set of VMs.
 func TestChooseCarriesEnough(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var vms []VM
-		for i := range rapid.IntRange(1, 30).Draw(t, "vms") {
-			vms = append(vms, VM{
-				ID: fmt.Sprint(i), Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
-				Cores: rapid.SampledFrom([]float64{0.16, 0.32, 0.8, 2}).Draw(t, "cores"), LinkMbps: 100,
-			})
-		}
+		vms := drawVMs(t, 30, 100)
 		chosen := Choose(vms, 0)
 		weakest, best := math.Inf(1), 0.0
 		for _, v := range vms {
