--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"hickoryroute/pkg/state/account"
 	"hickoryroute/pkg/state/route"
 	"hickoryroute/pkg/transport/target"
 )
@@ -19,6 +20,9 @@
 	Body   *Body
 	Object string // the object that the request concerns, or empty
 	Route  *route.Route
+	// Account is the client account that sent the request; nil if the route or the
+	// configuration needs none.
+	Account *account.Account
 	// Received is when the head of the request was read. Deadline is when the
 	// caller stops waiting.
 	Received, Deadline time.Time
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -102,7 +102,7 @@
 			return nil, refusal
 		}
 		choice, ok := g.picker.Pick(g.targetSet.View().Usable(c.service), placement.Query{
-			Service: c.service, Route: c.Route, Object: c.Object,
+			Service: c.service, Route: c.Route, Account: c.Account, Object: c.Object,
 			Excluded: c.excluded, Now: now,
 		})
 		if !ok {
--- a/pkg/state/route/route.go
+++ b/pkg/state/route/route.go
@@ -3,7 +3,11 @@
 // take.
 package route
 
-import "time"
+import (
+	"time"
+
+	"hickoryroute/pkg/state/account"
+)
 
 // Share is the share of the requests of a route that one service runs.
 type Share struct {
@@ -17,6 +21,8 @@
 	Host       string
 	Prefix     string // begins and ends with a slash
 	Idempotent bool   // requests may run more than once
+	// Public is true if requests need no key of a client account.
+	Public bool
 	// Timeout is the longest time that a caller waits for the response.
 	Timeout time.Duration
 	// LatencyGoal is the time within which a response has its full value.
@@ -63,6 +69,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts finds the client accounts by their keys; nil if the configuration has
+	// none, so that requests need no key.
+	Accounts *account.Directory
 }
 
 // MayRunIn reports whether a region may run requests of r.
--- a/pkg/steering/placement/choice.go
+++ b/pkg/steering/placement/choice.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"hickoryroute/pkg/state/account"
 	"hickoryroute/pkg/state/route"
 	"hickoryroute/pkg/state/targets"
 )
@@ -12,8 +13,9 @@
 type Query struct {
 	Service  string
 	Route    *route.Route
-	Object   string          // empty if the request concerns no object
-	Excluded map[string]bool // IDs of targets already tried
+	Account  *account.Account // nil if the request has no client account
+	Object   string           // empty if the request concerns no object
+	Excluded map[string]bool  // IDs of targets already tried
 	Now      time.Time
 }
 
@@ -35,7 +37,13 @@
 
 // allows reports whether the request may be sent to a target.
 func (q *Query) allows(t *targets.Target) bool {
-	return !q.Excluded[t.ID] && q.Route.MayRunIn(t.Region)
+	return !q.Excluded[t.ID] && q.mayRunIn(t.Region)
+}
+
+// mayRunIn reports whether the request may run in a region. The homes of the route
+// and those of the account both bind.
+func (q *Query) mayRunIn(region string) bool {
+	return q.Route.MayRunIn(region) && q.Account.MayRunIn(region)
 }
 
 // bestLocal returns the best target of the own region. Targets are weighted by
@@ -47,7 +55,7 @@
 // bestRemote returns the best target of the other regions. Targets are weighted
 // by the part of their slots that their own region does not need.
 func (p *Picker) bestRemote(s *serviceState, object string, q Query) *Choice {
-	spare := s.split.spareCapacity(q.Route, p.cfg.Region, p.cfg.DemandShare)
+	spare := s.split.spareCapacity(q.mayRunIn, p.cfg.Region, p.cfg.DemandShare)
 	return p.bestInGroup(s, s.split.remote, object, q, func(t *targets.Target) float64 {
 		return spare[t.Region] * float64(t.Slots)
 	})
