Let homes of accounts move no other requests, and find skipped changes

Cause: the share of a service that spills was computed from whichever request was due, so a request of an account with homes elsewhere moved it to 0.9 for all. A VM that copies from a reader whose watch has skipped a change kept the old version for good, although other VMs had told it of the newer one. A VM that the store refuses waited up to 1.5 s for a silent VM although another had sent its copy.

Change: the spill counts no homes of accounts. After two copies without an entry that another VM has, the VM reads the store. Copies are awaited 100 ms longer than the first one. Routes are matched without an allocation.

Measured: TestHomesOfAnAccountMoveNoOtherRequests (0.9 instead of 0) and TestChangeThatTheReaderSkippedIsReadFromTheStore (version 1 instead of 2) failed on the code before.

--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -13,11 +13,6 @@
 	"hickoryroute/pkg/transport/platform"
 )
 
-// hintDelay is the time that this VM's watch has to deliver a change that
-// another VM already has. It exceeds batchDelay, during which no watch may
-// be running.
-const hintDelay = 280 * time.Millisecond
-
 // followerConfig holds the dependencies and callbacks of a follower.
 type followerConfig struct {
 	// name is the name of the dependency in log events.
@@ -65,8 +60,10 @@
 	// missing is the revision of an entry that the watch has not delivered in time;
 	// 0 if there is none.
 	missing int64
-	reread  bool // all entries must be read
-	recheck bool // this process did not run for a time
+	// missedByReader is true if the last copy of a reader lacked it as well.
+	missedByReader bool
+	reread         bool // all entries must be read
+	recheck        bool // this process did not run for a time
 
 	// verifiedAt is cache.verifiedAt once onChange has returned, so that what is in
 	// force is at least as new.
@@ -130,29 +127,6 @@
 	return f.cache.newestRevision()
 }
 
-// HintRevision informs the follower that another VM has an entry of the given
-// revision. If this VM has no entry as new after hintDelay, its watch delivers
-// nothing or is late, and the follower reads all entries.
-func (f *follower) HintRevision(revision int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if revision <= f.cache.newestRevision() || f.hintPending {
-		return
-	}
-	f.hintPending = true
-	time.AfterFunc(hintDelay, func() { f.checkHint(revision) })
-}
-
-func (f *follower) checkHint(revision int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hintPending = false
-	if revision > f.cache.newestRevision() {
-		f.missing = max(f.missing, revision)
-		f.interruptWatch()
-	}
-}
-
 // Recheck lets the follower ask for changes now, because this process did not run
 // for a time.
 func (f *follower) Recheck() {
@@ -202,8 +176,10 @@
 		if d, ok := fetchFromReader(ctx, f.cfg.fetchFromReader, f.Revision(), f.cfg.timing.MaxCopyAge); ok {
 			f.recordResult(nil)
 			f.merge(d, SourceReader)
-			f.resetInterrupts()
 			next = callPoll
+			if f.skippedByReader() {
+				next = f.callStore(ctx, callReadAll)
+			}
 			sleepJittered(ctx, f.cfg.timing.PollInterval)
 			continue
 		}
--- a/pkg/coordination/feed/takeover_test.go
+++ b/pkg/coordination/feed/takeover_test.go
@@ -112,3 +112,25 @@
 		assert.Assert(t, age >= late && age < 2*late, "the copy counts as confirmed %s ago", age)
 	})
 }
+
+// Guards against a reader whose watch has skipped a change: its deltas lack the change
+// for good, and a VM that copies from it kept an old version although it had heard of
+// the newer one.
+func TestChangeThatTheReaderSkippedIsReadFromTheStore(t *testing.T) {
+	f := &fakeFeed{version: 1, revision: 1}
+	skipping := func(_ context.Context, after int64, _ time.Duration) (Delta, bool) {
+		if after == 0 {
+			return Delta{Revision: 1, Full: true, Entries: []platform.Entry{{Key: "config", Value: []byte("1"), Revision: 1}}}, true
+		}
+		return Delta{Revision: after}, true
+	}
+	runReadingFollower(t, f, nil, skipping, func(t *testing.T, o *OperatorFollower, routes *route.CurrentTable) {
+		assert.Equal(t, version(routes), uint64(1))
+		f.set(func(f *fakeFeed) { f.version, f.revision = 2, 2 })
+		o.HintRevision(2)
+		time.Sleep(hintDelay + 3*DefaultTiming().PollInterval)
+		assert.Equal(t, version(routes), uint64(2))
+		time.Sleep(5 * DefaultTiming().PollInterval)
+		assert.Equal(t, f.readCount(), 1, "the store is read once")
+	})
+}
--- a/pkg/gateway/attempts_test.go
+++ b/pkg/gateway/attempts_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"hickoryroute/pkg/state/account"
+	"hickoryroute/pkg/state/route"
 	"hickoryroute/pkg/transport/target"
 )
 
@@ -53,3 +55,23 @@
 	assert.Assert(t, admission.Route == nil)
 	assert.Assert(t, refusal != nil && refusal.NotRun && refusal.RetryAfter > 0)
 }
+
+// Guards against a request that is tried at targets, and waits for them, although the
+// homes of its route and of its account have no region in common.
+func TestRequestWithoutACommonHomeIsRefusedAtOnce(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	request := func(routeHomes, accountHomes []string) *Request {
+		return &Request{
+			Route:   &route.Route{Shares: []route.Share{{Service: "s", Weight: 1}}, Timeout: time.Second, HomeRegions: routeHomes},
+			Account: &account.Account{Name: "school", HomeRegions: accountHomes},
+			Body:    &Body{}, Received: now, Deadline: now.Add(time.Second),
+		}
+	}
+	refuse := func(r *Request) *Refusal { return g.Serve(t.Context(), r, func(*Response) { t.Fatal("served") }) }
+	refusal := refuse(request([]string{"a", "b"}, []string{"c"}))
+	assert.Equal(t, refusal.Reason, ReasonNoHome)
+	assert.Assert(t, refusal.NotRun)
+	assert.Equal(t, refuse(request([]string{"a", "b"}, []string{"b", "c"})).Reason, ReasonNoTarget)
+	assert.Equal(t, refuse(request(nil, []string{"c"})).Reason, ReasonNoTarget)
+}
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -100,14 +100,34 @@
 				results <- p.callCopy(ctx, vm, &protocol.CopyRequest{Kind: kind, After: after, AcceptsPacked: true})
 			}()
 		}
-		var deltas []feed.Delta
-		for range list {
-			if r := <-results; r.ok {
-				deltas = append(deltas, r.delta)
+		return collectCopies(results, len(list))
+	}
+}
+
+// laterCopyWait is the time for which the copies of other VMs are awaited after the
+// first one. A VM that does not reply must not delay the copy of one that does.
+const laterCopyWait = 100 * time.Millisecond
+
+// collectCopies returns the copies of a number of calls, without those that reply
+// later than laterCopyWait after the first one.
+func collectCopies(results <-chan copyResult, calls int) []feed.Delta {
+	var deltas []feed.Delta
+	var waitEnd <-chan time.Time
+	for range calls {
+		select {
+		case r := <-results:
+			if !r.ok {
+				continue
+			}
+			deltas = append(deltas, r.delta)
+			if waitEnd == nil {
+				waitEnd = time.After(laterCopyWait)
 			}
+		case <-waitEnd:
+			return deltas
 		}
-		return deltas
 	}
+	return deltas
 }
 
 // copyResult is the result of one call of Copy.
--- a/pkg/gateway/copies_test.go
+++ b/pkg/gateway/copies_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -64,3 +65,16 @@
 	_, ok := other.peers.decodeCopy(&protocol.CopyReply{Revision: 1, Packed: []byte(strings.Repeat("x", 100))})
 	assert.Assert(t, !ok, "damaged copies are rejected")
 }
+
+// Guards against a VM that the store refuses and that waits for a silent VM although
+// another one has sent its copy: its keys expire meanwhile.
+func TestSilentVMDoesNotDelayTheCopyOfAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		results := make(chan copyResult, 3)
+		results <- copyResult{}
+		results <- copyResult{ok: true}
+		began := time.Now()
+		assert.Equal(t, len(collectCopies(results, 3)), 1)
+		assert.Equal(t, time.Since(began), laterCopyWait)
+	})
+}
--- a/pkg/state/route/table.go
+++ b/pkg/state/route/table.go
@@ -69,8 +69,10 @@
 
 // canonicalHost returns host in lower case, without port and trailing dot.
 func canonicalHost(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+	if strings.Contains(host, ":") { // SplitHostPort allocates an error without a port
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
 	}
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
--- a/pkg/steering/placement/picker_test.go
+++ b/pkg/steering/placement/picker_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hickoryroute/pkg/state/account"
 	"hickoryroute/pkg/state/route"
 	"hickoryroute/pkg/state/targets"
 )
@@ -116,6 +117,24 @@
 	assert.Assert(t, !ok)
 	c, ok := p.Pick(append(list, testTargets("home", 1)...), q)
 	assert.Assert(t, ok && c.Target.Region == "home")
+	q.Account = &account.Account{HomeRegions: []string{"away"}}
+	_, ok = p.Pick(append(list, testTargets("home", 1)...), q)
+	assert.Assert(t, !ok, "the homes of the account bind as well")
+}
+
+// Guards against requests of an account with homes elsewhere that move the requests of
+// all others to other regions: the own region has no target for that account.
+func TestHomesOfAnAccountMoveNoOtherRequests(t *testing.T) {
+	p, list := newTestPicker(true), append(testTargets("home", 3), testTargets("away", 3)...)
+	q := query("x", start)
+	q.Account = &account.Account{HomeRegions: []string{"away"}}
+	for range 20 {
+		q.Now = q.Now.Add(spillInterval)
+		c, ok := p.Pick(list, q)
+		assert.Assert(t, ok && c.Target.Region == "away")
+		complete(p, c, q.Now)
+	}
+	assert.Equal(t, p.Spills()["s"].Share, 0.0)
 }
 
 // A target that a peer has reported as slow must be avoided by a VM that has
@@ -147,6 +166,9 @@
 	urgent.Priority, other.Priority = 0, 2
 	c := &Choice{ExpectedLatency: 500 * time.Millisecond, ExpectedWait: 300 * time.Millisecond}
 	assert.Assert(t, MaxWait(&urgent, nil, c) > MaxWait(&other, nil, c))
+	later, unranked := &account.Account{HasPriority: true, Priority: 2}, &account.Account{Priority: 2}
+	assert.Equal(t, MaxWait(&urgent, later, c), MaxWait(&other, nil, c), "the account's priority takes the place of the route's")
+	assert.Equal(t, MaxWait(&urgent, unranked, c), MaxWait(&urgent, nil, c), "an account without a priority has none to give")
 }
 
 // The state of targets that have left must be dropped, and requests that end
--- a/pkg/steering/placement/regions.go
+++ b/pkg/steering/placement/regions.go
@@ -22,8 +22,10 @@
 	defaultUtilization = 0.7
 )
 
-// updateSpill adjusts the share of objects that other regions serve.
+// updateSpill adjusts the share of objects that other regions serve. The share holds
+// for the requests of all accounts, so the homes of one account do not count.
 func (p *Picker) updateSpill(s *serviceState, q Query) {
+	q.Account = nil
 	local, all := s.split.allowedSlots(&q, p.cfg.Region)
 	initial := balancedShare(local, all, p.cfg.DemandShare(p.cfg.Region))
 	utilization := p.utilization(s, p.usableTargets(s, s.split.local, q), q.Now)
