--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -116,7 +116,7 @@
 		"left_ms": c.deadline.Sub(now).Milliseconds(), "listed_ms": ageMilliseconds(g.targetFeed.Age()), "routes_ms": ageMilliseconds(g.operatorFeed.Age()),
 	}
 	if c.Account != nil {
-		fields["account"] = c.Account.Name
+		fields["account"], fields["keys_ms"] = c.Account.Name, ageMilliseconds(g.operatorFeed.VerifiedAge())
 	}
 	if table := g.routes.Load(); table != nil {
 		fields["version"] = table.Config.Version
