Check a configuration of the platform before it is sent

Cause: nothing told an operator that a configuration contradicts itself or has entries without an effect before the VMs had it.

Change: hickoryroute check-config decodes it as the VMs do, names each entry with a fault and its remedy, and prints the difference to the version in force, with the code that compares trees. Keys appear as their number and a mark.

--- a/cmd/hickoryroute/examples.go
+++ b/cmd/hickoryroute/examples.go
@@ -19,6 +19,9 @@
 	"diff": `  hickoryroute show > tree.yaml
   vi tree.yaml
   hickoryroute diff tree.yaml
+`,
+	"check-config": `  hickoryroute check-config new.json --store 10.200.1.7:8165 --regions hcm sask
+Exit code 5 means that the configuration must not be sent.
 `,
 	"apply": `  hickoryroute show > tree.yaml
   vi tree.yaml
--- a/cmd/hickoryroute/main.go
+++ b/cmd/hickoryroute/main.go
@@ -58,6 +58,7 @@
 	RollForward *rollForwardCommand `arg:"subcommand:roll-forward" help:"accept the content of an earlier revision as a new one"`
 	Watch       *watchCommand       `arg:"subcommand:watch" help:"wait until a revision is in force on all entry VMs"`
 	Status      *statusCommand      `arg:"subcommand:status" help:"print regions, links, targets and members"`
+	CheckConfig *checkConfigCommand `arg:"subcommand:check-config" help:"check a configuration of the users' platform before it is sent"`
 	Front       *frontCommand       `arg:"subcommand:front" help:"print what hickoryfront has in force; --address is its metrics address"`
 	Timeline    *timelineCommand    `arg:"subcommand:timeline" help:"print the merged events of all entry VMs"`
 	Demo        *demoCommand        `arg:"subcommand:demo" help:"run the whole system in this process on loopback"`
@@ -85,7 +86,7 @@
   hickoryroute watch 18
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 another operator's edit came first,
-4 not in force everywhere in time, 5 the tree is invalid.`
+4 not in force everywhere in time, 5 the tree or the configuration is invalid.`
 }
 
 // command is implemented by each sub-command.
@@ -163,6 +164,9 @@
 	if errors.Is(err, errNotInForce) {
 		return exitNotInForce
 	}
+	if errors.Is(err, errInvalidConfig) {
+		return exitInvalid
+	}
 	var p *protocol.Problem
 	if !errors.As(err, &p) {
 		return exitFailure
--- a/pkg/state/account/directory.go
+++ b/pkg/state/account/directory.go
@@ -4,6 +4,9 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 )
 
 // secret is mixed into the digests of keys, so that nobody can choose keys that
@@ -77,3 +80,29 @@
 
 // Len returns the number of accounts.
 func (d *Directory) Len() int { return len(d.byName) }
+
+// All returns the accounts, ordered by name. A nil directory has none.
+func (d *Directory) All() []*Account {
+	if d == nil {
+		return nil
+	}
+	list := slices.Collect(maps.Values(d.byName))
+	slices.SortFunc(list, func(a, b *Account) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Keys returns the number of keys of an account, and a mark that differs for other
+// keys. The mark tells nothing of the keys and holds within this process only.
+func (d *Directory) Keys(a *Account) (count int, mark string) {
+	var sum digest
+	for key, owner := range d.byDigest {
+		if owner != a {
+			continue
+		}
+		count++
+		for i := range sum {
+			sum[i] ^= key[i]
+		}
+	}
+	return count, fmt.Sprintf("%x", sum[:4])
+}
--- a/pkg/state/settings/diff.go
+++ b/pkg/state/settings/diff.go
@@ -22,24 +22,30 @@
 	return fmt.Sprintf("%s %s: %q -> %q", c.Path, c.Key, c.Old, c.New)
 }
 
-type flatKey struct{ path, key string }
+// FlatKey is the place of one setting.
+type FlatKey struct{ Path, Key string }
 
 // flatSettings holds the settings of a tree as text.
-type flatSettings map[flatKey]string
+type flatSettings map[FlatKey]string
 
 // Diff returns the settings that differ, ordered by path and key. A nil tree
 // is empty.
 func Diff(old, new *Tree) []Change {
 	before, after := flatten(old), flatten(new)
+	return DiffText(before, after)
+}
+
+// DiffText returns the settings that differ, ordered by path and key.
+func DiffText(before, after map[FlatKey]string) []Change {
 	var changes []Change
 	for k, v := range before {
 		if after[k] != v {
-			changes = append(changes, Change{Path: k.path, Key: k.key, Old: v, New: after[k]})
+			changes = append(changes, Change{Path: k.Path, Key: k.Key, Old: v, New: after[k]})
 		}
 	}
 	for k, v := range after {
 		if _, ok := before[k]; !ok {
-			changes = append(changes, Change{Path: k.path, Key: k.key, New: v})
+			changes = append(changes, Change{Path: k.Path, Key: k.Key, New: v})
 		}
 	}
 	slices.SortFunc(changes, func(a, b Change) int {
@@ -69,11 +75,11 @@
 		flat.addNode(t, p)
 	}
 	for _, link := range t.Links {
-		flat[flatKey{linkPath(link), "capacity"}] = link.Capacity.String()
-		flat[flatKey{linkPath(link), "cap"}] = link.Cap.String()
+		flat[FlatKey{linkPath(link), "capacity"}] = link.Capacity.String()
+		flat[FlatKey{linkPath(link), "cap"}] = link.Cap.String()
 	}
 	for _, block := range t.ClientBlocks {
-		flat[flatKey{blockPath(block), "regions"}] = strings.Join(block.Regions, ",")
+		flat[FlatKey{blockPath(block), "regions"}] = strings.Join(block.Regions, ",")
 	}
 	for _, o := range t.Overrides {
 		flat.addOverride(o)
@@ -84,7 +90,7 @@
 func (flat flatSettings) addRules(path, prefix string, rules Rules) {
 	for _, f := range ruleFields {
 		if v, ok := f.value(rules); ok {
-			flat[flatKey{path, prefix + f.key}] = formatRuleValue(v)
+			flat[FlatKey{path, prefix + f.key}] = formatRuleValue(v)
 		}
 	}
 }
@@ -94,13 +100,13 @@
 	switch {
 	case p.Target != "":
 		target := t.Regions[p.Region].Services[p.Service].Targets[p.Target]
-		flat[flatKey{path, "address"}] = target.Address
-		flat[flatKey{path, "zone"}] = target.Zone
-		flat[flatKey{path, "slots"}] = fmt.Sprint(target.Slots)
+		flat[FlatKey{path, "address"}] = target.Address
+		flat[FlatKey{path, "zone"}] = target.Zone
+		flat[FlatKey{path, "slots"}] = fmt.Sprint(target.Slots)
 	case p.Service != "":
-		flat[flatKey{path, "service"}] = "listed"
+		flat[FlatKey{path, "service"}] = "listed"
 	case p.Region != "":
-		flat[flatKey{path, "zones"}] = strings.Join(t.Regions[p.Region].Zones, ",")
+		flat[FlatKey{path, "zones"}] = strings.Join(t.Regions[p.Region].Zones, ",")
 	}
 }
 
@@ -111,7 +117,7 @@
 		if !ok {
 			continue
 		}
-		key := flatKey{o.Path, "override." + f.key}
+		key := FlatKey{o.Path, "override." + f.key}
 		flat[key] = formatRuleValue(v) + " by " + details + formatExpiry(o)
 	}
 }
--- a/pkg/state/settings/unattributed.go
+++ b/pkg/state/settings/unattributed.go
@@ -77,7 +77,7 @@
 	flat := flatten(tree)
 	var kept []Unattributed
 	for _, u := range list {
-		if u.Key == keyWholeTree || flat[flatKey{u.Path, u.Key}] == u.Value {
+		if u.Key == keyWholeTree || flat[FlatKey{u.Path, u.Key}] == u.Value {
 			kept = append(kept, u)
 		}
 	}
