--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,11 +13,6 @@
 	"hickoryroute/pkg/transport/platform"
 )
 
-// hintDelay is the time that this VM's watch has to deliver a change that
-// another VM already has. It exceeds batchDelay, during which no watch may
-// be running.
-const hintDelay = 280 * time.Millisecond
-
 // followerConfig holds the dependencies and callbacks of a follower.
 type followerConfig struct {
 	// name is the name of the dependency in log events.
@@ -64,8 +60,14 @@
 	// missing is the revision of an entry that the watch has not delivered in time;
 	// 0 if there is none.
 	missing int64
-	reread  bool // all entries must be read
-	recheck bool // this process did not run for a time
+	// missedByReader is true if the last copy of a reader lacked it as well.
+	missedByReader bool
+	reread         bool // all entries must be read
+	recheck        bool // this process did not run for a time
+
+	// verifiedAt is cache.verifiedAt once onChange has returned, so that what is in
+	// force is at least as new.
+	verifiedAt atomic.Pointer[time.Time]
 }
 
 // storeCall is a kind of call to the store.
@@ -125,29 +127,6 @@
 	return f.cache.newestRevision()
 }
 
-// HintRevision informs the follower that another VM has an entry of the given
-// revision. If this VM has no entry as new after hintDelay, its watch delivers
-// nothing or is late, and the follower reads all entries.
-func (f *follower) HintRevision(revision int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if revision <= f.cache.newestRevision() || f.hintPending {
-		return
-	}
-	f.hintPending = true
-	time.AfterFunc(hintDelay, func() { f.checkHint(revision) })
-}
-
-func (f *follower) checkHint(revision int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hintPending = false
-	if revision > f.cache.newestRevision() {
-		f.missing = max(f.missing, revision)
-		f.interruptWatch()
-	}
-}
-
 // Recheck lets the follower ask for changes now, because this process did not run
 // for a time.
 func (f *follower) Recheck() {
@@ -197,8 +176,10 @@
 		if d, ok := fetchFromReader(ctx, f.cfg.fetchFromReader, f.Revision(), f.cfg.timing.MaxCopyAge); ok {
 			f.recordResult(nil)
 			f.merge(d, SourceReader)
-			f.resetInterrupts()
 			next = callPoll
+			if f.skippedByReader() {
+				next = f.callStore(ctx, callReadAll)
+			}
 			sleepJittered(ctx, f.cfg.timing.PollInterval)
 			continue
 		}
@@ -273,6 +254,7 @@
 	if f.cache.replace(snapshot.Entries, snapshot.Revision) {
 		f.cfg.onChange()
 	}
+	f.advanceVerifiedAt(begun)
 }
 
 // Confirm reports whether the store confirmed the copy at most maxAge ago. If it
@@ -314,11 +296,15 @@
 	defer cancel()
 	f.setCancelWatch(cancel)
 	defer f.setCancelWatch(nil)
-	confirmedAt := f.cfg.now()
+	begun := f.cfg.now()
 	changes, err := f.cfg.feed.Changes(ctx, f.cfg.prefix, f.Revision(), wait)
 	if err != nil {
 		return err
 	}
+	if changes.CalledAt.IsZero() {
+		changes.CalledAt = begun
+	}
+	confirmedAt := begun
 	if wait > 0 {
 		confirmedAt = f.cfg.now() // a watch without changes ends when its wait is over
 	}
@@ -334,6 +320,7 @@
 	f.source = SourceStore
 	f.cache.apply(changes)
 	f.notify(len(changes.Changes) > 0)
+	f.advanceVerifiedAt(verifiedByWatch(changes))
 }
 
 // notify calls onChange or onUnchanged. The caller holds the lock.
@@ -355,6 +342,9 @@
 	f.cache.advanceConfirmedAt(f.cfg.now().Add(-d.Age))
 	newer := f.cache.merge(d)
 	f.notify(newer && (d.Full || len(d.Entries)+len(d.Deleted) > 0))
+	if d.Verified {
+		f.advanceVerifiedAt(f.cfg.now().Add(-d.VerifiedAge))
+	}
 }
 
 // mergeFromPeers adds the deltas of some other VMs to the copy.
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -39,6 +39,9 @@
 	d := follower.DeltaSince(after)
 	reply.Revision, reply.Full, reply.Deleted = d.Revision, d.Full, d.Deleted
 	reply.AgeMs = d.Age.Milliseconds()
+	if d.Verified {
+		reply.VerifiedAgeMs = d.VerifiedAge.Milliseconds() + 1 // rounded up, and never 0
+	}
 	for _, e := range d.Entries {
 		reply.Entries = append(reply.Entries, protocol.CopyEntry{Key: e.Key, Value: e.Value, Revision: e.Revision})
 	}
@@ -97,14 +100,34 @@
 				results <- p.callCopy(ctx, vm, &protocol.CopyRequest{Kind: kind, After: after, AcceptsPacked: true})
 			}()
 		}
-		var deltas []feed.Delta
-		for range list {
-			if r := <-results; r.ok {
-				deltas = append(deltas, r.delta)
+		return collectCopies(results, len(list))
+	}
+}
+
+// laterCopyWait is the time for which the copies of other VMs are awaited after the
+// first one. A VM that does not reply must not delay the copy of one that does.
+const laterCopyWait = 100 * time.Millisecond
+
+// collectCopies returns the copies of a number of calls, without those that reply
+// later than laterCopyWait after the first one.
+func collectCopies(results <-chan copyResult, calls int) []feed.Delta {
+	var deltas []feed.Delta
+	var waitEnd <-chan time.Time
+	for range calls {
+		select {
+		case r := <-results:
+			if !r.ok {
+				continue
+			}
+			deltas = append(deltas, r.delta)
+			if waitEnd == nil {
+				waitEnd = time.After(laterCopyWait)
 			}
+		case <-waitEnd:
+			return deltas
 		}
-		return deltas
 	}
+	return deltas
 }
 
 // copyResult is the result of one call of Copy.
@@ -129,7 +152,7 @@
 	}
 	result.replied = true
 	result.delta, result.ok = p.decodeCopy(result.reply)
-	result.delta.Age += p.gateway.suspendAwareNow().Sub(result.askedAt)
+	result.delta.AddAge(p.gateway.suspendAwareNow().Sub(result.askedAt))
 	return result
 }
 
@@ -141,7 +164,8 @@
 	}
 	d := feed.Delta{
 		Revision: reply.Revision, Full: reply.Full, Deleted: reply.Deleted,
-		Age: time.Duration(reply.AgeMs) * time.Millisecond,
+		Age:         time.Duration(reply.AgeMs) * time.Millisecond,
+		VerifiedAge: time.Duration(reply.VerifiedAgeMs) * time.Millisecond, Verified: reply.VerifiedAgeMs > 0,
 	}
 	entries := reply.Entries
 	if len(reply.Packed) > 0 {
