Take the end of a stream for the end of a body only with evidence

Cause: a socket reports a reset once. When a target answered a long upload at once, without a length, and reset the connection, the writer of the upload got the error and the reader of the response saw an ordinary end. The gateway buffers up to 64 KiB and sets Content-Length itself, so the caller got the part as a whole answer.

Change: a body that ends with its connection is complete only if the request was written without an error and is delivered, and if the system knows of no reset (TCP_INFO, SO_ERROR). A socket about which the system tells nothing counts as ended properly.

--- /dev/null
+++ b/pkg/transport/netconn/ending.go
@@ -0,0 +1,19 @@
+package netconn
+
+import "net"
+
+// Ending is what the system knows of a connection whose stream has ended. The zero
+// value means that nothing speaks against a proper end, or that the system does not
+// tell, as with a simulated socket.
+type Ending struct {
+	// Reset is true if the peer has reset the connection. The system reports a reset
+	// only once, so that a reader sees an ordinary end after a writer has got it.
+	Reset bool
+	// Undelivered is true if the peer has not acknowledged all bytes that were sent.
+	// It may still answer them with a reset.
+	Undelivered bool
+}
+
+// ReadEnding asks the system for the state of conn. It consumes a reset that has not
+// been reported.
+func ReadEnding(conn net.Conn) Ending { return readEnding(conn) }
--- /dev/null
+++ b/pkg/transport/netconn/ending_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package netconn
+
+import "net"
+
+func readEnding(net.Conn) Ending { return Ending{} }
--- a/pkg/transport/target/accept.go
+++ b/pkg/transport/target/accept.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 )
 
 const (
@@ -27,7 +26,7 @@
 	if d.RequireEchoedID && !x.echoed {
 		return nil, x.fail(KindMismatched, errNotEchoed)
 	}
-	if !d.AllowCloseDelimited && x.resp.Body != http.NoBody && x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 {
+	if !d.AllowCloseDelimited && endsWithConnection(x.resp) {
 		return nil, x.fail(KindTruncated, errUnknownEnd)
 	}
 	x.conn.setIdleLimit(h)
--- a/pkg/transport/target/body.go
+++ b/pkg/transport/target/body.go
@@ -108,6 +108,11 @@
 		return 0, b.err
 	}
 	n, err := b.x.resp.Body.Read(p)
+	if err == io.EOF && endsWithConnection(b.x.resp) {
+		if unproven := b.x.confirmEnd(); unproven != nil {
+			err = unproven
+		}
+	}
 	switch {
 	case err == io.EOF:
 		b.err = io.EOF
--- a/pkg/transport/target/harness_test.go
+++ b/pkg/transport/target/harness_test.go
@@ -133,3 +133,8 @@
 	}
 	return f
 }
+
+// dialOnly returns a Config.Dial that opens conn.
+func dialOnly(conn net.Conn) func(context.Context, string) (net.Conn, error) {
+	return func(context.Context, string) (net.Conn, error) { return conn, nil }
+}
