Believe no refusal whose body was cut

Cause: a response that states that the request has not run was believed once its head had arrived, also if its body broke off. A target that breaks off its responses is in trouble, and its promise reached the caller of an unsafe request as 503.

Change: a refusal whose body ends early, or ends with a connection whose end proves nothing, is a truncated response.

Seen failing before: TestCutRefusalIsNoPromise (refused, not run).

--- a/pkg/transport/target/accept.go
+++ b/pkg/transport/target/accept.go
@@ -50,9 +50,19 @@
 	return x.readRefusal()
 }
 
+// readRefusal reads the body of a refusal. One that was cut is not believed: a target
+// that breaks off its responses may have run the request.
 func (x *exchange) readRefusal() *Failure {
 	n, err := io.Copy(io.Discard, io.LimitReader(x.resp.Body, maxRefusalBodyBytes+1))
-	whole := err == nil && n <= maxRefusalBodyBytes
+	whole := n <= maxRefusalBodyBytes
+	if err == nil && whole && endsWithConnection(x.resp) {
+		err = x.confirmEnd()
+	}
+	if err != nil {
+		f := x.fail(KindTruncated, err)
+		f.NotRun = false
+		return f
+	}
 	f := &Failure{Kind: KindRefused, NotRun: true, Status: x.resp.StatusCode, Header: x.resp.Header, Err: errNotRunResponse}
 	f.Draining = x.dialect().IsDraining(x.resp.Header)
 	reusable := whole && x.reusable()
--- a/pkg/transport/target/cut_test.go
+++ b/pkg/transport/target/cut_test.go
@@ -110,3 +110,16 @@
 		}
 	}
 }
+
+// Guards against a refusal that was cut being believed.
+func TestCutRefusalIsNoPromise(t *testing.T) {
+	for _, rest := range []string{"Content-Length: 9\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n9\r\npart"} {
+		client := pipeClient(Config{}, func(_ int, c net.Conn) {
+			_, _ = io.ReadFull(c, make([]byte, 40))
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nHickory-Not-Run: true\r\n"+rest)
+		})
+		_, f := fetch(t.Context(), client, newPost("target", "a", "body"))
+		assert.Equal(t, f.Kind, KindTruncated, "%v", f)
+		assert.Assert(t, !f.NotRun)
+	}
+}
