Reset callers of HTTP/1.0 whose response cannot be completed

Cause: a long response without a length goes to a caller of HTTP/1.0 without chunked coding, so the end of the connection is the end of its body. A response that broke off was ended with an ordinary close, and the caller got the part as the whole.

Change: AbortResponse resets such a connection. Other callers still see a body without its last chunk or short of its length.

--- a/pkg/transport/callerhttp/response.go
+++ b/pkg/transport/callerhttp/response.go
@@ -8,6 +8,7 @@
 
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/transport/netconn"
 	"hickoryroute/pkg/transport/target"
 )
 
@@ -71,7 +72,7 @@
 	}
 	if err != nil && hasBody {
 		s.cfg.Log.Log(eventAborted, eventlog.Fields{"request_id": x.id, "target": resp.Target, "cause": err.Error()})
-		panic(http.ErrAbortHandler)
+		netconn.AbortResponse(x.w, x.r)
 	}
 	return nil
 }
--- a/pkg/transport/callerhttp/server_test.go
+++ b/pkg/transport/callerhttp/server_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -164,6 +165,15 @@
 			assert.ErrorContains(t, err, "EOF", "size %d", size)
 		}
 	}
+	// For HTTP/1.0, the end of the connection is the end of a body without a length.
+	length, size = -1, 200_000
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /v1/services/cluebook/x HTTP/1.0\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	got, err := io.ReadAll(conn)
+	assert.ErrorIs(t, err, syscall.ECONNRESET, "%d bytes look like a whole response", len(got))
 }
 
 // Guards against a body that ends cleanly before its declared length.
--- /dev/null
+++ b/pkg/transport/netconn/abort.go
@@ -0,0 +1,46 @@
+package netconn
+
+import (
+	"net"
+	"net/http"
+)
+
+// AbortResponse ends the connection of a response that cannot be completed, and the
+// handler with a panic. A caller of HTTP/1.0 takes the end of the connection for the
+// end of the body, so its connection is reset.
+func AbortResponse(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			reset(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes a connection with RST.
+func reset(conn net.Conn) {
+	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok { // without the alert that ends TLS properly
+		conn = secure.NetConn()
+	}
+	if tracked, ok := conn.(*trackedConn); ok {
+		tracked.reset()
+		return
+	}
+	setReset(conn)
+	_ = conn.Close()
+}
+
+// setReset lets the close of a connection discard what is unsent and send RST.
+func setReset(conn net.Conn) {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+}
+
+// reset closes the connection with RST, without time for the other side to read.
+func (c *trackedConn) reset() {
+	c.closeOnce.Do(func() {
+		setReset(c.Conn)
+		_ = c.end()
+	})
+}
