Check the status line of each response before it is parsed

Cause: net/http accepts any status of three digits, several blanks before it and unknown versions. Statuses below 100 were refused after the parsing, 600 to 999 reached the caller, and the head of the line was never compared with RFC 9112, section 4.

Change: the package responsehead checks the head in the buffer of the connection, line by line as it arrives: a status from 100 to 599, and lines that end with CRLF. The client no longer copies the bytes of each head. A head that is not valid is a malformed response, also if the connection ends behind it.

Seen failing before: TestFaultyResponses with status 600 and with two blanks before the status (accepted). 000 and 007 were refused before.

--- /dev/null
+++ b/pkg/transport/responsehead/head_test.go
@@ -0,0 +1,63 @@
+package responsehead
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+const ok = "HTTP/1.1 200 OK\r\n"
+
+// peek checks a head that arrives byte by byte.
+func peek(text string) (string, error) {
+	head, err := Peek(bufio.NewReader(iotest.OneByteReader(strings.NewReader(text))))
+	return string(head), err
+}
+
+// valid are heads that a sound target may send.
+var valid = []string{
+	ok + "\r\n", "HTTP/1.0 200 OK\r\n\r\n", "HTTP/1.1 599 \r\n\r\n", "HTTP/1.1 100\r\n\r\n", "HTTP/1.1 404 Not\tF\xf6und\r\n\r\n",
+	ok + "A:\r\nB:x\r\nC: \t x y \t\r\nD: \xf6\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n\r\n",
+	ok + "content-length: 0\r\nContent-Length:0 \r\n\r\n", ok + "transfer-encoding:\tCHUNKED\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nContent-Length: 7\r\n\r\n", ok + "Content-Lengths: x\r\nTransfer-Encodings: y\r\n\r\n",
+}
+
+// invalid are heads of targets in trouble.
+var invalid = map[string][]string{
+	"status": {
+		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 007 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 20 OK\r\n",
+		"HTTP/1.1 2000 OK\r\n", "HTTP/1.1 +20 OK\r\n", "HTTP/1.1 -20 OK\r\n", "HTTP/1.1 2x0 OK\r\n", "HTTP/1.1  200 OK\r\n", "HTTP/1.1 200\tOK\r\n",
+		"HTTP/1.1\t200 OK\r\n", "HTTP/1.1 200", "HTTP/1.1 \r\n", "HTTP/1.1\r\n", "\r\n", "\n", "HTTP/1.2 200 OK\r\n", "HTTP/2.0 200 OK\r\n",
+		"HTTP/1.10 200 OK\r\n", "http/1.1 200 OK\r\n", " HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\n", "HTTP/1.1 200 O\x00K\r\n", "HTTP/1.1 200 O\rK\r\n", "garbage\r\n",
+	},
+}
+
+// Guards against heads of targets in trouble that are accepted, and against heads of
+// sound targets that are not.
+func TestPeekTellsValidHeadsFromOthers(t *testing.T) {
+	for _, text := range valid {
+		head, err := peek(text + "body\r\n\r\n")
+		assert.NilError(t, err, "%q", text)
+		assert.Equal(t, head, text)
+	}
+	for group, texts := range invalid {
+		for _, text := range texts {
+			_, err := peek(text)
+			var invalid *Error
+			assert.Assert(t, errors.As(err, &invalid) || errors.Is(err, io.ErrUnexpectedEOF) && !strings.HasSuffix(text, "\n"), "%s: %q: %v", group, text, err)
+		}
+	}
+	for _, cut := range []string{"HTTP/1.1 200 OK", ok, ok + "A: 1", ok + "A: 1\r\n", ok + "\r"} {
+		_, err := peek(cut)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "%q", cut)
+	}
+	_, err := peek("")
+	assert.Equal(t, err, io.EOF)
+	_, err = peek(ok + "X: " + strings.Repeat("x", 4<<10))
+	assert.Equal(t, err, bufio.ErrBufferFull)
+}
--- a/pkg/transport/target/accept.go
+++ b/pkg/transport/target/accept.go
@@ -91,7 +91,6 @@
 		return false
 	}
 	x.conn.headLeft = int64(x.client.cfg.MaxHeaderBytes)
-	x.conn.head = x.conn.head[:0]
 	x.readSurplus = true
 	return true
 }
--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"os"
 	"slices"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hickoryroute/pkg/transport/responsehead"
 )
 
 const (
@@ -89,7 +92,6 @@
 	reused   bool
 	charge   *linkCharge // nil for targets in the region of this VM
 	headLeft int64       // bytes left for the head of the response; negative for no limit
-	head     []byte      // bytes read while the head of the response is limited
 	// headTimeout bounds the time from headBegan, when the first byte of a
 	// response was read, to the end of its head.
 	headTimeout time.Duration
@@ -125,7 +127,6 @@
 	c.written, c.writeErr, c.readErr = 0, nil, nil
 	c.headLeft, c.headTimeout = int64(cfg.MaxHeaderBytes), cfg.HeadTimeout
 	c.headBegan, c.headLimited = time.Time{}, false
-	c.head = c.head[:0]
 	c.deadline = time.Time{}
 }
 
@@ -161,6 +162,18 @@
 	}
 }
 
+// peekHead waits for the next head and checks it. The head stays in the buffer of the
+// reader and is valid until the next read from it.
+func (c *conn) peekHead() ([]byte, error) {
+	head, err := responsehead.Peek(c.reader)
+	if errors.Is(err, bufio.ErrBufferFull) {
+		// The limit of the head ends a read before this buffer is full.
+		c.reader = bufio.NewReaderSize(c.reader, c.reader.Size()+int(c.headLeft)+1)
+		return responsehead.Peek(c.reader)
+	}
+	return head, err
+}
+
 // endHead ends the time limit of a head that has been read completely.
 func (c *conn) endHead() {
 	if c.headLimited {
@@ -258,7 +271,6 @@
 	}
 	if c.headLeft > 0 {
 		c.headLeft -= int64(n)
-		c.head = append(c.head, p[:n]...)
 		if c.headBegan.IsZero() {
 			c.headBegan = time.Now()
 		}
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"hickoryroute/pkg/transport/responsehead"
 )
 
 const (
@@ -218,19 +220,23 @@
 }
 
 func (x *exchange) readHead(httpReq *http.Request) (*http.Response, error) {
-	for interim := range maxInterimResponses {
+	for range maxInterimResponses {
+		head, err := x.conn.peekHead()
+		if err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(x.conn.reader, httpReq)
 		if err != nil {
 			return nil, err
 		}
 		x.conn.endHead()
-		if resp.StatusCode < 100 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errBadStatus
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errUpgrade
 		}
 		if resp.StatusCode >= 200 {
 			x.conn.headLeft = -1
 			if resp.Close {
-				restoreConnectionField(resp.Header, x.conn.head, interim)
+				restoreConnectionField(resp.Header, head)
 			}
 			return resp, nil
 		}
@@ -243,7 +249,8 @@
 func (x *exchange) failRead(err error) *Failure {
 	x.abort()
 	kind := KindReset
-	if x.conn.readErr == nil { // no read failed, so the response is malformed
+	var malformed *responsehead.Error
+	if x.conn.readErr == nil || errors.As(err, &malformed) { // no failed read is the cause
 		kind = KindMalformed
 	}
 	if writeErr := x.writeError(); writeErr != nil && !errors.Is(writeErr, errBodyStopped) {
--- a/pkg/transport/target/failure.go
+++ b/pkg/transport/target/failure.go
@@ -83,7 +83,7 @@
 	errHeadTooLarge   = errors.New("the head of the response exceeds the size limit")
 	errHeadTooSlow    = errors.New("the head of the response was not complete in time")
 	errTooMany1xx     = errors.New("too many interim responses")
-	errBadStatus      = errors.New("the status of the response is below 100, or is 101 although no upgrade was requested")
+	errUpgrade        = errors.New("the status of the response is 101 although no upgrade was requested")
 	errClosed         = errors.New("the client is closed")
 	errBodyStopped    = errors.New("the request ended before its body was sent")
 	errDeadlinePassed = errors.New("the deadline passed before the request was sent")
--- a/pkg/transport/target/header.go
+++ b/pkg/transport/target/header.go
@@ -37,19 +37,13 @@
 
 // restoreConnectionField restores the Connection field, which
 // http.ReadResponse removes if it contains "close", although it may name other
-// fields as well. raw holds the heads of the interim responses and of the final
-// response.
-func restoreConnectionField(h http.Header, raw []byte, interim int) {
-	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(raw)))
-	for i := 0; i <= interim; i++ {
-		_, lineErr := r.ReadLine()
-		fields, err := r.ReadMIMEHeader()
-		if lineErr != nil || err != nil {
-			return
-		}
-		if i == interim && len(fields["Connection"]) > 0 {
-			h["Connection"] = fields["Connection"]
-		}
+// fields as well.
+func restoreConnectionField(h http.Header, head []byte) {
+	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	_, lineErr := r.ReadLine()
+	fields, err := r.ReadMIMEHeader()
+	if lineErr == nil && err == nil && len(fields["Connection"]) > 0 {
+		h["Connection"] = fields["Connection"]
 	}
 }
 
--- a/pkg/transport/target/response_test.go
+++ b/pkg/transport/target/response_test.go
@@ -54,6 +54,11 @@
 		{"hello\r\n\r\n", KindMalformed},
 		{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n12345", KindMalformed},
 		{"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 007 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.2 200 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
 		{"", KindReset},
 		{"HTTP/1.1 200 OK\r\nContent-", KindReset},
 	} {
