Refuse responses with names of fields that are no tokens

Cause: net/http passes names with blanks on, drops a blank before the colon, and accepts folded lines and lines without a carriage return. A head with "X Bad: 1" or "X-Bad : 1" was taken for an answer; "Content-Length : 1" beside another length decided where the body ended.

Change: responsehead checks each field: the name is a token directly followed by its colon, the value holds no control byte, and no line is folded.

Seen failing before: TestFaultyResponses with a blank in a name, a blank before the colon, a folded line and a bare line feed.

--- a/pkg/transport/responsehead/head.go
+++ b/pkg/transport/responsehead/head.go
@@ -4,7 +4,8 @@
 // and its response must not be taken for an answer.
 //
 // A head is checked against RFC 9112, sections 4, 5.1, 5.2 and 6.3: the status is a
-// number from 100 to 599, and all lines end with CRLF.
+// number from 100 to 599, all lines end with CRLF and none is folded, names are
+// tokens directly followed by a colon, and values hold no control bytes.
 package responsehead
 
 import (
@@ -79,6 +80,8 @@
 		reason = c.checkStatusLine(text)
 	case len(text) == 0:
 		end = true
+	default:
+		reason = c.checkField(text)
 	}
 	if reason != "" {
 		return false, &Error{Line: c.line, Text: string(line[:min(len(line), maxShownBytes)]), Reason: reason}
--- a/pkg/transport/responsehead/head_test.go
+++ b/pkg/transport/responsehead/head_test.go
@@ -35,6 +35,12 @@
 		"HTTP/1.1\t200 OK\r\n", "HTTP/1.1 200", "HTTP/1.1 \r\n", "HTTP/1.1\r\n", "\r\n", "\n", "HTTP/1.2 200 OK\r\n", "HTTP/2.0 200 OK\r\n",
 		"HTTP/1.10 200 OK\r\n", "http/1.1 200 OK\r\n", " HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\n", "HTTP/1.1 200 O\x00K\r\n", "HTTP/1.1 200 O\rK\r\n", "garbage\r\n",
 	},
+	"names": {
+		ok + "X Bad: 1\r\n", ok + "X-Bad : 1\r\n", ok + "X-Bad\t: 1\r\n", ok + "X\x01Bad: 1\r\n", ok + "X\x00: 1\r\n", ok + "X\x7f: 1\r\n", ok + "X\xf6: 1\r\n",
+		ok + ": 1\r\n", ok + "X\r\n", ok + "X(1): 1\r\n", ok + "\"X\": 1\r\n", ok + "X\rBad: 1\r\n", ok + "\rX: 1\r\n",
+		ok + "A: 1\r\n X-Folded: 2\r\n", ok + " A: 1\r\n", ok + "A: 1\r\n\tfolded\r\n", ok + "A: 1\n", ok + "A: 1\r\n\nB: 2\r\n", ok + "A: 1\r\r\n",
+		ok + "A: \x00\r\n", ok + "A: x\x0by\r\n", ok + "A: x\ry\r\n", ok + "A: \x7f\r\n", ok + "Content-Length : 1\r\nContent-Length: 2\r\n\r\n",
+	},
 }
 
 // Guards against heads of targets in trouble that are accepted, and against heads of
--- a/pkg/transport/target/response_test.go
+++ b/pkg/transport/target/response_test.go
@@ -59,6 +59,13 @@
 		{"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
 		{"HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
 		{"HTTP/1.2 200 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nX-Bad : 1\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nA: 1\r\n folded\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\nX: 1\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nX: a\rb\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nContent-Length : 4\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
 		{"", KindReset},
 		{"HTTP/1.1 200 OK\r\nContent-", KindReset},
 	} {
