Refuse responses with more than one framing

Cause: net/http prefers the transfer coding to a length beside it, and ignores the coding in HTTP/1.0, so that the framing of the chunks was passed on as the body.

Change: responsehead accepts one length, which may be repeated, or chunked coding in HTTP/1.1, and no other coding.

Seen failing before: TestFaultyResponses with a length beside the chunked coding and with chunked coding in HTTP/1.0.

--- a/pkg/transport/responsehead/field.go
+++ b/pkg/transport/responsehead/field.go
@@ -1,5 +1,7 @@
 package responsehead
 
+import "bytes"
+
 // isToken tells the bytes of a token (RFC 9110, section 5.6.2).
 var isToken = func() (table [256]bool) {
 	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
@@ -20,7 +22,11 @@
 	case colon == 0:
 		return "has no name"
 	}
-	return checkText(line[colon+1:])
+	value := line[colon+1:]
+	if reason := checkText(value); reason != "" {
+		return reason
+	}
+	return c.framing.add(line[:colon], value)
 }
 
 // checkText checks a value or a reason, which hold no control bytes but tabs.
@@ -32,3 +38,6 @@
 	}
 	return ""
 }
+
+// trimBlanks removes the blanks around a value.
+func trimBlanks(value []byte) []byte { return bytes.Trim(value, " \t") }
--- a/pkg/transport/responsehead/head.go
+++ b/pkg/transport/responsehead/head.go
@@ -5,7 +5,8 @@
 //
 // A head is checked against RFC 9112, sections 4, 5.1, 5.2 and 6.3: the status is a
 // number from 100 to 599, all lines end with CRLF and none is folded, names are
-// tokens directly followed by a colon, and values hold no control bytes.
+// tokens directly followed by a colon, values hold no control bytes, and at most one
+// field says where the body ends.
 package responsehead
 
 import (
@@ -65,6 +66,7 @@
 type checker struct {
 	line   int // the number of lines so far
 	status int
+	framing
 }
 
 // check checks the next line with its line feed. It reports whether the line ends the
@@ -79,7 +81,7 @@
 	case c.line == 1:
 		reason = c.checkStatusLine(text)
 	case len(text) == 0:
-		end = true
+		end, reason = true, c.framing.check()
 	default:
 		reason = c.checkField(text)
 	}
@@ -106,6 +108,7 @@
 	if minor != '0' && minor != '1' {
 		return "states an unknown version"
 	}
+	c.framing.oldVersion = minor == '0'
 	for _, digit := range line[statusAt:reasonAt] {
 		if digit < '0' || digit > '9' {
 			return "has a status that is no number of three digits"
--- a/pkg/transport/responsehead/head_test.go
+++ b/pkg/transport/responsehead/head_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -41,6 +43,13 @@
 		ok + "A: 1\r\n X-Folded: 2\r\n", ok + " A: 1\r\n", ok + "A: 1\r\n\tfolded\r\n", ok + "A: 1\n", ok + "A: 1\r\n\nB: 2\r\n", ok + "A: 1\r\r\n",
 		ok + "A: \x00\r\n", ok + "A: x\x0by\r\n", ok + "A: x\ry\r\n", ok + "A: \x7f\r\n", ok + "Content-Length : 1\r\nContent-Length: 2\r\n\r\n",
 	},
+	"framing": {
+		ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", ok + "Content-Length: 1, 1\r\n\r\n", ok + "Content-Length: +1\r\n\r\n", ok + "Content-Length: -1\r\n\r\n",
+		ok + "Content-Length:\r\n\r\n", ok + "Content-Length: 1 2\r\n\r\n", ok + "Content-Length: 0x1\r\n\r\n", ok + "Content-Length: 9223372036854775808\r\n\r\n",
+		ok + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n", ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		ok + "Transfer-Encoding: gzip, chunked\r\n\r\n", ok + "Transfer-Encoding: identity\r\n\r\n", ok + "Transfer-Encoding:\r\n\r\n", ok + "Transfer-Encoding: chunked, chunked\r\n\r\n",
+		ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", ok + "Transfer-Encoding: xchunked\r\n\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	},
 }
 
 // Guards against heads of targets in trouble that are accepted, and against heads of
@@ -67,3 +76,39 @@
 	_, err = peek(ok + "X: " + strings.Repeat("x", 4<<10))
 	assert.Equal(t, err, bufio.ErrBufferFull)
 }
+
+// Guards against a checked head that net/http understands in another way: in which it
+// finds a further field, another end of the head or another end of the body.
+func FuzzPeek(f *testing.F) {
+	for _, text := range valid {
+		f.Add([]byte(text + "body"))
+	}
+	for _, texts := range invalid {
+		for _, text := range texts {
+			f.Add([]byte(text + "\r\nbody"))
+		}
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		head, err := Peek(bufio.NewReaderSize(bytes.NewReader(text), len(text)+16))
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReaderSize(bytes.NewReader(text), len(text)+16)
+		resp, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err, "%q", head)
+		assert.Equal(t, reader.Buffered(), len(text)-len(head), "net/http reads another head than %q", head)
+		assert.Assert(t, resp.StatusCode >= 100 && resp.StatusCode <= 599)
+		fields := bytes.Count(head, []byte("\n")) - 2
+		for name, values := range resp.Header {
+			fields -= len(values)
+			assert.Assert(t, !strings.ContainsAny(name, " \t\r\n\x00"), "%q", name)
+		}
+		// net/http removes the fields of the framing, and repeated lengths.
+		folded := bytes.Count(bytes.ToLower(head), []byte("\ncontent-length:")) + bytes.Count(bytes.ToLower(head), []byte("\ntransfer-encoding:")) +
+			bytes.Count(bytes.ToLower(head), []byte("\ntrailer:")) + bytes.Count(bytes.ToLower(head), []byte("\nconnection:"))
+		assert.Assert(t, fields >= 0 && fields <= folded, "%q: %d fields", head, fields)
+		if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+			assert.Assert(t, resp.ContentLength < 0 && resp.Header.Get("Content-Length") == "", "%q", head)
+		}
+	})
+}
--- a/pkg/transport/target/response_test.go
+++ b/pkg/transport/target/response_test.go
@@ -66,6 +66,9 @@
 		{"HTTP/1.1 200 OK\nX: 1\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
 		{"HTTP/1.1 200 OK\r\nX: a\rb\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
 		{"HTTP/1.1 200 OK\r\nContent-Length : 4\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\n1234\r\n0\r\n\r\n", KindMalformed},
+		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n1234\r\n0\r\n\r\n", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4, 4\r\n\r\n1234", KindMalformed},
 		{"", KindReset},
 		{"HTTP/1.1 200 OK\r\nContent-", KindReset},
 	} {
