Check the replies of the store and of the operator interface as well

Cause: the calls that go through net/http accepted what the requests to targets accepted: names with blanks, two framings, statuses 000 and 600, and the part of a body that ended with a reset whose error the writer had got. A transaction, a lease or a watch was believed, and status 000 or 600 of a transaction was taken for a rejection, which says that it did not run.

Change: checkedhttp wraps http.Transport and its connections. The client of the operator interface reads the whole reply before it decodes it. Used by both stores, hickoryroute and the demonstration.

--- a/cmd/hickoryroute/connection.go
+++ b/cmd/hickoryroute/connection.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/transport/checkedhttp"
 )
 
 // newHTTPClient returns a client with the timeout and TLS settings of options.
@@ -34,6 +36,6 @@
 	}
 	return &http.Client{
 		Timeout:   options.Timeout,
-		Transport: &http.Transport{TLSClientConfig: tlsConfig},
+		Transport: checkedhttp.NewTransport(&http.Transport{TLSClientConfig: tlsConfig}),
 	}, nil
 }
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hickoryroute/pkg/caller"
+	"hickoryroute/pkg/transport/checkedhttp"
 	"hickoryroute/pkg/transport/operatorhttp"
 )
 
@@ -89,12 +90,15 @@
 	return nil
 }
 
+// httpClient checks the responses of the VMs as hickoryroute does.
+var httpClient = &http.Client{Transport: checkedhttp.NewTransport(&http.Transport{})}
+
 func isServed(ctx context.Context, url string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return false
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return false
 	}
@@ -181,7 +185,7 @@
 // setOverride sets one override as an operator would and waits until it is in
 // force on every VM.
 func setOverride(ctx context.Context, out io.Writer, s *site) error {
-	client := operatorhttp.NewClient(s.vms[0].OperatorAddress(), "", http.DefaultClient)
+	client := operatorhttp.NewClient(s.vms[0].OperatorAddress(), "", httpClient)
 	path := s.regions[0] + "/" + s.services[0].name
 	reply, err := client.Edit(ctx, operatorhttp.EditRequest{
 		RequestID: rand.Text(), Op: operatorhttp.OpSet, Path: path,
@@ -204,7 +208,7 @@
 func waitForRevision(ctx context.Context, address string, revision int64) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	client := operatorhttp.NewClient(address, "", http.DefaultClient)
+	client := operatorhttp.NewClient(address, "", httpClient)
 	for {
 		tree, err := client.Tree(ctx)
 		if err == nil && tree.Revision >= revision {
--- a/pkg/transport/operatorhttp/client.go
+++ b/pkg/transport/operatorhttp/client.go
@@ -114,7 +114,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return reply, readProblem(resp)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+	text, err := io.ReadAll(resp.Body) // a document before the end may stand in a cut response
+	if err != nil {
+		return reply, errors.Wrap(err, "read the response of the entry VM; whether a change was accepted is unknown")
+	}
+	if err := json.Unmarshal(text, &reply); err != nil {
 		return reply, errors.Wrap(err, "decode the response of the entry VM")
 	}
 	return reply, nil
--- a/pkg/transport/platform/http.go
+++ b/pkg/transport/platform/http.go
@@ -16,6 +16,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/transport/checkedhttp"
 )
 
 const (
@@ -108,16 +110,16 @@
 // after a byte of it was written: http.Transport treats only GET, HEAD, OPTIONS
 // and TRACE as replayable, unless an Idempotency-Key header is set, which this
 // package never sets.
-func newTransport() *http.Transport {
+func newTransport() http.RoundTripper {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	return checkedhttp.NewTransport(&http.Transport{
 		Protocols:           protocols,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}
+	})
 }
 
 // apiCall describes one request to the platform.
