Log the evidence of each rejected response

Cause: a response that is cut, malformed or of another request counted against its target, and only the record of the request in the end showed why, if it failed. Nothing named the line of the head that was refused.

Change: hickoryfront logs event 2117 and hickoryd event 1503, with the target, the request and the evidence, such as the line of the head. The attempt still counts as one that may have run.

--- a/pkg/entry/sender.go
+++ b/pkg/entry/sender.go
@@ -81,6 +81,7 @@
 		Written:      failure.Written > 0,
 		NotRun:       failure.NotRun,
 		Draining:     failure.Draining,
+		Responded:    failure.Responded(),
 		TargetClosed: failure.TargetClosed,
 		Err:          err,
 	}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -45,6 +45,8 @@
 		"a target refused a request and wants none of this VM for pause_ms")
 	EventConnectionsExhausted = eventlog.Define(2116, "connections_exhausted", logrus.ErrorLevel,
 		"all connections to the usable targets of a service have been in use for 10 s, so that this VM cannot serve it, or one is free again; see hickory_gateway_target_connections")
+	EventResponseRejected = eventlog.Define(2117, "response_rejected", logrus.WarnLevel,
+		"a target responded, and the response is cut, is not valid HTTP or belongs to another request (kind); error gives the evidence. The target counts as failed, and the request may have run. Check the target for a crash")
 )
 
 // requestMetrics holds the metrics of this package.
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -282,7 +282,7 @@
 		return c.newRefusal(ReasonTimeout, 0)
 	case f.NotRun:
 		return g.resendNotRun(c, f, now)
-	case f.Kind == target.KindMismatched || f.Kind == target.KindMalformed || f.Kind == target.KindTruncated:
+	case f.Responded():
 		return g.resendPossiblyRun(c, ReasonBadResponse, now)
 	}
 	return g.resendPossiblyRun(c, ReasonResponseLost, now)
@@ -339,6 +339,9 @@
 		result.ConnectionFailed = ctx.Err() == nil
 	case target.KindTruncated, target.KindMismatched, target.KindMalformed:
 		result.Responded, result.Failed = true, true
+		g.cfg.Logger.Log(EventResponseRejected, eventlog.Fields{
+			"request": c.ID, "target": choice.Target.ID, "kind": f.Kind.String(), "status": f.Status, "conn": f.Connection, "error": f.Error(),
+		})
 	}
 	if result.ConnectionFailed {
 		g.targetSet.SuspectRestart(choice.Target.ID, now)
--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -180,6 +180,9 @@
 	if f.isCrash() && !r.crashedTargets.crashedByOther(a.grant.reply.Target.Name, a.group.call.fingerprint(), r.cfg.Now()) {
 		r.reportCrash(ctx, a)
 	}
+	if f.Responded {
+		a.logRejected(f)
+	}
 	r.countAttempt(a, f.Kind.String())
 	r.reportDraining(a, f.Draining)
 	a.releaseFailed(f, r.cfg.Now().Sub(a.sentAt))
@@ -188,6 +191,13 @@
 	a.group.finished <- a
 }
 
+// logRejected logs a response that is cut or not valid.
+func (a *attempt) logRejected(cause error) {
+	a.group.router.cfg.Logger.Log(eventResponseRejected, eventlog.Fields{
+		"target": a.grant.reply.Target.Name, "request_id": a.group.call.req.RequestID, "error": cause.Error(),
+	})
+}
+
 // releaseFailed releases the reservation of a failed attempt. A target that may
 // still run a cancelled request keeps its slot until it has ended it.
 func (a *attempt) releaseFailed(f *SendError, latency time.Duration) {
--- a/pkg/steering/events.go
+++ b/pkg/steering/events.go
@@ -15,4 +15,7 @@
 			"Report the panic as a fault.")
 	eventReserveFailed = eventlog.Define(1502, "reserve_failed", logrus.DebugLevel,
 		"An owner of targets did not reply to a reservation request; it is not asked again for a short time.")
+	eventResponseRejected = eventlog.Define(1503, "response_rejected", logrus.WarnLevel,
+		"A target's response is cut, is not valid HTTP or belongs to another request; error gives the evidence. "+
+			"The attempt counts as failed and may have run. Check the target for a crash.")
 )
--- a/pkg/steering/response_body.go
+++ b/pkg/steering/response_body.go
@@ -15,6 +15,7 @@
 	attempt *attempt
 	body    io.ReadCloser
 	onEnd   func()
+	logged  bool
 }
 
 // Read reads from the target. Any error other than io.EOF is a
@@ -32,6 +33,10 @@
 	case errors.Is(err, context.Canceled):
 		b.finish(protocol.ReleaseCancelled)
 	default:
+		if !b.logged {
+			b.logged = true
+			b.attempt.logRejected(err)
+		}
 		b.finish(protocol.ReleaseFailed)
 	}
 	return n, truncatedProblem(b.attempt, err)
--- a/pkg/steering/send_error.go
+++ b/pkg/steering/send_error.go
@@ -45,6 +45,9 @@
 	Written  bool // at least one byte of the request was written
 	NotRun   bool // the target refused the request before running it
 	Draining bool // the target has shown that it is draining
+	// Responded is true if the target sent a response that is cut, is not valid or
+	// belongs to another request.
+	Responded bool
 	// TargetClosed is closed once the target has ended a cancelled request, which
 	// uses its slot until then. It is nil if nothing is known about that.
 	TargetClosed <-chan struct{}
--- a/pkg/transport/target/failure.go
+++ b/pkg/transport/target/failure.go
@@ -73,6 +73,12 @@
 	return fmt.Sprintf("target request failed (%s, %d bytes written): %v; %s", text.name, f.Written, f.Err, text.remedy)
 }
 
+// Responded reports whether the target sent a response that is cut, is not valid or
+// belongs to another request. Such a response promises nothing.
+func (f *Failure) Responded() bool {
+	return f.Kind == KindTruncated || f.Kind == KindMismatched || f.Kind == KindMalformed
+}
+
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
--- a/pkg/transport/target/probe_test.go
+++ b/pkg/transport/target/probe_test.go
@@ -83,3 +83,29 @@
 	_, f = fetch(context.Background(), client, newPost("target", "", "body"))
 	assert.Assert(t, f == nil, "on a new connection: %v", f)
 }
+
+// Guards against a cut or malformed response to a probe that is taken for a sign of
+// health, of load or of draining.
+func TestBadResponseToAProbeIsNoSign(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"state\":\"ready\",\"slots\":3}",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1b\r\n{\"state\":\"ready\",\"slots\":3}\r\n",
+		"HTTP/1.1 200 OK\r\n\r\n{\"state\":\"ready\",\"slots\":3}",
+		"HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 27\r\n\r\n{\"state\":\"ready\",\"slots\":3}",
+		"HTTP/1.1 299 OK\r\nContent-Length : 9\r\nContent-Length: 27\r\n\r\n{\"state\":\"ready\",\"slots\":3}",
+		"HTTP/1.1 000 OK\r\nHickory-Draining: true\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nHickory-Not-Run: true\r\nHickory-Draining: true\r\nContent-Length: 9\r\n\r\n",
+	} {
+		client := pipeClient(Config{}, func(_ int, c net.Conn) {
+			if _, err := (&countingTarget{}).readRequest(bufio.NewReader(c)); err == nil {
+				_, _ = c.Write([]byte(response))
+			}
+		})
+		p, ref := &Prober{Client: client, LocalRegion: "sask"}, protocol.TargetRef{Address: "target", Region: "sask"}
+		health, err := p.Health(context.Background(), ref)
+		assert.Assert(t, err != nil && health == Health{}, "%.40q: %+v", response, health)
+		load, err := p.Load(context.Background(), ref)
+		assert.Assert(t, err != nil && load == LoadReport{}, "%.40q: %+v", response, load)
+		client.Close()
+	}
+}
