Test that malformed requests of callers reach no target

The heads of callers are read by net/http, which refuses names of fields that are no tokens, control bytes, two lengths and a blank before a colon with 400 and closes the connection. No test showed that for either front program.

--- a/pkg/transport/callerhttp/server_test.go
+++ b/pkg/transport/callerhttp/server_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/iotest"
@@ -18,6 +19,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"hickoryroute/internal/badinput"
 	"hickoryroute/pkg/protocol"
 )
 
@@ -367,3 +369,15 @@
 	assert.Equal(t, <-slow, 200)
 	assert.NilError(t, <-stopped)
 }
+
+// Guards against malformed requests of callers that reach a target or get another
+// status than 400.
+func TestMalformedRequestReachesNoTarget(t *testing.T) {
+	var served atomic.Int32
+	srv := newServer(func(ctx context.Context, r *Request) (*Response, *protocol.Problem) {
+		served.Add(1)
+		return echo(ctx, r)
+	}, Config{})
+	badinput.Check(t, startServer(t, srv), "GET /v1/services/cluebook/x HTTP/1.1\r\nHost: a\r\n")
+	assert.Equal(t, served.Load(), int32(0))
+}
