--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -51,6 +51,8 @@
 		"this VM refuses requests with keys as not run, because a key that was removed verified_ms ago may still look valid to it; logged once until it serves them again")
 	EventKeysVerified = eventlog.Define(2119, "keys_verified", logrus.InfoLevel,
 		"this VM has fresh word of the configuration and serves requests with keys again, after refused_ms")
+	EventResponseRejected = eventlog.Define(2123, "response_rejected", logrus.WarnLevel,
+		"a target responded, and the response is cut, is not valid HTTP or belongs to another request (kind); error gives the evidence. The target counts as failed, and the request may have run. Check the target for a crash")
 )
 
 // requestMetrics holds the metrics of this package.
--- a/pkg/transport/callerhttp/server_test.go
+++ b/pkg/transport/callerhttp/server_test.go
@@ -11,12 +11,15 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"hickoryroute/internal/badinput"
 	"hickoryroute/pkg/protocol"
 )
 
@@ -164,6 +167,15 @@
 			assert.ErrorContains(t, err, "EOF", "size %d", size)
 		}
 	}
+	// For HTTP/1.0, the end of the connection is the end of a body without a length.
+	length, size = -1, 200_000
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /v1/services/cluebook/x HTTP/1.0\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	got, err := io.ReadAll(conn)
+	assert.ErrorIs(t, err, syscall.ECONNRESET, "%d bytes look like a whole response", len(got))
 }
 
 // Guards against a body that ends cleanly before its declared length.
@@ -357,3 +369,15 @@
 	assert.Equal(t, <-slow, 200)
 	assert.NilError(t, <-stopped)
 }
+
+// Guards against malformed requests of callers that reach a target or get another
+// status than 400.
+func TestMalformedRequestReachesNoTarget(t *testing.T) {
+	var served atomic.Int32
+	srv := newServer(func(ctx context.Context, r *Request) (*Response, *protocol.Problem) {
+		served.Add(1)
+		return echo(ctx, r)
+	}, Config{})
+	badinput.Check(t, startServer(t, srv), "GET /v1/services/cluebook/x HTTP/1.1\r\nHost: a\r\n")
+	assert.Equal(t, served.Load(), int32(0))
+}
--- a/pkg/transport/target/accept.go
+++ b/pkg/transport/target/accept.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 )
 
 const (
@@ -27,7 +26,7 @@
 	if d.RequireEchoedID && !x.echoed {
 		return nil, x.fail(KindMismatched, errNotEchoed)
 	}
-	if !d.AllowCloseDelimited && x.resp.Body != http.NoBody && x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 {
+	if !d.AllowCloseDelimited && endsWithConnection(x.resp) {
 		return nil, x.fail(KindTruncated, errUnknownEnd)
 	}
 	x.conn.setIdleLimit(h)
@@ -51,9 +50,19 @@
 	return x.readRefusal()
 }
 
+// readRefusal reads the body of a refusal. One that was cut is not believed: a target
+// that breaks off its responses may have run the request.
 func (x *exchange) readRefusal() *Failure {
 	n, err := io.Copy(io.Discard, io.LimitReader(x.resp.Body, maxRefusalBodyBytes+1))
-	whole := err == nil && n <= maxRefusalBodyBytes
+	whole := n <= maxRefusalBodyBytes
+	if err == nil && whole && endsWithConnection(x.resp) {
+		err = x.confirmEnd()
+	}
+	if err != nil {
+		f := x.fail(KindTruncated, err)
+		f.NotRun = false
+		return f
+	}
 	f := &Failure{Kind: KindRefused, NotRun: true, Status: x.resp.StatusCode, Header: x.resp.Header, Err: errNotRunResponse}
 	f.Draining = x.dialect().IsDraining(x.resp.Header)
 	reusable := whole && x.reusable()
@@ -82,7 +91,6 @@
 		return false
 	}
 	x.conn.headLeft = int64(x.client.cfg.MaxHeaderBytes)
-	x.conn.head = x.conn.head[:0]
 	x.readSurplus = true
 	return true
 }
--- a/pkg/transport/target/failure.go
+++ b/pkg/transport/target/failure.go
@@ -73,6 +73,12 @@
 	return fmt.Sprintf("target request failed (%s, %d bytes written): %v; %s", text.name, f.Written, f.Err, text.remedy)
 }
 
+// Responded reports whether the target sent a response that is cut, is not valid or
+// belongs to another request. Such a response promises nothing.
+func (f *Failure) Responded() bool {
+	return f.Kind == KindTruncated || f.Kind == KindMismatched || f.Kind == KindMalformed
+}
+
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
@@ -83,7 +89,7 @@
 	errHeadTooLarge   = errors.New("the head of the response exceeds the size limit")
 	errHeadTooSlow    = errors.New("the head of the response was not complete in time")
 	errTooMany1xx     = errors.New("too many interim responses")
-	errBadStatus      = errors.New("the status of the response is below 100, or is 101 although no upgrade was requested")
+	errUpgrade        = errors.New("the status of the response is 101 although no upgrade was requested")
 	errClosed         = errors.New("the client is closed")
 	errBodyStopped    = errors.New("the request ended before its body was sent")
 	errDeadlinePassed = errors.New("the deadline passed before the request was sent")
