Decide which requests give way by what they cost callers

Package admission decides from the wait, the work, the goal, the priority, the account and the time that the caller has spent. A level for each service and region, fed back from the waits, shrinks the accepted wait of what costs callers least. Without shortage the decision is that of placement.MaxWait, which moves there with its test. A request with a short excess waits in the VM. First tries leave part of the resend budget to requests that came back.

The emulator has classes of requests, peaks, accounts and callers that return.

--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -57,14 +57,19 @@
 	RegionRoundTrip time.Duration
 	Duration        time.Duration
 	Seed            uint64
+	// Classes are the kinds of requests. Without any, all requests are of one kind
+	// with LatencyGoal, Timeout and ServiceTime.
+	Classes []Class
+	// Returns is true if callers come back once after a refusal.
+	Returns bool
 }
 
 // Placer chooses targets for the requests of one VM.
 type Placer interface {
-	// Place returns the index of the target, or false to refuse the request.
-	Place(object string, now time.Time) (target int, ok bool)
+	// Place decides about a request.
+	Place(r *Request, now time.Time) Placement
 	// Done reports the end of a request at a target, with the target's load.
-	Done(target int, refused bool, load placement.LoadReport, now time.Time)
+	Done(r *Request, target int, refused bool, load placement.LoadReport, now time.Time)
 }
 
 // Policy creates the placers of a site.
@@ -84,12 +89,14 @@
 	Scenario Scenario
 	VMs      []VM
 	Targets  []*targets.Target
-	Route    *route.Route
+	Routes   []*route.Route // by class
+	classes  []Class
 }
 
 // Result counts the requests of a run by outcome.
 type Result struct {
 	Requests, WithinGoal, Late, Refused, Failed int
+	Returned                                    int     // requests that came back after a refusal
 	Warm                                        int     // runs on objects that the target had cached
 	Spilled                                     int     // runs in another region
 	MaxSpillChange                              float64 // largest change of a region's spilled share between windows of 2 s
@@ -116,10 +123,10 @@
 
 // newSite creates the VMs and targets of a scenario.
 func newSite(scenario Scenario) *Site {
-	s := &Site{Scenario: scenario, Route: &route.Route{
-		Name: "route", Idempotent: true, Sticky: true, LatencyGoal: scenario.LatencyGoal, Timeout: scenario.Timeout, MaxAttempts: 2,
-		Shares: []route.Share{{Service: service, Weight: 1}},
-	}}
+	s := &Site{Scenario: scenario, classes: scenario.classes()}
+	for _, c := range s.classes {
+		s.Routes = append(s.Routes, c.route())
+	}
 	for _, r := range scenario.Regions {
 		for i := range r.VMs {
 			s.VMs = append(s.VMs, VM{Name: fmt.Sprintf("%s-vm-%d", r.Name, i), Region: r.Name})
@@ -172,6 +179,7 @@
 	seq          int
 	servers      []*server
 	result       Result
+	byClass      []Result
 	spillWindows map[string][]spillWindow
 }
 
@@ -180,10 +188,16 @@
 
 // Run simulates a scenario with a policy.
 func Run(scenario Scenario, p Policy) Result {
+	total, _ := RunByClass(scenario, p)
+	return total
+}
+
+// RunByClass does the same as Run. It also returns the results of each class.
+func RunByClass(scenario Scenario, p Policy) (total Result, byClass []Result) {
 	s := newSite(scenario)
 	sim := &simulation{
 		site: s, policy: p, placers: p.New(s), now: epoch, spillWindows: map[string][]spillWindow{},
-		random: rand.New(rand.NewPCG(scenario.Seed, 1)),
+		random: rand.New(rand.NewPCG(scenario.Seed, 1)), byClass: make([]Result, len(s.classes)),
 	}
 	for range s.Targets {
 		sim.servers = append(sim.servers, &server{scenario: &s.Scenario, slowness: 1})
@@ -201,7 +215,7 @@
 		e.run()
 	}
 	sim.result.MaxSpillChange = sim.maxSpillChange()
-	return sim.result
+	return sim.result, sim.byClass
 }
 
 func (sim *simulation) schedule(d time.Duration, f func()) {
@@ -211,87 +225,10 @@
 
 func (sim *simulation) ended() bool { return sim.now.Sub(epoch) >= sim.site.Scenario.Duration }
 
-// scheduleArrival schedules the next request of a region's callers.
-func (sim *simulation) scheduleArrival(region Region) {
-	scenario := sim.site.Scenario
-	angle := 2 * math.Pi * (sim.now.Sub(epoch).Seconds()/scenario.TrafficPeriod.Seconds() + region.Phase)
-	rate := region.Rate * (1 + scenario.TrafficAmplitude*math.Sin(angle))
-	sim.schedule(time.Duration(sim.random.ExpFloat64()/rate*float64(time.Second)), func() {
-		if sim.ended() {
-			return
-		}
-		object := fmt.Sprintf("%s/%d", region.Name, sim.random.IntN(scenario.Objects))
-		sim.placeRequest(region, object)
-		sim.scheduleArrival(region)
-	})
-}
-
-// placeRequest places one request through a random VM of its region.
-func (sim *simulation) placeRequest(region Region, object string) {
-	sim.result.Requests++
-	vm := sim.random.IntN(region.VMs)
-	for i, other := range sim.site.VMs {
-		if other.Region != region.Name {
-			continue
-		}
-		if vm == 0 {
-			vm = i
-			break
-		}
-		vm--
-	}
-	target, ok := sim.placers[vm].Place(object, sim.now)
-	if !ok {
-		sim.result.Refused++
-		return
-	}
-	sim.send(vm, target, object)
-}
-
-func (sim *simulation) send(vm, target int, object string) {
-	started := sim.now
-	spilled := sim.site.Targets[target].Region != sim.site.VMs[vm].Region
-	sim.countSpill(sim.site.VMs[vm].Region, spilled)
-	oneWay := time.Duration(0)
-	if spilled {
-		sim.result.Spilled++
-		oneWay = sim.site.Scenario.RegionRoundTrip / 2
-	}
-	s := sim.servers[target]
-	sim.schedule(oneWay, func() {
-		serviceTime := sim.drawServiceTime()
-		accepted := s.accept(sim, object, serviceTime, func() {
-			load := s.report()
-			sim.schedule(oneWay, func() {
-				sim.placers[vm].Done(target, false, load, sim.now)
-				sim.countResponse(sim.now.Sub(started))
-			})
-		})
-		if !accepted {
-			load := s.report()
-			sim.schedule(oneWay, func() {
-				sim.placers[vm].Done(target, true, load, sim.now)
-				sim.result.Refused++
-			})
-		}
-	})
-}
-
-func (sim *simulation) countResponse(latency time.Duration) {
-	switch {
-	case latency <= sim.site.Scenario.LatencyGoal:
-		sim.result.WithinGoal++
-	case latency <= sim.site.Scenario.Timeout:
-		sim.result.Late++
-	default:
-		sim.result.Failed++
-	}
-}
-
 // drawServiceTime draws the run time of a request whose object is not cached.
-func (sim *simulation) drawServiceTime() time.Duration {
+func (sim *simulation) drawServiceTime(class int) time.Duration {
 	scenario := sim.site.Scenario
-	duration := float64(scenario.ServiceTime) * math.Exp(0.15*sim.random.NormFloat64())
+	duration := float64(sim.site.classes[class].ServiceTime) * math.Exp(0.15*sim.random.NormFloat64())
 	if sim.random.Float64() < scenario.LongShare {
 		duration *= scenario.LongFactor
 	}
--- a/pkg/emulator/policies.go
+++ b/pkg/emulator/policies.go
@@ -2,8 +2,10 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"hickoryroute/pkg/steering/admission"
 	"hickoryroute/pkg/steering/placement"
 )
 
@@ -14,6 +16,17 @@
 	return Policy{Name: "product", New: newGatewayPlacers, Exchange: exchangeGatewayState}
 }
 
+// WaitBound is the gateway policy with the bound on waits as the only decision.
+func WaitBound() Policy {
+	return Policy{Name: "bound on waits", Exchange: exchangeGatewayState, New: func(s *Site) []Placer {
+		placers := newGatewayPlacers(s)
+		for _, p := range placers {
+			p.(*gatewayPlacer).decide = byWaitAlone
+		}
+		return placers
+	}}
+}
+
 // SharedPicker is the gateway policy with one picker for all VMs of a region, so
 // that each VM sees every request in flight without delay. It gives an upper bound
 // for the gain of an owner VM for each target, without the cost of calls to it.
@@ -58,7 +71,12 @@
 	site     *Site
 	vm       VM
 	picker   *placement.Picker
-	inFlight map[int][]*placement.Choice
+	inFlight map[*Request]*placement.Choice
+	decide   func(p *gatewayPlacer, r *Request, c *placement.Choice, now time.Time) admission.Decision
+
+	admission *admission.Controller
+	budgets   *admission.Budgets
+	random    *rand.Rand
 }
 
 func newGatewayPlacers(s *Site) []Placer {
@@ -71,7 +89,8 @@
 	var placers []Placer
 	for _, vm := range s.VMs {
 		placers = append(placers, &gatewayPlacer{
-			site: s, vm: vm, inFlight: map[int][]*placement.Choice{},
+			site: s, vm: vm, inFlight: map[*Request]*placement.Choice{}, decide: byAdmission,
+			admission: admission.New(), budgets: admission.NewBudgets(), random: random,
 			picker: placement.New(placement.Config{
 				Region: vm.Region, MaxSpillChange: 0.15, Rand: random.Float64,
 				DemandShare: func(region string) float64 { return rates[region] / total },
@@ -82,31 +101,52 @@
 }
 
 // Place implements Placer.
-func (p *gatewayPlacer) Place(object string, now time.Time) (int, bool) {
+func (p *gatewayPlacer) Place(r *Request, now time.Time) Placement {
 	c, ok := p.picker.Pick(p.site.Targets, placement.Query{
-		Service: service, Route: p.site.Route, Object: object, Now: now,
+		Service: service, Route: p.site.Routes[r.Class], Object: r.Object, Now: now,
 	})
 	if !ok {
-		return 0, false
+		return Placement{Verdict: admission.Reject}
 	}
-	if c.ExpectedWait > placement.MaxWait(p.site.Route, c) {
+	d := p.decide(p, r, c, now)
+	if d.Verdict != admission.Run {
 		p.picker.Done(c, placement.Result{Now: now})
-		return 0, false
+		return Placement{Verdict: d.Verdict, Delay: d.Delay}
 	}
-	for i, t := range p.site.Targets {
-		if t == c.Target {
-			p.inFlight[i] = append(p.inFlight[i], c)
-			return i, true
-		}
+	p.inFlight[r] = c
+	return Placement{Target: slices.Index(p.site.Targets, c.Target)}
+}
+
+// byWaitAlone is the decision without package admission: the expected wait of a
+// request is compared with what its goal leaves, and nothing else.
+func byWaitAlone(p *gatewayPlacer, r *Request, c *placement.Choice, _ time.Time) admission.Decision {
+	route := p.site.Routes[r.Class]
+	excess := c.ExpectedWait - admission.AcceptedWait(route.LatencyGoal, c.ExpectedLatency-c.ExpectedWait, route.Priority)
+	if excess <= 0 {
+		return admission.Decision{}
 	}
-	return 0, false
+	return admission.Decision{Verdict: admission.Reject, Delay: excess}
 }
 
-// Done implements Placer. It assumes that requests of one VM at one target end
-// in the order in which they began.
-func (p *gatewayPlacer) Done(target int, refused bool, load placement.LoadReport, now time.Time) {
-	c := p.inFlight[target][0]
-	p.inFlight[target] = p.inFlight[target][1:]
+// byAdmission is the decision of package admission.
+func byAdmission(p *gatewayPlacer, r *Request, c *placement.Choice, now time.Time) admission.Decision {
+	class, route := &p.site.classes[r.Class], p.site.Routes[r.Class]
+	if r.Held == 0 {
+		r.Spent = p.budgets.Spent(route.Name, r.Left, now)
+	} else {
+		p.admission.Resume()
+	}
+	return p.admission.Decide(&admission.Request{
+		Service: service, Route: route.Name, Region: c.Target.Region, Account: class.Account, AccountWeight: class.AccountLimit,
+		Priority: route.Priority, Goal: route.LatencyGoal, Left: min(r.Left, route.Timeout-r.Held), Spent: r.Spent, Held: r.Held,
+		Wait: c.ExpectedWait, Work: c.ExpectedLatency - c.ExpectedWait, Chance: p.random.Float64(), Now: now,
+	})
+}
+
+// Done implements Placer.
+func (p *gatewayPlacer) Done(r *Request, _ int, refused bool, load placement.LoadReport, now time.Time) {
+	c := p.inFlight[r]
+	delete(p.inFlight, r)
 	p.picker.Done(c, placement.Result{Responded: !refused, Refused: refused, Load: &load, Now: now})
 }
 
@@ -187,13 +227,13 @@
 }
 
 // Place implements Placer.
-func (b *baseline) Place(object string, _ time.Time) (int, bool) {
-	n := b.choose(b, object)
+func (b *baseline) Place(r *Request, _ time.Time) Placement {
+	n := b.choose(b, r.Object)
 	b.inFlight[n]++
-	return n, true
+	return Placement{Target: n}
 }
 
 // Done implements Placer.
-func (b *baseline) Done(target int, _ bool, _ placement.LoadReport, _ time.Time) {
+func (b *baseline) Done(_ *Request, target int, _ bool, _ placement.LoadReport, _ time.Time) {
 	b.inFlight[target]--
 }
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -58,6 +58,7 @@
 	spilled    *metrics.Counter
 	warm       *metrics.Counter
 	duration   *metrics.Histogram
+	turnedAway map[turnedAwayKey]*metrics.Counter
 
 	peerErrors *metrics.Counter
 }
@@ -74,6 +75,7 @@
 		spilled:    s.NewCounter(`hickory_gateway_spilled_total`),
 		warm:       s.NewCounter(`hickory_gateway_warm_total`),
 		duration:   s.NewHistogram(`hickory_gateway_request_seconds`),
+		turnedAway: newTurnedAwayCounters(s),
 
 		peerErrors: s.NewCounter(`hickory_gateway_peer_errors_total`),
 	}
@@ -97,12 +99,14 @@
 		fields["target"] = choice.Target.ID
 		fields["target_zone"] = choice.Target.Zone
 		fields["expected_ms"] = choice.ExpectedLatency.Milliseconds()
+		fields["wait_ms"] = choice.ExpectedWait.Milliseconds()
 		fields["in_flight"] = math.Round(choice.InFlight*10) / 10
 		fields["load_age_ms"] = choice.LoadReportAge.Milliseconds()
 		fields["warm"] = choice.Warm
 		fields["rank"] = choice.Rank
 		fields["spilled"] = choice.Spilled
 	}
+	addAdmissionFields(fields, &c.admission)
 	if c.lastErr != nil {
 		fields["error"] = c.lastErr.Error()
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/state/route"
 	"hickoryroute/pkg/state/targets"
+	"hickoryroute/pkg/steering/admission"
 	"hickoryroute/pkg/steering/crash"
 	"hickoryroute/pkg/steering/limit"
 	"hickoryroute/pkg/steering/placement"
@@ -110,6 +111,8 @@
 	routes       route.CurrentTable
 	targetSet    *targets.Set
 	picker       *placement.Picker
+	admission    *admission.Controller
+	budgets      *admission.Budgets
 	resendBudget *limit.ResendLimiter
 	coldLimits   *limit.ColdLimiter
 	targetLimits *limit.TargetLimiter
@@ -134,6 +137,7 @@
 		cfg.Suspended = suspend.Total
 	}
 	g := &Gateway{cfg: cfg, coldLimits: limit.NewColdLimiter(), targetLimits: limit.NewTargetLimiter(), metrics: newRequestMetrics(), crashes: crash.NewTable()}
+	g.admission, g.budgets = admission.New(), admission.NewBudgets()
 	g.peers = newPeers(g)
 	g.targetSet = targets.NewSet(targets.Config{
 		RegionOf: func(zone string) string { return cfg.Regions[zone] },
@@ -167,6 +171,7 @@
 		}
 		return float64(g.cfg.DroppedLogLines())
 	})
+	set.NewGauge("hickory_gateway_overload_level", g.admission.HighestLevel)
 	set.NewGauge("hickory_gateway_requests_in_flight", func() float64 { return float64(g.stopping.inFlight.Load()) })
 	set.NewGauge(`hickory_gateway_target_connections{state="in_use"}`, func() float64 { return float64(g.targetClient.Usage().InUse) })
 	set.NewGauge(`hickory_gateway_target_connections{state="idle"}`, func() float64 { return float64(g.targetClient.Usage().Idle) })
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -12,6 +12,7 @@
 
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/steering/admission"
 	"hickoryroute/pkg/steering/crash"
 	"hickoryroute/pkg/steering/placement"
 	"hickoryroute/pkg/transport/target"
@@ -52,6 +53,7 @@
 	lastErr     error
 	choice      *placement.Choice // of the last attempt
 	fingerprint crash.Fingerprint
+	admission   admissionState
 }
 
 // Serve forwards one request. It calls respond with the response of the target,
@@ -63,6 +65,7 @@
 		deadline: earlier(r.Deadline, r.Received.Add(r.Route.Timeout)), suspended: r.Suspended,
 		fingerprint: crash.NewFingerprint(r.Host, r.Method, r.Path, r.Body.buffered),
 	}
+	c.admission.spent = g.budgets.Spent(r.Route.Name, r.Deadline.Sub(r.Received), g.cfg.Now())
 	g.resendBudget.CountRequest(c.service, g.cfg.Now())
 	response, refusal := g.serveCall(ctx, c)
 	g.recordOutcome(c, response, refusal)
@@ -109,10 +112,16 @@
 			return nil, c.newRefusal(ReasonNoTarget, g.waitForTarget(c, now))
 		}
 		c.choice = choice
-		maxWait := min(placement.MaxWait(c.Route, choice), c.deadline.Sub(now)-minSendTime)
-		if excessWait := choice.ExpectedWait - maxWait; excessWait > 0 && c.retries == 0 {
+		decision := g.decideAdmission(c, choice, now)
+		if decision.Verdict != admission.Run {
 			g.picker.Done(choice, placement.Result{Now: now})
-			return nil, c.newRefusal(ReasonNoCapacity, excessWait)
+		}
+		switch decision.Verdict {
+		case admission.Reject:
+			return nil, c.newRefusal(ReasonNoCapacity, decision.Delay)
+		case admission.Hold:
+			g.hold(ctx, c)
+			continue
 		}
 		if choice.Target.Cold(now) {
 			g.coldLimits.Take(choice.Target.ID, now)
@@ -312,8 +321,8 @@
 		return nil
 	}
 	c.refusals++
-	if c.refusals > maxRefusals || !g.resendBudget.Take(c.service, now) {
-		return c.newRefusal(ReasonRefused, c.choice.ExpectedLatency)
+	if c.refusals > maxRefusals || !g.resendBudget.TakeLeaving(c.service, g.leftToReturned(c, now), now) {
+		return c.newRefusal(ReasonRefused, refusedRetryAfter(c))
 	}
 	return nil
 }
--- a/pkg/steering/limit/limit.go
+++ b/pkg/steering/limit/limit.go
@@ -114,12 +114,18 @@
 // Take reports whether one more resend is within this VM's part of the budget,
 // and charges it.
 func (r *ResendLimiter) Take(service string, now time.Time) bool {
+	return r.TakeLeaving(service, 0, now)
+}
+
+// TakeLeaving does the same as Take and leaves a part of the budget, from 0 to 1,
+// to others.
+func (r *ResendLimiter) TakeLeaving(service string, part float64, now time.Time) bool {
 	vms := max(1, r.cfg.VMs())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.state(service)
 	allowed := r.cfg.Share*usedShare*s.requests.sum(now) + r.cfg.Slack*usedSlack/float64(vms)
-	if s.resends.sum(now)+1 > allowed {
+	if s.resends.sum(now)+1 > allowed*(1-part) {
 		return false
 	}
 	s.resends.add(now, 1)
--- a/pkg/steering/placement/picker_test.go
+++ b/pkg/steering/placement/picker_test.go
@@ -141,14 +141,6 @@
 	assert.Equal(t, c.InFlight, 1.0, "the load of an unresponsive peer has expired")
 }
 
-// Under overload, less urgent work must be refused first.
-func TestUrgentRoutesWaitLonger(t *testing.T) {
-	urgent, other := *testRoute, *testRoute
-	urgent.Priority, other.Priority = 0, 2
-	c := &Choice{ExpectedLatency: 500 * time.Millisecond, ExpectedWait: 300 * time.Millisecond}
-	assert.Assert(t, MaxWait(&urgent, c) > MaxWait(&other, c))
-}
-
 // The state of targets that have left must be dropped, and requests that end
 // later must not create it again.
 func TestRemovedTargetLeavesNoState(t *testing.T) {
