Recognize requests that come back at other VMs

The fingerprint of a request and the moment at which its caller gives up are the same for all its tries; VMs of a region tell them each other with their loads. First tries leave a quarter of the accepted wait, and part of the resend budget, to requests that came back. The time left alone, tried first, differs by a sixth between first tries and does not tell them apart.

--- a/pkg/emulator/callers.go
+++ b/pkg/emulator/callers.go
@@ -22,6 +22,8 @@
 	Timeout            time.Duration // of one try
 	Patience           time.Duration // of a caller, for all its tries
 	ServiceTime        time.Duration // as Scenario.ServiceTime
+	// SharedObjects is true if the requests concern the objects of the first class.
+	SharedObjects bool
 	// Account is the client account of the callers, and AccountLimit the limit on
 	// its requests.
 	Account      string
@@ -65,11 +67,18 @@
 	// Spent is the time that the VM assumes the caller to have spent before.
 	Spent time.Duration
 
+	key      uint64 // stands for the contents
 	region   Region
 	began    time.Time // of the caller's first try
 	returned bool
 }
 
+// requestKeys is the number of different contents of requests.
+const requestKeys = 256
+
+// deadline returns when the caller gives up.
+func (r *Request) deadline(c *Class) time.Time { return r.began.Add(c.Patience) }
+
 // Placement is what happens to a request. With the verdict Run it goes to Target;
 // with Hold it is placed again after Delay; with Reject its caller is asked to
 // come back after Delay.
@@ -89,12 +98,12 @@
 			return
 		}
 		class, name := sim.drawClass(), region.Name
-		if class > 0 {
+		if class > 0 && !sim.site.classes[class].SharedObjects {
 			name = fmt.Sprintf("%s/%d", name, class)
 		}
 		r := &Request{
 			Object: fmt.Sprintf("%s/%d", name, sim.random.IntN(scenario.Objects)), Class: class,
-			region: region, began: sim.now,
+			region: region, began: sim.now, key: uint64(sim.result.Requests) % requestKeys,
 		}
 		sim.count(r, func(result *Result) { result.Requests++ })
 		sim.tryRequest(r)
--- a/pkg/emulator/policies.go
+++ b/pkg/emulator/policies.go
@@ -75,7 +75,7 @@
 	decide   func(p *gatewayPlacer, r *Request, c *placement.Choice, now time.Time) admission.Decision
 
 	admission *admission.Controller
-	budgets   *admission.Budgets
+	returns   *admission.Returns
 	random    *rand.Rand
 }
 
@@ -90,7 +90,7 @@
 	for _, vm := range s.VMs {
 		placers = append(placers, &gatewayPlacer{
 			site: s, vm: vm, inFlight: map[*Request]*placement.Choice{}, decide: byAdmission,
-			admission: admission.New(), budgets: admission.NewBudgets(), random: random,
+			admission: admission.New(), returns: admission.NewReturns(), random: rand.New(rand.NewPCG(s.Scenario.Seed, 3)),
 			picker: placement.New(placement.Config{
 				Region: vm.Region, MaxSpillChange: 0.15, Rand: random.Float64,
 				DemandShare: func(region string) float64 { return rates[region] / total },
@@ -132,15 +132,19 @@
 func byAdmission(p *gatewayPlacer, r *Request, c *placement.Choice, now time.Time) admission.Decision {
 	class, route := &p.site.classes[r.Class], p.site.Routes[r.Class]
 	if r.Held == 0 {
-		r.Spent = p.budgets.Spent(route.Name, r.Left, now)
+		r.Spent = p.returns.Spent(r.key, r.deadline(class), now)
 	} else {
 		p.admission.Resume()
 	}
-	return p.admission.Decide(&admission.Request{
+	d := p.admission.Decide(&admission.Request{
 		Service: service, Route: route.Name, Region: c.Target.Region, Account: class.Account, AccountWeight: class.AccountLimit,
 		Priority: route.Priority, Goal: route.LatencyGoal, Left: min(r.Left, route.Timeout-r.Held), Spent: r.Spent, Held: r.Held,
 		Wait: c.ExpectedWait, Work: c.ExpectedLatency - c.ExpectedWait, Chance: p.random.Float64(), Now: now,
 	})
+	if d.Verdict == admission.Reject {
+		p.returns.Record(admission.Refusal{Key: r.key, Deadline: r.deadline(class), Began: r.began}, now)
+	}
+	return d
 }
 
 // Done implements Placer.
@@ -162,6 +166,9 @@
 			case i == j:
 			case from.vm.Region == to.vm.Region:
 				to.picker.UpdatePeerLoads(from.vm.Name, own, now)
+				for _, r := range from.returns.Recent(now) {
+					to.returns.Merge(r, now)
+				}
 			default:
 				from.reportUtilization(to, now)
 			}
--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hickoryroute/pkg/eventlog"
+	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/steering/admission"
 	"hickoryroute/pkg/steering/placement"
 )
@@ -63,7 +64,7 @@
 // leftToReturned returns the part of the resend budget that a call must leave to
 // others.
 func (g *Gateway) leftToReturned(c *call, now time.Time) float64 {
-	if c.admission.spent == 0 && g.budgets.CallersReturn(c.Route.Name, now) {
+	if c.admission.spent == 0 && g.returns.CallersReturn(now) {
 		return returnedResendPart
 	}
 	return 0
@@ -74,7 +75,38 @@
 // though it has slots, and another one may take the request at once.
 func refusedRetryAfter(c *call) time.Duration {
 	spread := time.Duration(rand.Float64() * float64(minRetryAfter))
-	return c.choice.ExpectedWait + minRetryAfter + spread
+	return c.choice.ExpectedWait + admission.SpreadTime + spread
+}
+
+// recordRefusal records that the caller of a refused call may come back.
+func (g *Gateway) recordRefusal(c *call, refusal *Refusal) {
+	if refusal.NotRun && (refusal.Reason == ReasonNoCapacity || refusal.Reason == ReasonRefused) {
+		began := c.Received.Add(-c.admission.spent)
+		g.returns.Record(admission.Refusal{Key: uint64(c.fingerprint), Deadline: c.Deadline, Began: began}, g.cfg.Now())
+	}
+}
+
+// ownRefusals returns the refusals of this VM that other VMs should know.
+func (p *peers) ownRefusals() []protocol.RefusalNotice {
+	now := p.gateway.cfg.Now()
+	var notices []protocol.RefusalNotice
+	for _, r := range p.gateway.returns.Recent(now) {
+		notices = append(notices, protocol.RefusalNotice{
+			Key: r.Key, LeftMs: r.Deadline.Sub(now).Milliseconds(), BeganMs: now.Sub(r.Began).Milliseconds(),
+		})
+	}
+	return notices
+}
+
+// mergeRefusals takes over the refusals of another VM.
+func (p *peers) mergeRefusals(notices []protocol.RefusalNotice) {
+	now := p.gateway.cfg.Now()
+	for _, n := range notices {
+		p.gateway.returns.Merge(admission.Refusal{
+			Key: n.Key, Deadline: now.Add(time.Duration(n.LeftMs) * time.Millisecond),
+			Began: now.Add(-time.Duration(n.BeganMs) * time.Millisecond),
+		}, now)
+	}
 }
 
 // turnedAwayKey names one counter of decisions against requests.
@@ -109,14 +141,17 @@
 	g.metrics.turnedAway[turnedAwayKey{d.Verdict, d.Cause, d.Class, admission.PriorityLabel(r.Priority)}].Inc()
 }
 
-// addAdmissionFields adds to a log line what decided about a call that room was
-// short for.
+// addAdmissionFields adds to a log line that the caller came back, and what decided
+// about a call that room was short for.
 func addAdmissionFields(fields eventlog.Fields, a *admissionState) {
+	if a.spent > 0 {
+		fields["spent_ms"] = a.spent.Milliseconds()
+	}
 	if a.decision.Level == 0 && a.held == 0 && a.decision.Verdict == admission.Run {
 		return
 	}
 	fields["class"], fields["cause"] = string(a.decision.Class), string(a.decision.Cause)
 	fields["level"] = math.Round(a.decision.Level*100) / 100
 	fields["accepted_ms"] = a.decision.Accepted.Milliseconds()
-	fields["spent_ms"], fields["held_ms"] = a.spent.Milliseconds(), a.held.Milliseconds()
+	fields["held_ms"] = a.held.Milliseconds()
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -112,7 +112,7 @@
 	targetSet    *targets.Set
 	picker       *placement.Picker
 	admission    *admission.Controller
-	budgets      *admission.Budgets
+	returns      *admission.Returns
 	resendBudget *limit.ResendLimiter
 	coldLimits   *limit.ColdLimiter
 	targetLimits *limit.TargetLimiter
@@ -137,7 +137,7 @@
 		cfg.Suspended = suspend.Total
 	}
 	g := &Gateway{cfg: cfg, coldLimits: limit.NewColdLimiter(), targetLimits: limit.NewTargetLimiter(), metrics: newRequestMetrics(), crashes: crash.NewTable()}
-	g.admission, g.budgets = admission.New(), admission.NewBudgets()
+	g.admission, g.returns = admission.New(), admission.NewReturns()
 	g.peers = newPeers(g)
 	g.targetSet = targets.NewSet(targets.Config{
 		RegionOf: func(zone string) string { return cfg.Regions[zone] },
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -168,7 +168,7 @@
 	case vm.Region != self.Region:
 		req.Uses = p.ownUtilization()
 	case !brief:
-		req.Loads = p.ownLoads()
+		req.Loads, req.Refusals = p.ownLoads(), p.ownRefusals()
 	}
 	var reply protocol.LoadsReply
 	began := p.gateway.cfg.Now()
@@ -179,6 +179,7 @@
 	p.gateway.picker.RecordRoundTrip(vm.Region, p.gateway.cfg.Now().Sub(began))
 	p.applyPeerState(reply.From, reply.Region, brief, reply.Loads, reply.Uses)
 	p.mergeCrashes(reply.Crashes)
+	p.mergeRefusals(reply.Refusals)
 	p.mergeLimits(reply.Limits)
 	p.gateway.operatorFeed.HintRevision(reply.Newest)
 	return true
@@ -232,6 +233,7 @@
 func (p *peers) Loads(_ context.Context, req *protocol.LoadsRequest, reply *protocol.LoadsReply) error {
 	p.applyPeerState(req.From, req.Region, req.Brief, req.Loads, req.Uses)
 	p.mergeCrashes(req.Crashes)
+	p.mergeRefusals(req.Refusals)
 	p.mergeLimits(req.Limits)
 	p.gateway.operatorFeed.HintRevision(req.Newest)
 	self := p.gateway.cfg.Self
@@ -242,7 +244,7 @@
 	case req.Region != self.Region:
 		reply.Uses = p.ownUtilization()
 	case !req.Brief:
-		reply.Loads = p.ownLoads()
+		reply.Loads, reply.Refusals = p.ownLoads(), p.ownRefusals()
 	}
 	return nil
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -65,11 +65,12 @@
 		deadline: earlier(r.Deadline, r.Received.Add(r.Route.Timeout)), suspended: r.Suspended,
 		fingerprint: crash.NewFingerprint(r.Host, r.Method, r.Path, r.Body.buffered),
 	}
-	c.admission.spent = g.budgets.Spent(r.Route.Name, r.Deadline.Sub(r.Received), g.cfg.Now())
+	c.admission.spent = g.returns.Spent(uint64(c.fingerprint), r.Deadline, r.Received)
 	g.resendBudget.CountRequest(c.service, g.cfg.Now())
 	response, refusal := g.serveCall(ctx, c)
 	g.recordOutcome(c, response, refusal)
 	if refusal != nil {
+		g.recordRefusal(c, refusal)
 		return refusal
 	}
 	if response.Rest != nil {
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -43,17 +43,28 @@
 	Newest int64
 	// Crashes lists requests that have recently crashed targets.
 	Crashes []CrashNotice
+	// Refusals lists requests whose callers may come back to another VM.
+	Refusals []RefusalNotice
 }
 
 // LoadsReply reports the state of the peer.
 type LoadsReply struct {
-	From    string
-	Region  string
-	Loads   []TargetLoad
-	Uses    []ServiceUse
-	Limits  []TargetLimit
-	Newest  int64
-	Crashes []CrashNotice
+	From     string
+	Region   string
+	Loads    []TargetLoad
+	Uses     []ServiceUse
+	Limits   []TargetLimit
+	Newest   int64
+	Crashes  []CrashNotice
+	Refusals []RefusalNotice
+}
+
+// RefusalNotice is a request that the sender has refused. LeftMs is the time until
+// its caller gives up, and BeganMs that since its first try, when the message was
+// sent.
+type RefusalNotice struct {
+	Key             uint64
+	LeftMs, BeganMs int64
 }
 
 // CrashNotice lists the targets that a request has crashed since a target last
--- a/pkg/steering/admission/accounts.go
+++ b/pkg/steering/admission/accounts.go
@@ -9,9 +9,10 @@
 const (
 	// maxShareRatio is how many times its share of the work an account may use
 	// before it gives way. Within it the use varies by chance.
-	maxShareRatio = 2.0
-	// defaultWeight is the weight of accounts without a limit.
-	defaultWeight = 1.0
+	maxShareRatio = 1.5
+	// overTime is how long the others do not give way after an account was beyond its
+	// share.
+	overTime = time.Second
 	// weightInterval is the time between two sums of the weights of the accounts
 	// in use.
 	weightInterval = time.Second
@@ -26,15 +27,18 @@
 	// work is the work of all accounts in the last seconds, decayed since at.
 	work float64
 	at   time.Time
-	// weight is the sum of the weights of the accounts in use, computed at summedAt.
-	weight   float64
-	summedAt time.Time
+	// weight is the sum of the weights of the accounts in use, and meanWeight the mean
+	// of those that have one, which the others get. Both were computed at summedAt.
+	weight, meanWeight float64
+	summedAt           time.Time
+	overAt             time.Time // when an account was last seen beyond its share
 }
 
 // accountUse is the work of one account in the last seconds, decayed since at.
 type accountUse struct {
-	work, weight float64
-	at           time.Time
+	work   float64
+	weight float64 // 0 if the account has none
+	at     time.Time
 }
 
 func newAccountShares() accountShares {
@@ -52,9 +56,6 @@
 		s.usage.Add(r.Account, use)
 	}
 	use.weight = r.AccountWeight
-	if use.weight <= 0 {
-		use.weight = defaultWeight
-	}
 	use.work = use.work*decay(use.at, r.Now) + r.Work.Seconds()
 	use.at = r.Now
 	s.work = s.work*decay(s.at, r.Now) + r.Work.Seconds()
@@ -74,15 +75,42 @@
 		s.sumWeights(r.Now)
 	}
 	used := use.work * decay(use.at, r.Now)
-	return used*s.weight > maxShareRatio*use.weight*s.work*decay(s.at, r.Now)
+	over := used*s.weight > maxShareRatio*s.weightOf(use)*s.work*decay(s.at, r.Now)
+	if over {
+		s.overAt = r.Now
+	}
+	return over
+}
+
+// othersOver reports whether a request has an account and another account has used
+// more than its share lately, so that it gives way first.
+func (s *accountShares) othersOver(r *Request) bool {
+	return r.Account != "" && r.Now.Sub(s.overAt) < overTime
+}
+
+func (s *accountShares) weightOf(use *accountUse) float64 {
+	if use.weight > 0 {
+		return use.weight
+	}
+	return s.meanWeight
 }
 
 // sumWeights sums the weights of the accounts in use.
 func (s *accountShares) sumWeights(now time.Time) {
-	s.weight, s.summedAt = 0, now
+	s.weight, s.meanWeight, s.summedAt = 0, 1, now
+	with, without := 0.0, 0.0
 	for _, use := range s.usage.Values() {
-		if now.Sub(use.at) < idleTime {
+		switch {
+		case now.Sub(use.at) >= idleTime:
+		case use.weight > 0:
+			with++
 			s.weight += use.weight
+		default:
+			without++
 		}
 	}
+	if with > 0 {
+		s.meanWeight = s.weight / with
+	}
+	s.weight += without * s.meanWeight
 }
--- a/pkg/steering/admission/admission.go
+++ b/pkg/steering/admission/admission.go
@@ -35,7 +35,7 @@
 	maxRetryFraction = 1.0 / 3
 	// retrySpread lengthens Retry-After by up to this fraction, so that callers who
 	// were refused together do not return together.
-	retrySpread = 0.5
+	retrySpread = 0.25
 	// maxTracked bounds the regions, routes and accounts that are tracked each.
 	maxTracked = 4096
 )
@@ -146,8 +146,9 @@
 		Accepted: AcceptedWait(r.Goal, r.Work, r.Priority),
 	}
 	base := d.Accepted
-	if level > 0 {
-		strict := (1 - use.givesWay(r, class, route)) * float64(min(tight, goalWait(r.Goal, r.Work)))
+	if level > 0 && !use.protected(r, route) {
+		behind, rest := use.givesWay(r, class)
+		strict := (1 - rest) * min((1-behind)*float64(tight), float64(goalWait(r.Goal, r.Work)))
 		d.Accepted = time.Duration(float64(base) + level*(strict-float64(base)))
 	}
 	switch {
@@ -171,14 +172,24 @@
 	excess := r.Wait - min(d.Accepted, r.Left)
 	spread := 1 + retrySpread*r.Chance
 	hold := max(minHold, time.Duration(spread*float64(excess)))
-	bound := time.Duration(maxHeldFraction*float64(r.Goal)) - r.Held
+	bound := time.Duration((1-d.Level)*maxHeldFraction*float64(r.Goal)) - r.Held
 	if d.Cause != CauseExpired && hold <= min(bound, r.Left) && c.held < maxHeld {
 		c.held++
 		d.Verdict, d.Delay = Hold, hold
 		return
 	}
 	d.Verdict = Reject
-	d.Delay = min(time.Duration(spread*float64(excess)), time.Duration(maxRetryFraction*float64(r.Left)))
+	d.Delay = min(max(time.Duration(spread*float64(excess)), returnDelay(r)), time.Duration(maxRetryFraction*float64(r.Left)))
+}
+
+// returnDelay returns the shortest Retry-After with which the VMs know the caller
+// when it comes back. It leaves half of the time that is left to the goal.
+func returnDelay(r *Request) time.Duration {
+	slack := r.Goal - r.Spent - r.Held - r.Work
+	if slack <= 0 {
+		return SpreadTime // it is late in any case
+	}
+	return min(SpreadTime, slack/2)
 }
 
 // Resume ends the wait of a held request.
--- a/pkg/steering/admission/level.go
+++ b/pkg/steering/admission/level.go
@@ -14,7 +14,7 @@
 	maxPressureSample = 2.0
 	// lowPressure is the pressure up to which there is no shortage: waits of
 	// single targets that are busy by chance.
-	lowPressure = 0.5
+	lowPressure = .5
 	// levelFallTime is the time constant with which the level falls. It rises with
 	// the pressure at once: a level that fell as fast would swing.
 	levelFallTime = 3 * time.Second
--- a/pkg/steering/admission/use.go
+++ b/pkg/steering/admission/use.go
@@ -25,12 +25,15 @@
 	switch {
 	case r.Spent > 0:
 		return ClassReturned
-	case r.Held+r.Work > r.Goal:
+	case isLate(r):
 		return ClassLate
 	}
 	return ClassInGoal
 }
 
+// isLate reports whether a request is late even if it runs at once.
+func isLate(r *Request) bool { return r.Spent+r.Held+r.Work > r.Goal }
+
 const (
 	// useTime is the time constant of the counts of requests and of work.
 	useTime = 3 * time.Second
@@ -46,9 +49,10 @@
 	maxOrderGap = 0.03
 
 	// These parts of the accepted wait are what requests give up at level 1.
-	givesWayLate      = 0.6 // the caller loses the least
-	givesWayOverShare = 0.6 // others need the room that the account takes
-	givesWayPerStep   = 0.3
+	givesWayLate      = 0.3  // the caller loses the least
+	givesWayOverShare = 0.6  // others need the room that the account takes
+	givesWayFirst     = 0.25 // first tries leave room for requests that came back
+	givesWayPerStep   = 0.15
 	// goalWaitSmoothing is the weight of one request in the mean of goalWait.
 	goalWaitSmoothing = 0.05
 )
@@ -71,9 +75,10 @@
 	byPriority [Priorities]counts
 	// goalWait is the mean wait, by priority, with which a response still comes
 	// within its goal.
-	goalWait [Priorities]time.Duration
-	routes   *lru.Table[string, *routeUse]
-	accounts accountShares
+	goalWait   [Priorities]time.Duration
+	returnedAt time.Time // when a request last came back
+	routes     *lru.Table[string, *routeUse]
+	accounts   accountShares
 }
 
 // routeUse are the counts of one route, decayed at a time of their own.
@@ -117,6 +122,9 @@
 		route.arrived++
 		u.observeGoalWait(r)
 	}
+	if r.Spent > 0 {
+		u.returnedAt = r.Now
+	}
 	return route
 }
 
@@ -176,27 +184,34 @@
 	u.accounts.add(r)
 }
 
-// givesWay returns the part of its accepted wait that a request gives up at
-// level 1.
-func (u *serviceUse) givesWay(r *Request, class Class, route *routeUse) float64 {
-	if route.servedShare() < minServedRatio*u.all.servedShare() {
-		return 0
+// protected reports whether a request keeps its accepted wait at any level: its route
+// is served little, or another account takes more than its share.
+func (u *serviceUse) protected(r *Request, route *routeUse) bool {
+	return route.servedShare() < minServedRatio*u.all.servedShare() ||
+		u.accounts.othersOver(r) && !u.accounts.overShare(r)
+}
+
+// givesWay returns what a request gives up at level 1: the part of the wait with
+// which more urgent requests are in time, and the part of its own accepted wait.
+func (u *serviceUse) givesWay(r *Request, class Class) (behind, rest float64) {
+	own := priorityIndex(r)
+	behind = min(1, givesWayPerStep*float64(u.moreUrgent(own)))
+	if u.accounts.overShare(r) {
+		rest = givesWayOverShare
 	}
 	if class == ClassReturned {
-		return 0
+		return behind, rest
 	}
-	own := priorityIndex(r)
 	for urgent := range own {
 		if u.byPriority[urgent].servedShare() < u.byPriority[own].servedShare()-maxOrderGap {
-			return 1
+			return 1, 1
 		}
 	}
-	part := givesWayPerStep * float64(u.moreUrgent(own))
-	if class == ClassLate {
-		part += givesWayLate
+	if r.Now.Sub(u.returnedAt) < returnTime {
+		rest += givesWayFirst
 	}
-	if u.accounts.overShare(r) {
-		part += givesWayOverShare
+	if class == ClassLate {
+		rest += givesWayLate
 	}
-	return min(1, part)
+	return behind, min(1, rest)
 }
