--- a/pkg/steering/admission/admission.go
+++ b/pkg/steering/admission/admission.go
@@ -142,7 +142,7 @@
 	class := classify(r)
 	route := use.arrived(r)
 	tight := use.tightWait(priorityIndex(r))
-	level := c.levelOf(r).observe(r, use.tightWait(lowestPriority))
+	level := c.levelOf(r).update(r.Now, r.Wait, tight, use.moreUrgent(priorityIndex(r)) == 0)
 	d := Decision{
 		Class: class, Level: level, Cause: CauseRoom,
 		Accepted: AcceptedWait(r.Goal, r.Work, r.Priority),
@@ -186,14 +186,13 @@
 	d.Delay = min(max(time.Duration(spread*float64(excess)), returnDelay(r)), time.Duration(maxRetryFraction*float64(r.Left)))
 }
 
-// returnDelay returns the shortest Retry-After with which the VMs know the caller
-// when it comes back. It leaves half of the time that is left to the goal.
+// returnDelay returns the shortest Retry-After. A caller that is late in any case
+// comes back when the other VMs know of it; the others may still be in time.
 func returnDelay(r *Request) time.Duration {
-	slack := r.Goal - r.Spent - r.Held - r.Work
-	if slack <= 0 {
-		return SpreadTime // it is late in any case
+	if isLate(r) {
+		return SpreadTime
 	}
-	return min(SpreadTime, slack/2)
+	return 0
 }
 
 // Resume ends the wait of a held request.
--- a/pkg/steering/admission/use.go
+++ b/pkg/steering/admission/use.go
@@ -49,9 +49,9 @@
 	maxOrderGap = 0.03
 
 	// These parts of the accepted wait are what requests give up at level 1.
-	givesWayLate      = 0.3  // the caller loses the least
-	givesWayOverShare = 0.6  // others need the room that the account takes
-	givesWayFirst     = 0.25 // first tries leave room for requests that came back
+	givesWayLate      = 0.3 // the caller loses the least
+	givesWayOverShare = 0.6 // others need the room that the account takes
+	givesWayFirst     = 0.1 // first tries leave room for requests that came back
 	givesWayPerStep   = 0.15
 	// goalWaitSmoothing is the weight of one request in the mean of goalWait.
 	goalWaitSmoothing = 0.05
