Merge the decision which requests give way when room is short

Cause: each request was refused by a bound of its own; nothing compared requests, knew who came back, or acted before all queues were long.

Change: pkg/steering/admission decides with priority, goal, time left, work, earlier refusals and the account's share; level 0 decides as before.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -13,9 +13,9 @@
 // Log events of this package.
 var (
 	EventRequestServed = eventlog.Define(2100, "request_served", logrus.InfoLevel,
-		"a target responded; the fields give the target, the estimates behind its choice and the attempts")
+		"a target responded; the fields give the target, the estimates behind its choice and the attempts; class, cause, level and held_ms are set if room was short")
 	EventRequestRefused = eventlog.Define(2101, "request_refused", logrus.WarnLevel,
-		"the request got no response from a target; not_run says what its status promises, and attempts gives the evidence: the end of each attempt, the status of the response, the bytes that the connection accepted, the number of the connection, whether it had carried an earlier request, and whether the response carried the id of the request")
+		"the request got no response from a target; not_run says what its status promises, and attempts gives the evidence: the end of each attempt, the status of the response, the bytes that the connection accepted, the number of the connection, whether it had carried an earlier request, and whether the response carried the id of the request; class, cause, level, wait_ms and accepted_ms say what decided if room was short")
 	EventStarted          = eventlog.Define(2102, "vm_started", logrus.InfoLevel, "the process listens")
 	EventSettingsReloaded = eventlog.Define(2103, "settings_read_again", logrus.InfoLevel,
 		"the settings file was read again after a signal; changed fields take effect at the next start")
@@ -66,6 +66,7 @@
 	spilled    *metrics.Counter
 	warm       *metrics.Counter
 	duration   *metrics.Histogram
+	turnedAway map[turnedAwayKey]*metrics.Counter
 
 	peerErrors *metrics.Counter
 	// Requests that were refused for their key.
@@ -84,6 +85,7 @@
 		spilled:    s.NewCounter(`hickory_gateway_spilled_total`),
 		warm:       s.NewCounter(`hickory_gateway_warm_total`),
 		duration:   s.NewHistogram(`hickory_gateway_request_seconds`),
+		turnedAway: newTurnedAwayCounters(s),
 
 		peerErrors: s.NewCounter(`hickory_gateway_peer_errors_total`),
 
@@ -127,12 +129,14 @@
 		fields["target"] = choice.Target.ID
 		fields["target_zone"] = choice.Target.Zone
 		fields["expected_ms"] = choice.ExpectedLatency.Milliseconds()
+		fields["wait_ms"] = choice.ExpectedWait.Milliseconds()
 		fields["in_flight"] = math.Round(choice.InFlight*10) / 10
 		fields["load_age_ms"] = choice.LoadReportAge.Milliseconds()
 		fields["warm"] = choice.Warm
 		fields["rank"] = choice.Rank
 		fields["spilled"] = choice.Spilled
 	}
+	addAdmissionFields(fields, &c.admission)
 	if c.lastErr != nil {
 		fields["error"] = c.lastErr.Error()
 	}
