Give the VM list together with its era and confirmation

Whoever derives an exclusive duty from the list of VMs must see that the history of the list was broken by a store that came back from an older copy. View returns the list, the era of the store and the time of the last confirmation under one lock. The era is filled in by the commits that follow; until then it is 0 (unknown). Tests of the package pass.

--- a/pkg/coordination/feed/entry_cache.go
+++ b/pkg/coordination/feed/entry_cache.go
@@ -32,6 +32,7 @@
 // so that it can return the changes since an earlier revision.
 type entryCache struct {
 	entries     map[string]platform.Entry
+	era         uint64 // of the store that revision belongs to; 0 if it is not known
 	revision    int64
 	loaded      bool
 	confirmedAt time.Time
--- a/pkg/coordination/feed/vm_registry.go
+++ b/pkg/coordination/feed/vm_registry.go
@@ -90,6 +90,34 @@
 // the slice. The same slice is returned until the list changes.
 func (v *VMRegistry) List() []VM { return *v.list.Load() }
 
+// VMView is the list of entry VMs at one moment, with what tells how far it can be
+// relied on. A duty that only one VM may have is derived from the list by each VM
+// for itself, so two VMs whose lists differ may both take it. Whoever relies on the
+// list for such a duty gives the duty up
+//   - when ConfirmedAt is older than the others wait before they take the duty, and
+//   - when Era changes: the store has lost its latest writes, so that the list may hold
+//     VMs that have ended and may lack VMs that have registered since. The continuous
+//     presence of a VM counts from the change on.
+type VMView struct {
+	// List is ordered as by VMRegistry.List. Callers must not modify it.
+	List []VM
+	// Era counts how often the store has come back from an older copy of itself; 0 if
+	// it is not known.
+	Era uint64
+	// ConfirmedAt is when the store last confirmed the list, to this VM or to the VM that
+	// the list came from, by the clock VMRegistryConfig.Now. It is zero before the first
+	// confirmation. After the store has come back from an older copy, VMs without a
+	// record stay in a confirmed list for a grace period.
+	ConfirmedAt time.Time
+}
+
+// View returns the list together with its era and the time of its confirmation.
+func (v *VMRegistry) View() VMView {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return VMView{List: v.List(), Era: v.cache.era, ConfirmedAt: v.cache.confirmedAt}
+}
+
 func (v *VMRegistry) recordKey() string { return v.cfg.Layout.WritablePrefix + "vm/" + v.cfg.Self.ID }
 
 // Run keeps this VM registered and follows the list until ctx ends.
