--- a/pkg/coordination/feed/confirm_test.go
+++ b/pkg/coordination/feed/confirm_test.go
@@ -9,6 +9,7 @@
 
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/state/route"
+	"hickoryroute/pkg/transport/platform"
 )
 
 // Guards against requests that are denied by an old version while a watch delivers
@@ -55,7 +56,7 @@
 	})
 	f.merge(Delta{Revision: 1, Full: true}, SourceReader)
 	suspended = 10 * time.Second
-	assert.Equal(t, f.DeltaSince(0).Age, suspended)
+	assert.Equal(t, f.DeltaSince(platform.Position{}).Age, suspended)
 	age, known := f.Age()
 	assert.Assert(t, known)
 	assert.Equal(t, age, suspended)
--- a/pkg/coordination/feed/decoder.go
+++ b/pkg/coordination/feed/decoder.go
@@ -22,6 +22,10 @@
 	valid    bool
 }
 
+// reset forgets the decoded entries, because another era gives the same revisions to
+// other values.
+func (d *decoder[T]) reset() { d.cache = nil }
+
 // decodeAll returns the values of all valid entries.
 func (d *decoder[T]) decodeAll(entries map[string]platform.Entry) []T {
 	next := make(map[string]decodedEntry[T], len(entries))
--- a/pkg/coordination/feed/entry_cache.go
+++ b/pkg/coordination/feed/entry_cache.go
@@ -8,7 +8,8 @@
 
 // Delta holds the changes of the entries below a prefix since a revision.
 type Delta struct {
-	// Revision is the store revision that merging the delta leads to.
+	// Era and Revision are the state of the store that merging the delta leads to.
+	Era      uint64
 	Revision int64
 	// Full is true if Entries holds all entries, not only the changed ones.
 	Full    bool
@@ -16,6 +17,13 @@
 	Deleted []string
 	// Age is the time since the store confirmed the entries.
 	Age time.Duration
+	// Carried holds what is in force on the VM although its copy does not have it; nil
+	// if there is nothing of the kind.
+	Carried *Carried
+}
+
+func (d *Delta) position() platform.Position {
+	return platform.Position{Era: d.Era, Revision: d.Revision}
 }
 
 // maxDeletions bounds the deletions that an entryCache records. A VM that is
@@ -43,18 +51,26 @@
 
 func newEntryCache() *entryCache { return &entryCache{entries: map[string]platform.Entry{}} }
 
-// replace sets all entries as of a revision. It returns false and changes
-// nothing if the cache is newer.
-func (c *entryCache) replace(entries []platform.Entry, revision int64) bool {
-	if c.loaded && revision < c.revision {
+// position returns the state of the store that the cache shows.
+func (c *entryCache) position() platform.Position {
+	return platform.Position{Era: c.era, Revision: c.revision}
+}
+
+// replace sets all entries as of a state of the store. It returns false and changes
+// nothing if the cache is newer. A first known era is taken with any revision, because
+// a revision without an era may come from before the store went back.
+func (c *entryCache) replace(entries []platform.Entry, at platform.Position) bool {
+	firstEra := c.era == 0 && at.Era != 0
+	if c.loaded && !firstEra && at.Before(c.position()) {
 		return false
 	}
+	revision := at.Revision
 	next := make(map[string]platform.Entry, len(entries))
 	for _, e := range entries {
 		next[e.Key] = e
 	}
-	if !c.loaded {
-		c.deletionsFrom = revision
+	if !c.loaded || !at.SameEra(c.position()) || revision < c.revision {
+		c.deletions, c.deletionsFrom = nil, revision
 	}
 	for key := range c.entries {
 		if _, ok := next[key]; !ok {
@@ -62,6 +78,7 @@
 		}
 	}
 	c.entries, c.revision, c.loaded = next, revision, true
+	c.era = max(c.era, at.Era)
 	return true
 }
 
@@ -89,7 +106,7 @@
 	}
 }
 
-// apply adds changes that follow the cache's revision.
+// apply adds changes that follow the cache's revision in its era.
 func (c *entryCache) apply(changes platform.Changes) {
 	for _, change := range changes.Changes {
 		switch {
@@ -104,13 +121,19 @@
 		}
 	}
 	c.revision = max(c.revision, changes.Revision)
+	c.era = max(c.era, changes.Era)
 }
 
-// deltaSince returns the changes after a revision.
-func (c *entryCache) deltaSince(after int64, now time.Time) Delta {
-	d := Delta{Revision: c.revision, Age: now.Sub(c.confirmedAt), Full: after < c.deletionsFrom || after == 0}
+// deltaSince returns the changes after a state of the store. For a state of a later
+// era there are none, and one of an earlier era gets all entries.
+func (c *entryCache) deltaSince(after platform.Position, now time.Time) Delta {
+	d := Delta{Era: c.era, Revision: c.revision, Age: now.Sub(c.confirmedAt)}
+	if !after.SameEra(c.position()) && c.era < after.Era {
+		return d
+	}
+	d.Full = after.Revision < c.deletionsFrom || after.Revision == 0 || !after.SameEra(c.position())
 	for _, e := range c.entries {
-		if d.Full || e.Revision > after {
+		if d.Full || e.Revision > after.Revision {
 			d.Entries = append(d.Entries, e)
 		}
 	}
@@ -118,21 +141,24 @@
 		return d
 	}
 	for _, deleted := range c.deletions {
-		if _, ok := c.entries[deleted.key]; !ok && deleted.revision > after {
+		if _, ok := c.entries[deleted.key]; !ok && deleted.revision > after.Revision {
 			d.Deleted = append(d.Deleted, deleted.key)
 		}
 	}
 	return d
 }
 
-// merge adds a delta that was requested with the cache's revision. It returns
+// merge adds a delta that was requested with the cache's position. It returns
 // false if the delta is not newer.
 func (c *entryCache) merge(d Delta) bool {
-	if c.loaded && d.Revision <= c.revision || !c.loaded && !d.Full {
+	if c.loaded && !c.position().Before(d.position()) || !c.loaded && !d.Full {
 		return false
 	}
 	if d.Full {
-		return c.replace(d.Entries, d.Revision)
+		return c.replace(d.Entries, d.position())
+	}
+	if !d.position().SameEra(c.position()) {
+		return false
 	}
 	for _, e := range d.Entries {
 		c.entries[e.Key] = e
@@ -141,6 +167,6 @@
 		delete(c.entries, key)
 		c.recordDeletion(key, d.Revision)
 	}
-	c.revision = d.Revision
+	c.revision, c.era = d.Revision, max(c.era, d.Era)
 	return true
 }
--- a/pkg/coordination/feed/entry_cache_test.go
+++ b/pkg/coordination/feed/entry_cache_test.go
@@ -32,9 +32,9 @@
 				for _, e := range stored {
 					all = append(all, e)
 				}
-				reader.replace(all, revision)
+				reader.replace(all, platform.Position{Revision: revision})
 			case 3:
-				follower.merge(reader.deltaSince(follower.revision, time.Now()))
+				follower.merge(reader.deltaSince(follower.position(), time.Now()))
 				if reader.loaded {
 					assert.DeepEqual(t, follower.entries, reader.entries)
 				}
@@ -47,22 +47,22 @@
 // no longer recorded.
 func TestFarBehindCacheGetsFullDelta(t *testing.T) {
 	reader := newEntryCache()
-	reader.replace([]platform.Entry{{Key: "a", Revision: 1}}, 1)
+	reader.replace([]platform.Entry{{Key: "a", Revision: 1}}, platform.Position{Revision: 1})
 	for n := range int64(maxDeletions + 10) {
-		reader.replace([]platform.Entry{{Key: "a", Revision: 1}, {Key: fmt.Sprint(n), Revision: 2*n + 2}}, 2*n+2)
-		reader.replace([]platform.Entry{{Key: "a", Revision: 1}}, 2*n+3)
+		reader.replace([]platform.Entry{{Key: "a", Revision: 1}, {Key: fmt.Sprint(n), Revision: 2*n + 2}}, platform.Position{Revision: 2*n + 2})
+		reader.replace([]platform.Entry{{Key: "a", Revision: 1}}, platform.Position{Revision: 2*n + 3})
 	}
-	assert.Assert(t, reader.deltaSince(2, time.Now()).Full)
-	assert.Assert(t, !reader.deltaSince(reader.revision-2, time.Now()).Full)
+	assert.Assert(t, reader.deltaSince(platform.Position{Revision: 2}, time.Now()).Full)
+	assert.Assert(t, !reader.deltaSince(platform.Position{Revision: reader.revision - 2}, time.Now()).Full)
 	assert.Equal(t, len(reader.deletions), maxDeletions)
 }
 
 // An older delta of another VM must change nothing.
 func TestOlderDeltaIsIgnored(t *testing.T) {
 	m := newEntryCache()
-	m.replace([]platform.Entry{{Key: "a", Revision: 5}}, 9)
+	m.replace([]platform.Entry{{Key: "a", Revision: 5}}, platform.Position{Revision: 9})
 	assert.Assert(t, !m.merge(Delta{Revision: 8, Full: true}))
-	assert.Assert(t, !m.replace(nil, 8))
+	assert.Assert(t, !m.replace(nil, platform.Position{Revision: 8}))
 	assert.Equal(t, len(m.entries), 1)
 }
 
@@ -71,11 +71,11 @@
 func TestDeletionDuringPagedReadReachesOtherVMs(t *testing.T) {
 	entry := func(key string) platform.Entry { return platform.Entry{Key: key, Revision: 5} }
 	reader, vm := newEntryCache(), newEntryCache()
-	reader.replace([]platform.Entry{entry("a"), entry("b")}, 10)
-	vm.merge(reader.deltaSince(0, time.Now()))
-	reader.replace([]platform.Entry{entry("a")}, 10)
+	reader.replace([]platform.Entry{entry("a"), entry("b")}, platform.Position{Revision: 10})
+	vm.merge(reader.deltaSince(platform.Position{}, time.Now()))
+	reader.replace([]platform.Entry{entry("a")}, platform.Position{Revision: 10})
 	reader.apply(platform.Changes{Revision: 11, Changes: []platform.Change{{Deleted: true, Entry: platform.Entry{Key: "b", Revision: 11}}}})
-	vm.merge(reader.deltaSince(vm.revision, time.Now()))
+	vm.merge(reader.deltaSince(vm.position(), time.Now()))
 	_, listed := vm.entries["b"]
 	assert.Assert(t, !listed)
 }
--- a/pkg/coordination/feed/events.go
+++ b/pkg/coordination/feed/events.go
@@ -28,4 +28,10 @@
 		"this VM is listed in the store under a new lease")
 	EventVMListChanged = eventlog.Define(2009, "vm_list_changed", logrus.InfoLevel,
 		"the list of entry VMs changed")
+	EventStoreEraChanged = eventlog.Define(2010, "store_era_changed", logrus.WarnLevel,
+		"the store has come back from an older copy of itself; what it has lost stays in use for a grace period")
+	EventRoutesUnconfirmed = eventlog.Define(2011, "routes_unconfirmed", logrus.WarnLevel,
+		"the store has come back with an older version of the routes than the one in force, which stays; the operator must write it again")
+	EventRoutesConfirmed = eventlog.Define(2012, "routes_confirmed", logrus.InfoLevel,
+		"the store holds the version in force again")
 )
--- a/pkg/coordination/feed/feed.go
+++ b/pkg/coordination/feed/feed.go
@@ -112,17 +112,17 @@
 	SourcePeer   Source = "other VM"
 )
 
-// PeerFetchFunc fetches the changes after a revision from some other VMs.
-type PeerFetchFunc func(ctx context.Context, after int64) []Delta
+// PeerFetchFunc fetches the changes after a state of the store from some other VMs.
+type PeerFetchFunc func(ctx context.Context, after platform.Position) []Delta
 
-// ReaderFetchFunc fetches the changes after a revision from a VM that reads the
+// ReaderFetchFunc fetches the changes after a state of the store from a VM that reads the
 // store. It returns false if this VM must read the store itself, because it is
 // a reader or no reader returns entries that were confirmed within maxAge.
-type ReaderFetchFunc func(ctx context.Context, after int64, maxAge time.Duration) (Delta, bool)
+type ReaderFetchFunc func(ctx context.Context, after platform.Position, maxAge time.Duration) (Delta, bool)
 
 // fetchFromReader calls fetch, which may be nil. It returns false if this VM
 // must read the store itself.
-func fetchFromReader(ctx context.Context, fetch ReaderFetchFunc, after int64, maxAge time.Duration) (Delta, bool) {
+func fetchFromReader(ctx context.Context, fetch ReaderFetchFunc, after platform.Position, maxAge time.Duration) (Delta, bool) {
 	if fetch == nil {
 		return Delta{}, false
 	}
--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -35,6 +35,14 @@
 	// readsForOthers reports whether other VMs use the copy of this one; nil
 	// means that none does.
 	readsForOthers func() bool
+	// onNewEra is called under the lock when the entries come from a new era of the
+	// store for the first time, before onChange. Its argument holds the previous
+	// entries; the time of the last confirmation is still the previous one. It may be
+	// nil.
+	onNewEra func(previous map[string]platform.Entry)
+	// onCarried is called under the lock with what another VM carries over from an
+	// earlier era, before its entries are merged; it may be nil.
+	onCarried func(*Carried)
 	// onChange is called under the lock after entries changed.
 	onChange func()
 	// onUnchanged is called under the lock when the store has confirmed that
@@ -61,11 +69,13 @@
 	// cancelWatch cancels the running watch; nil if none runs.
 	cancelWatch context.CancelFunc
 	hintPending bool // another VM has a newer entry, which the watch may still deliver
-	// missing is the revision of an entry that the watch has not delivered in time;
-	// 0 if there is none.
-	missing int64
+	// missing is the position of an entry that the watch has not delivered in time; it is
+	// zero if there is none.
+	missing platform.Position
 	reread  bool // all entries must be read
-	recheck bool // this process did not run for a time
+	// hintedEra is the latest era that this follower was told of.
+	hintedEra uint64
+	recheck   bool // this process did not run for a time
 }
 
 // storeCall is a kind of call to the store.
@@ -93,57 +103,71 @@
 	return now
 }
 
-// DeltaSince returns the changes after a revision.
-func (f *follower) DeltaSince(after int64) Delta {
+// DeltaSince returns the changes after a state of the store.
+func (f *follower) DeltaSince(after platform.Position) Delta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.cache.deltaSince(after, f.cfg.now())
 }
 
-// Revision returns the store revision of the copy.
-func (f *follower) Revision() int64 {
+// Position returns the state of the store that the copy shows.
+func (f *follower) Position() platform.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cache.revision
+	return f.cache.position()
 }
 
 // Age returns the time since the store last confirmed the copy, to this VM or to
 // the VM that the copy came from. It returns false before the first confirmation.
-func (f *follower) Age() (time.Duration, bool) {
+func (f *follower) Age() (time.Duration, bool) { return f.CopyAge() }
+
+// CopyAge is Age. A follower whose Age means something else keeps it.
+func (f *follower) CopyAge() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cache.confirmedAt.IsZero() {
+	return f.ageOf(f.cache.confirmedAt)
+}
+
+// ageOf returns the time since t, and false if t is zero.
+func (f *follower) ageOf(t time.Time) (time.Duration, bool) {
+	if t.IsZero() {
 		return 0, false
 	}
-	return f.cfg.now().Sub(f.cache.confirmedAt), true
+	return f.cfg.now().Sub(t), true
 }
 
-// NewestRevision returns the revision of the newest entry.
-func (f *follower) NewestRevision() int64 {
+// NewestEntry returns the era and the revision of the newest entry.
+func (f *follower) NewestEntry() platform.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cache.newestRevision()
+	return platform.Position{Era: f.cache.era, Revision: f.cache.newestRevision()}
 }
 
-// HintRevision informs the follower that another VM has an entry of the given
-// revision. If this VM has no entry as new after hintDelay, its watch delivers
+// HintEntry informs the follower that another VM has an entry of the given position. A
+// hint of another era tells nothing about the entries of this one. If this VM has no entry as new after hintDelay, its watch delivers
 // nothing or is late, and the follower reads all entries.
-func (f *follower) HintRevision(revision int64) {
+func (f *follower) HintEntry(at platform.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision <= f.cache.newestRevision() || f.hintPending {
+	if f.hintPending || !f.lacks(at) {
 		return
 	}
 	f.hintPending = true
-	time.AfterFunc(hintDelay, func() { f.checkHint(revision) })
+	time.AfterFunc(hintDelay, func() { f.checkHint(at) })
+}
+
+// lacks reports whether the copy is of the era of an entry and older than the entry.
+// The caller holds the lock.
+func (f *follower) lacks(at platform.Position) bool {
+	return at.SameEra(f.cache.position()) && at.Revision > f.cache.newestRevision()
 }
 
-func (f *follower) checkHint(revision int64) {
+func (f *follower) checkHint(at platform.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.hintPending = false
-	if revision > f.cache.newestRevision() {
-		f.missing = max(f.missing, revision)
+	if f.lacks(at) && (!f.lacks(f.missing) || f.missing.Before(at)) {
+		f.missing = at
 		f.interruptWatch()
 	}
 }
@@ -178,8 +202,8 @@
 func (f *follower) resetInterrupts() (reread, recheck bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reread, recheck = f.reread || f.missing > f.cache.newestRevision(), f.recheck
-	f.missing, f.reread, f.recheck = 0, false, false
+	reread, recheck = f.reread || f.lacks(f.missing), f.recheck
+	f.missing, f.reread, f.recheck = platform.Position{}, false, false
 	return reread, recheck
 }
 
@@ -194,7 +218,7 @@
 func (f *follower) Run(ctx context.Context) {
 	next := callReadAll
 	for ctx.Err() == nil {
-		if d, ok := fetchFromReader(ctx, f.cfg.fetchFromReader, f.Revision(), f.cfg.timing.MaxCopyAge); ok {
+		if d, ok := fetchFromReader(ctx, f.cfg.fetchFromReader, f.Position(), f.cfg.timing.MaxCopyAge); ok && !f.isOutdated(d) {
 			f.recordResult(nil)
 			f.merge(d, SourceReader)
 			f.resetInterrupts()
@@ -217,8 +241,13 @@
 	case callWatch:
 		err = f.readChanges(ctx, f.watchWait())
 	}
+	if f.storeIsInNewEra(err) {
+		sleepJittered(ctx, newEraPause)
+	}
 	reread, recheck := f.resetInterrupts()
 	switch {
+	case errors.Is(err, errOtherEra):
+		return callReadAll
 	case ctx.Err() != nil || reread || errors.Is(err, platform.ErrCompacted):
 		return callReadAll
 	case recheck && call != callReadAll, errors.Is(err, context.Canceled):
@@ -268,9 +297,13 @@
 func (f *follower) applySnapshot(snapshot platform.Snapshot, begun time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cache.advanceConfirmedAt(begun)
+	if f.isFromEarlierEra(snapshot.Position()) {
+		return // a reply that was under way when the store went back
+	}
 	f.source = SourceStore
-	if f.cache.replace(snapshot.Entries, snapshot.Revision) {
+	changed := f.update(func() bool { return f.cache.replace(snapshot.Entries, snapshot.Position()) })
+	f.cache.advanceConfirmedAt(begun)
+	if changed {
 		f.cfg.onChange()
 	}
 }
@@ -279,7 +312,7 @@
 // did not, Confirm reads the entries and waits for the result at most for the
 // duration wait.
 func (f *follower) Confirm(ctx context.Context, maxAge, wait time.Duration) bool {
-	if age, known := f.Age(); known && age <= maxAge {
+	if age, known := f.CopyAge(); known && age <= maxAge {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -315,10 +348,14 @@
 	f.setCancelWatch(cancel)
 	defer f.setCancelWatch(nil)
 	confirmedAt := f.cfg.now()
-	changes, err := f.cfg.feed.Changes(ctx, f.cfg.prefix, f.Revision(), wait)
+	after := f.Position()
+	changes, err := f.cfg.feed.Changes(ctx, f.cfg.prefix, after.Revision, wait)
 	if err != nil {
 		return err
 	}
+	if !changes.Position().SameEra(after) {
+		return errOtherEra
+	}
 	if wait > 0 {
 		confirmedAt = f.cfg.now() // a watch without changes ends when its wait is over
 	}
@@ -330,6 +367,9 @@
 func (f *follower) applyChanges(changes platform.Changes, confirmedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !changes.Position().SameEra(f.cache.position()) {
+		return // the copy has come to another era meanwhile
+	}
 	f.cache.advanceConfirmedAt(confirmedAt)
 	f.source = SourceStore
 	f.cache.apply(changes)
@@ -347,13 +387,23 @@
 	}
 }
 
+// Merge adds the delta of another VM to the copy. The delta was requested with the
+// position of the copy.
+func (f *follower) Merge(d Delta, source Source) { f.merge(d, source) }
+
 // merge adds the delta of another VM to the copy.
 func (f *follower) merge(d Delta, source Source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.cfg.onCarried != nil && d.Carried != nil {
+		f.cfg.onCarried(d.Carried)
+	}
+	if f.isFromEarlierEra(d.position()) || !d.Full && !d.position().SameEra(f.cache.position()) {
+		return
+	}
 	f.source = source
+	newer := f.update(func() bool { return f.cache.merge(d) })
 	f.cache.advanceConfirmedAt(f.cfg.now().Add(-d.Age))
-	newer := f.cache.merge(d)
 	f.notify(newer && (d.Full || len(d.Entries)+len(d.Deleted) > 0))
 }
 
@@ -362,7 +412,7 @@
 	if f.cfg.fetchFromPeers == nil {
 		return
 	}
-	for _, d := range f.cfg.fetchFromPeers(ctx, f.Revision()) {
+	for _, d := range f.cfg.fetchFromPeers(ctx, f.Position()) {
 		f.merge(d, SourcePeer)
 	}
 }
--- a/pkg/coordination/feed/operator_follower.go
+++ b/pkg/coordination/feed/operator_follower.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"hickoryroute/pkg/eventlog"
@@ -39,6 +41,7 @@
 	follower
 
 	loggedZones string // evacuated zones as last logged; guarded by follower.mu
+	carried     carriedState
 }
 
 // NewOperatorFollower returns a follower that has read nothing.
@@ -48,15 +51,24 @@
 		name: "store: operator entries", prefix: cfg.Layout.OperatorPrefix, feed: cfg.Feed, timing: cfg.Timing,
 		logger: cfg.Logger, now: ageClock(cfg.AgeNow, cfg.Now),
 		fetchFromPeers: cfg.FetchFromPeers, fetchFromReader: cfg.FetchFromReader, readsForOthers: cfg.ReadsForOthers,
-		onChange: o.applyEntries,
+		onChange: o.applyEntries, onUnchanged: o.applyExpired, onNewEra: o.startEra, onCarried: o.takeCarried,
 	})
 	return o
 }
 
+// applyExpired applies the entries again when what an earlier era left has expired.
+// The caller holds the lock.
+func (o *OperatorFollower) applyExpired() {
+	if o.settleEra() {
+		o.applyEntries()
+	}
+}
+
 // applyEntries decodes all entries and applies them. The caller holds the lock.
 func (o *OperatorFollower) applyEntries() {
 	now := o.cfg.Now()
-	var zones []string
+	zones := map[string]bool{}
+	o.carried.stored = 0
 	for _, e := range o.cache.entries {
 		decoded, err := o.cfg.Layout.DecodeOperator(e)
 		if err != nil {
@@ -66,18 +78,36 @@
 			continue
 		}
 		if decoded.EvacuatedZone != "" {
-			zones = append(zones, decoded.EvacuatedZone)
+			zones[decoded.EvacuatedZone] = true
 		}
-		if decoded.Config != nil && o.cfg.Routes.SetIfNewer(decoded.Config) {
-			o.cfg.Logger.Log(EventRoutesInForce, eventlog.Fields{
-				"version": decoded.Config.Version, "revision": e.Revision, "routes": len(decoded.Config.Routes),
-				"source": string(o.source),
-			})
+		if decoded.Config != nil {
+			o.carried.stored = max(o.carried.stored, decoded.Config.Version)
+			o.putInForce(decoded.Config, e)
+		}
+	}
+	o.settleEra()
+	for _, e := range o.carried.evacuations {
+		if decoded, err := o.cfg.Layout.DecodeOperator(e); err == nil {
+			zones[decoded.EvacuatedZone] = true
 		}
 	}
-	o.cfg.Targets.SetEvacuatedZones(zones, o.cache.revision, now)
-	if text := joinSorted(zones); text != o.loggedZones {
+	list := slices.Collect(maps.Keys(zones))
+	o.cfg.Targets.SetEvacuatedZones(list, o.cache.revision, now)
+	if text := joinSorted(list); text != o.loggedZones {
 		o.loggedZones = text
 		o.cfg.Logger.Log(EventZonesEvacuated, eventlog.Fields{"zones": text, "revision": o.cache.revision})
 	}
 }
+
+// putInForce puts the routes of an entry in force if their version is higher than that
+// of the routes in force, and reports whether it did. The caller holds the lock.
+func (o *OperatorFollower) putInForce(config *route.Config, e platform.Entry) bool {
+	if !o.cfg.Routes.SetIfNewer(config) {
+		return false
+	}
+	o.carried.inForce = e
+	o.cfg.Logger.Log(EventRoutesInForce, eventlog.Fields{
+		"version": config.Version, "revision": e.Revision, "routes": len(config.Routes), "source": string(o.source),
+	})
+	return true
+}
--- a/pkg/coordination/feed/operator_follower_test.go
+++ b/pkg/coordination/feed/operator_follower_test.go
@@ -148,12 +148,12 @@
 	f := &fakeFeed{version: 1, revision: 1}
 	runFollower(t, f, nil, func(t *testing.T, o *OperatorFollower, routes *route.CurrentTable) {
 		f.set(func(f *fakeFeed) { f.stalled, f.version, f.revision = true, 2, 2 })
-		o.HintRevision(2)
+		o.HintEntry(platform.Position{Revision: 2})
 		time.Sleep(300 * time.Millisecond)
 		assert.Equal(t, version(routes), uint64(2))
 		reads := f.readCount()
 		for range 100 {
-			o.HintRevision(2)
+			o.HintEntry(platform.Position{Revision: 2})
 		}
 		time.Sleep(300 * time.Millisecond)
 		assert.Equal(t, f.readCount(), reads, "a hint of a revision that was already read causes no read")
@@ -165,7 +165,7 @@
 func TestHintDuringReadCausesNoSecondRead(t *testing.T) {
 	f := &fakeFeed{version: 1, revision: 1, readTime: 2 * hintDelay}
 	runFollower(t, f, nil, func(t *testing.T, o *OperatorFollower, routes *route.CurrentTable) {
-		o.HintRevision(1)
+		o.HintEntry(platform.Position{Revision: 1})
 		time.Sleep(4 * hintDelay)
 		assert.Equal(t, version(routes), uint64(1))
 		assert.Equal(t, f.readCount(), 1)
@@ -194,7 +194,7 @@
 		copies.Store(&Delta{Revision: revision, Full: true, Entries: []platform.Entry{{Key: "config", Value: []byte(version), Revision: revision}}})
 	}
 	offer("8", 8)
-	peers := func(context.Context, int64) []Delta { return []Delta{*copies.Load()} }
+	peers := func(context.Context, platform.Position) []Delta { return []Delta{*copies.Load()} }
 	runFollower(t, f, peers, func(t *testing.T, _ *OperatorFollower, routes *route.CurrentTable) {
 		f.set(func(f *fakeFeed) { f.down = true })
 		time.Sleep(time.Second)
--- a/pkg/coordination/feed/sharedwatch.go
+++ b/pkg/coordination/feed/sharedwatch.go
@@ -86,7 +86,7 @@
 	if call.err != nil {
 		return platform.Changes{}, call.err
 	}
-	result := platform.Changes{Revision: max(after, call.changes.Revision)}
+	result := platform.Changes{Era: call.changes.Era, Revision: max(after, call.changes.Revision)}
 	for _, c := range call.changes.Changes {
 		if c.Entry.Revision > after && strings.HasPrefix(c.Entry.Key, prefix) {
 			result.Changes = append(result.Changes, c)
@@ -95,6 +95,9 @@
 	return result, nil
 }
 
+// LastEra implements platform.EraSource.
+func (s *SharedWatch) LastEra() uint64 { return lastEra(s.Feed) }
+
 // join returns the running watch if it covers all changes after a revision and
 // waits no longer than maxWait, and starts a new one otherwise.
 func (s *SharedWatch) join(after int64, maxWait time.Duration) *watchCall {
--- a/pkg/coordination/feed/takeover_test.go
+++ b/pkg/coordination/feed/takeover_test.go
@@ -18,7 +18,7 @@
 	store  *fakeFeed
 }
 
-func (r *fakeReader) fetch(context.Context, int64, time.Duration) (Delta, bool) {
+func (r *fakeReader) fetch(context.Context, platform.Position, time.Duration) (Delta, bool) {
 	if r.silent.Load() {
 		return Delta{}, false
 	}
--- a/pkg/coordination/feed/target_follower.go
+++ b/pkg/coordination/feed/target_follower.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"math/rand/v2"
 	"sort"
 	"strings"
 	"time"
@@ -51,7 +52,7 @@
 		name: "store: target records", prefix: cfg.Layout.TargetPrefix, feed: cfg.Feed, timing: cfg.Timing,
 		logger: cfg.Logger, now: ageClock(cfg.AgeNow, cfg.Now),
 		fetchFromPeers: cfg.FetchFromPeers, fetchFromReader: cfg.FetchFromReader, readsForOthers: cfg.ReadsForOthers,
-		onChange: t.publish, onUnchanged: t.dropExpired,
+		onChange: t.publish, onUnchanged: t.dropExpired, onNewEra: t.startEra,
 		onRegained: func() { cfg.Targets.StartGracePeriod(cfg.Now()) },
 	})
 	return t
@@ -65,6 +66,14 @@
 	}
 }
 
+// startEra prepares the set for records from an older copy of the store. The caller
+// holds the lock.
+func (t *TargetFollower) startEra(map[string]platform.Entry) {
+	t.decoder.reset()
+	t.cfg.Targets.StartEra(t.cache.revision, t.cfg.Now())
+	time.AfterFunc(rewriteGrace+rand.N(newEraPause), t.Recheck)
+}
+
 // publish replaces the targets of the set by the current records. The caller
 // holds the lock.
 func (t *TargetFollower) publish() {
--- a/pkg/coordination/feed/vm_registry.go
+++ b/pkg/coordination/feed/vm_registry.go
@@ -61,7 +61,9 @@
 	// The fields below are guarded by follower.mu.
 
 	lease        platform.LeaseID // the last one granted; 0 before the first
+	leaseEra     uint64           // of the store in which lease is known to be this VM's; 0 if unknown
 	registered   bool             // the record was written under lease
+	recordAt     int64            // the revision of the record that was last written
 	registeredAt time.Time        // when the record was last written
 	deregistered bool
 	listed       map[string]VM // VMs in list, by ID
@@ -80,7 +82,7 @@
 		name: "store: VM list", prefix: cfg.Layout.WritablePrefix + "vm/", feed: cfg.Feed, timing: cfg.Timing,
 		logger: cfg.Logger, now: cfg.Now,
 		fetchFromPeers: cfg.FetchFromPeers, fetchFromReader: cfg.FetchFromReader, readsForOthers: cfg.ReadsForOthers,
-		onChange: v.updateList, onUnchanged: v.dropExpired, onRegained: v.startGracePeriod,
+		onChange: v.updateList, onUnchanged: v.dropExpired, onRegained: v.startGracePeriod, onNewEra: v.startEra,
 	})
 	v.setList([]VM{cfg.Self})
 	return v
@@ -193,11 +195,15 @@
 	ctx, cancel := context.WithTimeout(ctx, v.cfg.Timing.CallTimeout)
 	defer cancel()
 	v.mu.Lock()
+	err := v.checkLeaseEra()
 	lease, deregistered, mustWrite := v.lease, v.deregistered, !v.registered || v.recordLost()
 	v.mu.Unlock()
 	if deregistered {
 		return nil
 	}
+	if err != nil {
+		return err
+	}
 	if lease != 0 {
 		err := v.cfg.Store.KeepAlive(ctx, lease)
 		if err == nil && mustWrite {
@@ -213,12 +219,17 @@
 // register writes the record of this VM under a new lease. The lease is stored
 // before the write, so that Deregister revokes it also during the write.
 func (v *VMRegistry) register(ctx context.Context) error {
+	// An era that was stated before the call is no later than that of the lease.
+	era := lastEra(v.cfg.Store)
 	lease, err := v.cfg.Store.Grant(ctx, v.cfg.Timing.LeaseTTL)
 	if err != nil {
 		return err
 	}
+	if era == 0 {
+		era = lastEra(v.cfg.Store)
+	}
 	v.mu.Lock()
-	v.lease, v.registered = lease, false
+	v.lease, v.leaseEra, v.registered = lease, era, false
 	deregistered := v.deregistered
 	v.mu.Unlock()
 	if deregistered {
@@ -233,9 +244,9 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the record of this VM")
 	}
-	var expect int64
+	var expect, revision int64
 	for range 2 {
-		_, err = v.cfg.Store.CompareAndSwap(ctx, v.recordKey(), value, expect, lease)
+		revision, err = v.cfg.Store.CompareAndSwap(ctx, v.recordKey(), value, expect, lease)
 		var conflict *platform.ConflictError
 		if !errors.As(err, &conflict) {
 			break
@@ -246,7 +257,7 @@
 		return err
 	}
 	v.mu.Lock()
-	v.registered, v.registeredAt = true, v.cfg.Now()
+	v.registered, v.registeredAt, v.recordAt = true, v.cfg.Now(), revision
 	v.mu.Unlock()
 	v.cfg.Logger.Log(EventVMRegistered, eventlog.Fields{"vm": v.cfg.Self.ID, "lease": int64(lease)})
 	return nil
@@ -302,14 +313,19 @@
 // Deregister removes this VM from the list for good and revokes its lease.
 func (v *VMRegistry) Deregister(ctx context.Context) error {
 	v.mu.Lock()
+	record, listed := v.cache.entries[v.recordKey()]
+	fenced := v.checkLeaseEra() != nil || v.lease == 0
 	lease := v.lease
 	v.deregistered = true
 	v.updateList()
 	v.mu.Unlock()
-	if lease == 0 {
+	if fenced && !listed {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, v.cfg.Timing.CallTimeout)
 	defer cancel()
+	if fenced { // the lease may be another VM's now
+		return v.cfg.Store.Delete(ctx, v.recordKey(), record.Revision)
+	}
 	return v.cfg.Store.Revoke(ctx, lease)
 }
--- a/pkg/entry/packed_test.go
+++ b/pkg/entry/packed_test.go
@@ -15,8 +15,8 @@
 // small message that decompresses to more than the largest document.
 func TestPackedDocument(t *testing.T) {
 	var document packed.Cache
-	for i, text := range []string{"regions: {}", largeTree(100), largeTree(200)} {
-		sent := document.Get(int64(i+1), []byte(text))
+	for _, text := range []string{"regions: {}", largeTree(100), largeTree(200)} {
+		sent := document.Get([]byte(text))
 		got, err := packed.Decompress(sent)
 		assert.NilError(t, err)
 		assert.Equal(t, string(got), text)
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -60,7 +60,7 @@
 func (h peerHandler) Settings(_ context.Context, req *protocol.SettingsRequest, reply *protocol.SettingsReply) error {
 	h.vm.clock.Observe(req.Time)
 	*reply = h.vm.config.AnswerPeer(req.Have, req.Rejected)
-	reply.Document = h.vm.packedSettings.Get(reply.Revision, reply.Document)
+	reply.Document = h.vm.packedSettings.Get(reply.Document)
 	reply.Time = h.vm.clock.Now()
 	var newer []seat.Table
 	for _, t := range h.vm.seats.Tables() {
--- a/pkg/gateway/copies.go
+++ b/pkg/gateway/copies.go
@@ -16,12 +16,12 @@
 
 // Copy implements peer.GatewayHandler.
 func (p *peers) Copy(_ context.Context, req *protocol.CopyRequest, reply *protocol.CopyReply) error {
-	if err := p.copyKind(req.Kind, req.After, req.AcceptsPacked, reply); err != nil {
+	if err := p.copyKind(req, protocol.CopyPosition{Kind: req.Kind, After: req.After, Era: req.Era}, reply); err != nil {
 		return err
 	}
 	for _, other := range req.Others {
 		var r protocol.CopyReply
-		if err := p.copyKind(other.Kind, other.After, req.AcceptsPacked, &r); err != nil {
+		if err := p.copyKind(req, other, &r); err != nil {
 			return err
 		}
 		reply.Others = append(reply.Others, r)
@@ -29,31 +29,35 @@
 	return nil
 }
 
-// copyKind sets reply to the entries of one kind that have changed after a
-// revision.
-func (p *peers) copyKind(kind protocol.CopyKind, after int64, acceptsPacked bool, reply *protocol.CopyReply) error {
-	follower := p.followerOf(kind)
+// copyKind sets reply to the entries of one kind that have changed after a position,
+// and to what this VM carries over from an earlier era.
+func (p *peers) copyKind(req *protocol.CopyRequest, at protocol.CopyPosition, reply *protocol.CopyReply) error {
+	follower := p.followerOf(at.Kind)
 	if follower == nil {
-		return errors.Errorf("copy kind %d is not supported by this VM; upgrade it", kind)
+		return errors.Errorf("copy kind %d is not supported by this VM; upgrade it", at.Kind)
 	}
+	after := platform.Position{Era: at.Era, Revision: at.After}
 	d := follower.DeltaSince(after)
-	reply.Revision, reply.Full, reply.Deleted = d.Revision, d.Full, d.Deleted
+	if at.Kind == protocol.CopyOperatorEntries && at.Era != 0 {
+		reply.Carried = p.encodeCarried(p.gateway.operatorFeed.Carried(req.Version, after))
+	}
+	reply.Era, reply.Revision, reply.Full, reply.Deleted = d.Era, d.Revision, d.Full, d.Deleted
 	reply.AgeMs = d.Age.Milliseconds()
 	for _, e := range d.Entries {
 		reply.Entries = append(reply.Entries, protocol.CopyEntry{Key: e.Key, Value: e.Value, Revision: e.Revision})
 	}
-	if acceptsPacked {
+	if req.AcceptsPacked {
 		return p.packEntries(reply)
 	}
 	for i, e := range reply.Entries {
-		reply.Entries[i].Value = p.packed.Get(e.Revision, e.Value)
+		reply.Entries[i].Value = p.packed.Get(e.Value)
 	}
 	return nil
 }
 
 // packEntries replaces the entries of reply by their packed form if they are large.
 func (p *peers) packEntries(reply *protocol.CopyReply) error {
-	data, err := p.packedCopies.Get(reply.Entries)
+	data, err := p.packedCopies.Get(reply.Era, reply.Entries)
 	if err == nil && data != nil {
 		reply.Packed, reply.Entries = data, nil
 	}
@@ -62,9 +66,10 @@
 
 // follower is what copies need of a follower of the store.
 type follower interface {
-	DeltaSince(after int64) feed.Delta
-	Revision() int64
-	Age() (time.Duration, bool)
+	DeltaSince(after platform.Position) feed.Delta
+	Position() platform.Position
+	CopyAge() (time.Duration, bool)
+	HintEra(era uint64)
 }
 
 // followerOf returns the follower of a kind of entries, or nil for an unknown
@@ -85,7 +90,7 @@
 // fetchFromPeers returns a function that asks a few random VMs for the entries
 // of one kind that have changed after a revision.
 func (p *peers) fetchFromPeers(kind protocol.CopyKind) feed.PeerFetchFunc {
-	return func(ctx context.Context, after int64) []feed.Delta {
+	return func(ctx context.Context, after platform.Position) []feed.Delta {
 		list := slices.DeleteFunc(slices.Clone(p.listVMs()), func(vm feed.VM) bool { return vm.ID == p.gateway.cfg.Self.ID })
 		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		list = list[:min(len(list), maxCopyPeers)]
@@ -94,7 +99,7 @@
 		results := make(chan copyResult, len(list))
 		for _, vm := range list {
 			go func() {
-				results <- p.callCopy(ctx, vm, &protocol.CopyRequest{Kind: kind, After: after, AcceptsPacked: true})
+				results <- p.callCopy(ctx, vm, p.newCopyRequest(kind, after))
 			}()
 		}
 		var deltas []feed.Delta
@@ -107,6 +112,14 @@
 	}
 }
 
+// newCopyRequest returns a request for the entries of one kind that have changed after
+// a position.
+func (p *peers) newCopyRequest(kind protocol.CopyKind, after platform.Position) *protocol.CopyRequest {
+	return &protocol.CopyRequest{
+		Kind: kind, After: after.Revision, Era: after.Era, AcceptsPacked: true, Version: p.gateway.versionInForce(),
+	}
+}
+
 // copyResult is the result of one call of Copy.
 type copyResult struct {
 	reply *protocol.CopyReply
@@ -129,10 +142,19 @@
 	}
 	result.replied = true
 	result.delta, result.ok = p.decodeCopy(result.reply)
-	result.delta.Age += p.gateway.suspendAwareNow().Sub(result.askedAt)
+	addAge(&result.delta, p.gateway.suspendAwareNow().Sub(result.askedAt))
 	return result
 }
 
+// addAge makes a copy older.
+func addAge(d *feed.Delta, age time.Duration) {
+	d.Age += age
+	if d.Carried != nil {
+		d.Carried.ConfigAge += age
+		d.Carried.Remaining -= age
+	}
+}
+
 // decodeCopy returns false if the VM that replied has read nothing yet, or if its
 // copy cannot be decompressed.
 func (p *peers) decodeCopy(reply *protocol.CopyReply) (feed.Delta, bool) {
@@ -140,7 +162,7 @@
 		return feed.Delta{}, false
 	}
 	d := feed.Delta{
-		Revision: reply.Revision, Full: reply.Full, Deleted: reply.Deleted,
+		Era: reply.Era, Revision: reply.Revision, Carried: p.decodeCarried(reply.Carried), Full: reply.Full, Deleted: reply.Deleted,
 		Age: time.Duration(reply.AgeMs) * time.Millisecond,
 	}
 	entries := reply.Entries
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"hickoryroute/internal/suspend"
@@ -121,7 +122,10 @@
 	peers        *peers
 	crashes      *crash.Table
 	stopping     stopState
-	exhausted    exhaustion
+	// checkingVersion is true after the start until other VMs have been asked for a
+	// newer version of the routes.
+	checkingVersion atomic.Bool
+	exhausted       exhaustion
 }
 
 // New returns a Gateway without routes and targets. Run reads them from the
@@ -167,6 +171,13 @@
 		}
 		return float64(g.cfg.DroppedLogLines())
 	})
+	set.NewGauge("hickory_gateway_store_era", func() float64 { return float64(g.latestEra()) })
+	set.NewGauge("hickory_gateway_routes_unconfirmed", func() float64 {
+		if g.operatorFeed.Unconfirmed() {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("hickory_gateway_requests_in_flight", func() float64 { return float64(g.stopping.inFlight.Load()) })
 	set.NewGauge(`hickory_gateway_target_connections{state="in_use"}`, func() float64 { return float64(g.targetClient.Usage().InUse) })
 	set.NewGauge(`hickory_gateway_target_connections{state="idle"}`, func() float64 { return float64(g.targetClient.Usage().Idle) })
@@ -199,6 +210,10 @@
 
 // Run follows the store and exchanges state with the other VMs until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
+	if !g.cfg.FirstStart { // nothing was written before
+		g.checkingVersion.Store(true)
+		go g.peers.checkVersion(ctx)
+	}
 	go g.operatorFeed.Run(ctx)
 	go g.targetFeed.Run(ctx)
 	go g.vmFeed.Run(ctx)
@@ -313,8 +328,11 @@
 	return 0
 }
 
-// HasSynced reports whether this VM has read the routes and the targets.
-func (g *Gateway) HasSynced() bool { return g.routes.Load() != nil && g.targetSet.View() != nil }
+// HasSynced reports whether this VM has read the routes and the targets, and has asked
+// other VMs whether newer routes are in force.
+func (g *Gateway) HasSynced() bool {
+	return g.routes.Load() != nil && g.targetSet.View() != nil && !g.checkingVersion.Load()
+}
 
 // TargetCount returns the number of listed targets.
 func (g *Gateway) TargetCount() int { return g.targetSet.View().Len() }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -77,6 +77,8 @@
 	packed       packed.Cache
 	packedCopies packed.EntriesCache
 
+	fetchingCarried atomic.Bool // fetchCarried runs
+
 	mu            sync.Mutex
 	lastMessageAt map[string]time.Time // time of the last message of each VM, by id
 	lastTick      time.Time            // of the exchange loop; zero before the first
@@ -114,6 +116,7 @@
 		case <-ticker.C:
 		}
 		p.recordTick()
+		p.gateway.hintEra(p.gateway.latestEra())
 		if pause := pauses.check(p.gateway.suspendAwareNow()); pause > 0 {
 			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{
 				"paused_ms": pause.Milliseconds(), "suspended_ms": p.gateway.cfg.Suspended().Milliseconds(),
@@ -163,7 +166,8 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	self := p.gateway.cfg.Self
-	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Newest: p.gateway.operatorFeed.NewestRevision(), Brief: brief, Limits: p.ownLimits()}
+	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Brief: brief, Limits: p.ownLimits(), Era: p.gateway.latestEra()}
+	req.Newest, req.NewestEra = p.newestEntry()
 	switch {
 	case vm.Region != self.Region:
 		req.Uses = p.ownUtilization()
@@ -180,7 +184,8 @@
 	p.applyPeerState(reply.From, reply.Region, brief, reply.Loads, reply.Uses)
 	p.mergeCrashes(reply.Crashes)
 	p.mergeLimits(reply.Limits)
-	p.gateway.operatorFeed.HintRevision(reply.Newest)
+	p.takeHints(reply.Newest, reply.NewestEra, reply.Era)
+	p.fetchCarried(vm, reply.Version)
 	return true
 }
 
@@ -233,11 +238,12 @@
 	p.applyPeerState(req.From, req.Region, req.Brief, req.Loads, req.Uses)
 	p.mergeCrashes(req.Crashes)
 	p.mergeLimits(req.Limits)
-	p.gateway.operatorFeed.HintRevision(req.Newest)
+	p.takeHints(req.Newest, req.NewestEra, req.Era)
 	self := p.gateway.cfg.Self
 	reply.From, reply.Region = self.ID, self.Region
 	reply.Limits = p.ownLimits()
-	reply.Crashes, reply.Newest = p.recentCrashes(), p.gateway.operatorFeed.NewestRevision()
+	reply.Crashes, reply.Era, reply.Version = p.recentCrashes(), p.gateway.latestEra(), p.gateway.versionInForce()
+	reply.Newest, reply.NewestEra = p.newestEntry()
 	switch {
 	case req.Region != self.Region:
 		reply.Uses = p.ownUtilization()
--- a/pkg/gateway/readercopies.go
+++ b/pkg/gateway/readercopies.go
@@ -10,6 +10,7 @@
 	"hickoryroute/internal/wait"
 	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/transport/platform"
 )
 
 const (
@@ -44,7 +45,7 @@
 
 // unusedCopy is the copy of one kind since a revision.
 type unusedCopy struct {
-	after int64
+	after platform.Position
 	reply protocol.CopyReply
 }
 
@@ -55,11 +56,11 @@
 // fetcher returns the function with which the follower of one kind asks the
 // readers of this region.
 func (c *readerCopies) fetcher(kind protocol.CopyKind) feed.ReaderFetchFunc {
-	return func(ctx context.Context, after int64, maxAge time.Duration) (feed.Delta, bool) {
-		if after == 0 && kind != protocol.CopyVMRecords {
+	return func(ctx context.Context, after platform.Position, maxAge time.Duration) (feed.Delta, bool) {
+		if after.Revision == 0 && kind != protocol.CopyVMRecords {
 			return c.fetchFirst(ctx, kind, maxAge)
 		}
-		if after == 0 && c.peers.gateway.cfg.FirstStart {
+		if after.Revision == 0 && c.peers.gateway.cfg.FirstStart {
 			c.awaitRegistrations(ctx)
 		}
 		return c.fetchChanges(ctx, kind, after, maxAge)
@@ -76,7 +77,7 @@
 		waitEnd = c.peers.gateway.cfg.Now().Add(c.peers.gateway.cfg.Timing.FirstCopyWait)
 	}
 	for {
-		if d, ok := c.fetch(ctx, kind, 0, maxAge); ok {
+		if d, ok := c.fetch(ctx, kind, platform.Position{}, maxAge); ok {
 			return d, true
 		}
 		if c.peers.currentRoles().selfReads {
@@ -118,10 +119,10 @@
 // fetchChanges asks the readers until the copy of this VM is older than maxAge. A
 // reader that is slow or restarts for a shorter time costs the store no read. Only
 // the first attempt may last longer.
-func (c *readerCopies) fetchChanges(ctx context.Context, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
+func (c *readerCopies) fetchChanges(ctx context.Context, kind protocol.CopyKind, after platform.Position, maxAge time.Duration) (feed.Delta, bool) {
 	d, ok := c.fetch(ctx, kind, after, maxAge)
 	for !ok {
-		age, known := c.peers.followerOf(kind).Age()
+		age, known := c.peers.followerOf(kind).CopyAge()
 		if c.peers.currentRoles().selfReads || !known || age > maxAge || !wait.For(ctx, copyRetryPause) {
 			return feed.Delta{}, false
 		}
@@ -135,7 +136,7 @@
 // fetch returns the changes of one kind after a revision. It returns false if this
 // VM reads the store itself, or if no reader has entries that were confirmed
 // within maxAge.
-func (c *readerCopies) fetch(ctx context.Context, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
+func (c *readerCopies) fetch(ctx context.Context, kind protocol.CopyKind, after platform.Position, maxAge time.Duration) (feed.Delta, bool) {
 	return c.fetchSince(ctx, c.peers.gateway.suspendAwareNow(), kind, after, maxAge)
 }
 
@@ -154,11 +155,11 @@
 	began := c.peers.gateway.suspendAwareNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.fetchFrom(ctx, others, began, kind, 0, maxAge)
+	return c.fetchFrom(ctx, others, began, kind, platform.Position{}, maxAge)
 }
 
 // fetchSince is fetch for a follower that has waited for the copy since began.
-func (c *readerCopies) fetchSince(ctx context.Context, began time.Time, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
+func (c *readerCopies) fetchSince(ctx context.Context, began time.Time, kind protocol.CopyKind, after platform.Position, maxAge time.Duration) (feed.Delta, bool) {
 	roles := c.peers.currentRoles()
 	if roles.selfReads {
 		return feed.Delta{}, false
@@ -170,7 +171,7 @@
 
 // fetchFrom returns the changes of one kind after a revision from one of the
 // readers. The caller holds the lock.
-func (c *readerCopies) fetchFrom(ctx context.Context, readers []feed.VM, began time.Time, kind protocol.CopyKind, after int64, maxAge time.Duration) (feed.Delta, bool) {
+func (c *readerCopies) fetchFrom(ctx context.Context, readers []feed.VM, began time.Time, kind protocol.CopyKind, after platform.Position, maxAge time.Duration) (feed.Delta, bool) {
 	if c.noReplyAt.After(began) {
 		return feed.Delta{}, false // another follower has just waited for the readers
 	}
@@ -233,11 +234,12 @@
 
 // newRequest returns a request for one kind and for the changes that the followers
 // of the other kinds lack.
-func (c *readerCopies) newRequest(kind protocol.CopyKind, after int64) *protocol.CopyRequest {
-	req := &protocol.CopyRequest{Kind: kind, After: after, AcceptsPacked: true}
+func (c *readerCopies) newRequest(kind protocol.CopyKind, after platform.Position) *protocol.CopyRequest {
+	req := c.peers.newCopyRequest(kind, after)
 	for _, other := range []protocol.CopyKind{protocol.CopyOperatorEntries, protocol.CopyTargetRecords, protocol.CopyVMRecords} {
 		if other != kind {
-			req.Others = append(req.Others, protocol.CopyPosition{Kind: other, After: c.peers.followerOf(other).Revision()})
+			at := c.peers.followerOf(other).Position()
+			req.Others = append(req.Others, protocol.CopyPosition{Kind: other, After: at.Revision, Era: at.Era})
 		}
 	}
 	return req
@@ -248,14 +250,15 @@
 	c.askedAt, c.fetchedAt = result.askedAt, c.peers.gateway.suspendAwareNow()
 	for i, other := range result.reply.Others {
 		if i < len(req.Others) {
-			c.unused[req.Others[i].Kind] = unusedCopy{after: req.Others[i].After, reply: other}
+			at := req.Others[i]
+			c.unused[at.Kind] = unusedCopy{after: platform.Position{Era: at.Era, Revision: at.After}, reply: other}
 		}
 	}
 }
 
 // takeUnused returns the copy of one kind that was fetched with another kind, if
 // it is recent and holds the changes after the revision.
-func (c *readerCopies) takeUnused(kind protocol.CopyKind, after int64) (feed.Delta, bool) {
+func (c *readerCopies) takeUnused(kind protocol.CopyKind, after platform.Position) (feed.Delta, bool) {
 	copied, ok := c.unused[kind]
 	delete(c.unused, kind)
 	now := c.peers.gateway.suspendAwareNow()
@@ -263,6 +266,6 @@
 		return feed.Delta{}, false
 	}
 	d, ok := c.peers.decodeCopy(&copied.reply)
-	d.Age += now.Sub(c.askedAt)
+	addAge(&d, now.Sub(c.askedAt))
 	return d, ok
 }
--- a/pkg/gateway/readercopies_test.go
+++ b/pkg/gateway/readercopies_test.go
@@ -101,9 +101,9 @@
 	clock := newTestClock()
 	g := newCopyingGateway(clock, reader.serve(t))
 	began := clock.Now()
-	_, ok := g.peers.readerCopies.fetch(t.Context(), protocol.CopyTargetRecords, 0, time.Minute)
+	_, ok := g.peers.readerCopies.fetch(t.Context(), protocol.CopyTargetRecords, platform.Position{}, time.Minute)
 	assert.Assert(t, !ok, "the reader has read no records of targets")
-	_, ok = g.peers.readerCopies.fetchSince(t.Context(), began, protocol.CopyVMRecords, 4, time.Minute)
+	_, ok = g.peers.readerCopies.fetchSince(t.Context(), began, protocol.CopyVMRecords, platform.Position{Revision: 4}, time.Minute)
 	assert.Assert(t, ok, "a follower that waited meanwhile gets its own copy")
 }
 
@@ -112,13 +112,13 @@
 	clock := newTestClock()
 	g := newCopyingGateway(clock, "127.0.0.1:1")
 	began := clock.Now()
-	_, ok := g.peers.readerCopies.fetch(t.Context(), protocol.CopyTargetRecords, 4, time.Minute)
+	_, ok := g.peers.readerCopies.fetch(t.Context(), protocol.CopyTargetRecords, platform.Position{Revision: 4}, time.Minute)
 	assert.Assert(t, !ok)
 	reader := &copyingPeer{revisions: map[protocol.CopyKind]int64{protocol.CopyVMRecords: 5}}
 	vms := []feed.VM{{ID: "reader", PeerAddress: reader.serve(t), Region: "r", LinkMbps: 200}}
 	vms = append(vms, g.peers.listVMs()[:2*maxVMsWithoutReaders]...)
 	g.peers.listVMs = func() []feed.VM { return vms }
-	_, ok = g.peers.readerCopies.fetchSince(t.Context(), began, protocol.CopyVMRecords, 4, time.Minute)
+	_, ok = g.peers.readerCopies.fetchSince(t.Context(), began, protocol.CopyVMRecords, platform.Position{Revision: 4}, time.Minute)
 	assert.Assert(t, !ok)
 	assert.Equal(t, reader.calls, 0)
 }
@@ -137,14 +137,14 @@
 	g := newCopyingGateway(clock, reader.serve(t))
 	assert.Assert(t, g.operatorFeed.Confirm(t.Context(), time.Second, time.Second))
 	fetch := g.peers.readerCopies.fetcher(kind)
-	d, ok := fetch(t.Context(), 4, maxAge)
+	d, ok := fetch(t.Context(), platform.Position{Revision: 4}, maxAge)
 	assert.Assert(t, ok)
 	assert.Equal(t, d.Revision, int64(5))
 	assert.Equal(t, reader.calls, 3)
 
 	clock.advance(maxAge)
 	reader.revisions[kind] = 0
-	_, ok = fetch(t.Context(), 4, maxAge)
+	_, ok = fetch(t.Context(), platform.Position{Revision: 4}, maxAge)
 	assert.Assert(t, !ok, "a VM whose copy is too old reads the store")
 	assert.Equal(t, reader.calls, 4)
 }
@@ -163,12 +163,12 @@
 	}
 	g := newCopyingGateway(clock, reader.serve(t))
 	assert.Assert(t, g.operatorFeed.Confirm(t.Context(), time.Second, time.Second))
-	_, ok := g.peers.readerCopies.fetcher(kind)(t.Context(), 4, maxAge)
+	_, ok := g.peers.readerCopies.fetcher(kind)(t.Context(), platform.Position{Revision: 4}, maxAge)
 	assert.Assert(t, ok)
 	assert.Equal(t, reader.calls, 2)
 
 	pause, reader.calls = maxAge, 0 // a slow reply and no pause
-	_, ok = g.peers.readerCopies.fetcher(kind)(t.Context(), 4, maxAge)
+	_, ok = g.peers.readerCopies.fetcher(kind)(t.Context(), platform.Position{Revision: 4}, maxAge)
 	assert.Assert(t, !ok)
 	assert.Equal(t, reader.calls, 1)
 }
@@ -196,11 +196,11 @@
 			assert.Assert(t, g.vmFeed.Confirm(t.Context(), time.Second, time.Second))
 			assert.Assert(t, g.peers.currentRoles().selfReads)
 			began := time.Now()
-			_, ok := g.peers.readerCopies.fetcher(kind)(t.Context(), 0, time.Minute)
+			_, ok := g.peers.readerCopies.fetcher(kind)(t.Context(), platform.Position{}, time.Minute)
 			assert.Equal(t, ok, test.want)
 			assert.Assert(t, other.calls <= 1)
 			assert.Assert(t, time.Since(began) < 10*firstHedgeDelay)
-			_, ok = g.peers.readerCopies.fetcher(kind)(t.Context(), 5, time.Minute)
+			_, ok = g.peers.readerCopies.fetcher(kind)(t.Context(), platform.Position{Revision: 5}, time.Minute)
 			assert.Assert(t, !ok, "a reader with a copy asks the store")
 		})
 	}
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -39,21 +39,30 @@
 	Uses  []ServiceUse
 	// Limits lists the targets that have stated a limit to the sender.
 	Limits []TargetLimit
-	// Newest is the revision of the newest operator entry that the sender has.
-	Newest int64
+	// Newest is the revision of the newest operator entry that the sender has, in the
+	// era of the store that the entries are of. Era is the latest era that the sender
+	// knows of. VMs of earlier versions send none.
+	Newest    int64
+	NewestEra uint64
+	Era       uint64
 	// Crashes lists requests that have recently crashed targets.
 	Crashes []CrashNotice
 }
 
 // LoadsReply reports the state of the peer.
 type LoadsReply struct {
-	From    string
-	Region  string
-	Loads   []TargetLoad
-	Uses    []ServiceUse
-	Limits  []TargetLimit
-	Newest  int64
-	Crashes []CrashNotice
+	From   string
+	Region string
+	Loads  []TargetLoad
+	Uses   []ServiceUse
+	Limits []TargetLimit
+	Newest int64
+	// NewestEra and Era are as in LoadsRequest. Version is the version of the routes in
+	// force.
+	NewestEra uint64
+	Era       uint64
+	Version   uint64
+	Crashes   []CrashNotice
 }
 
 // CrashNotice lists the targets that a request has crashed since a target last
@@ -84,9 +93,14 @@
 // CopyRequest asks for the entries of one kind that have changed after a
 // revision of the store, and optionally for those of other kinds as well.
 type CopyRequest struct {
-	Kind   CopyKind
-	After  int64
+	Kind  CopyKind
+	After int64
+	// Era is the era of the store that After belongs to. VMs of earlier versions send
+	// none.
+	Era    uint64
 	Others []CopyPosition
+	// Version is the version of the routes in force on the sender.
+	Version uint64
 	// AcceptsPacked is true if the sender can read CopyReply.Packed. Peers of
 	// earlier versions cannot.
 	AcceptsPacked bool
@@ -97,6 +111,7 @@
 type CopyPosition struct {
 	Kind  CopyKind
 	After int64
+	Era   uint64 // as in CopyRequest
 }
 
 // CopyEntry is one entry of the store.
@@ -110,6 +125,9 @@
 // has not read the store yet.
 type CopyReply struct {
 	Revision int64
+	// Era is the era of the store that Revision belongs to. VMs of earlier versions send
+	// none.
+	Era uint64
 	// Full is true if Entries holds all entries instead of only the changes.
 	Full    bool
 	Entries []CopyEntry
@@ -121,4 +139,19 @@
 	// Others holds the replies for CopyRequest.Others, in their order. Peers of
 	// earlier versions leave it empty.
 	Others []CopyReply
+	// Carried holds what is in force on the peer although the store has lost it, or nil.
+	Carried *CarriedEntries
+}
+
+// CarriedEntries holds what operators wrote before the store came back from an older
+// copy, and what they have not written again yet.
+type CarriedEntries struct {
+	// Config is the entry of the routes in force, if they are newer than those of the
+	// sender of the request and the store may have lost them. The store confirmed them
+	// ConfigAgeMs ago.
+	Config      *CopyEntry
+	ConfigAgeMs int64
+	// Evacuations are the entries of evacuated zones. They stay in force for RemainingMs.
+	Evacuations []CopyEntry
+	RemainingMs int64
 }
--- a/pkg/state/targets/set.go
+++ b/pkg/state/targets/set.go
@@ -46,8 +46,12 @@
 	leavingStarts *lru.Table[Key, struct{}]
 	revision      int64 // revision of the last full listing
 	loaded        bool
-	// graceEnd is the end of the grace period after an outage.
-	graceEnd       time.Time
+	// graceEnd is the end of the grace period after an outage, and eraGraceEnd that
+	// after the store has come back from an older copy.
+	graceEnd, eraGraceEnd time.Time
+	eraStart              time.Time // when the store came back last
+	// departures holds the last time at which a start of a target was dropped.
+	departures     *lru.Table[Key, time.Time]
 	retainsMissing bool // targets without a record may be listed
 }
 
@@ -63,6 +67,7 @@
 	return &Set{
 		cfg: cfg, all: map[string]*Target{}, evacuated: map[string]bool{},
 		returnedZones: map[string]coldMark{}, suspectedRestarts: map[string]coldMark{}, leavingStarts: lru.New[Key, struct{}](maxLeavingStarts),
+		departures: lru.New[Key, time.Time](maxDepartures),
 	}
 }
 
@@ -110,6 +115,9 @@
 	var d Changes
 	for _, r := range records {
 		old := s.all[r.ID]
+		if s.isOutdated(old, r, now) {
+			continue
+		}
 		t := s.merge(old, r, now)
 		next[r.ID] = t
 		switch {
@@ -119,7 +127,7 @@
 			d.Leaving = append(d.Leaving, *t)
 		}
 	}
-	retain := now.Before(s.graceEnd) && s.mostTargetsMissing(next)
+	retain := now.Before(s.eraGraceEnd) || now.Before(s.graceEnd) && s.mostTargetsMissing(next)
 	s.retainsMissing = retain
 	for id, old := range s.all {
 		if next[id] != nil {
@@ -130,6 +138,7 @@
 			continue
 		}
 		d.Left = append(d.Left, *old)
+		s.departures.Add(old.Key(), now)
 		delete(s.suspectedRestarts, id)
 		if old.StartID == 0 { // its next start has the same key
 			s.leavingStarts.Remove(old.Key())
--- a/pkg/transport/packed/entries.go
+++ b/pkg/transport/packed/entries.go
@@ -29,17 +29,18 @@
 	packed *lru.Table[contents, []byte]
 }
 
-// contents identifies the entries of a copy by their keys and revisions, in any
+// contents identifies the entries of a copy by their era, keys and revisions, in any
 // order. The revision of a copy does not: a read of several pages has that of its
 // first one.
 type contents struct {
+	era   uint64
 	count int
 	bytes int
 	sum   uint64
 }
 
-func contentsOf(entries []protocol.CopyEntry) contents {
-	c := contents{count: len(entries)}
+func contentsOf(era uint64, entries []protocol.CopyEntry) contents {
+	c := contents{era: era, count: len(entries)}
 	hash := xxhash.New()
 	var revision [8]byte
 	for _, e := range entries {
@@ -53,10 +54,10 @@
 	return c
 }
 
-// Get returns the packed form of the entries of a copy, or nil if they are so few or
-// so many that they are sent as they are.
-func (c *EntriesCache) Get(entries []protocol.CopyEntry) ([]byte, error) {
-	id := contentsOf(entries)
+// Get returns the packed form of the entries of a copy of an era of the store, or nil
+// if they are so few or so many that they are sent as they are.
+func (c *EntriesCache) Get(era uint64, entries []protocol.CopyEntry) ([]byte, error) {
+	id := contentsOf(era, entries)
 	if id.bytes < minBytesToCompress || id.bytes > maxEntriesBytes/2 {
 		return nil, nil
 	}
--- a/pkg/transport/packed/entries_test.go
+++ b/pkg/transport/packed/entries_test.go
@@ -33,7 +33,7 @@
 		size += len(r.Key) + len(r.Value)
 	}
 	var cache EntriesCache
-	data, err := cache.Get(records)
+	data, err := cache.Get(1, records)
 	assert.NilError(t, err)
 	assert.Assert(t, len(data) < size/5, "%d of %d bytes", len(data), size)
 	t.Logf("%d of %d bytes", len(data), size)
@@ -52,9 +52,9 @@
 				value := bytes.Repeat([]byte{byte(i), byte(revision)}, size) // a key and a revision have one value
 				entries = append(entries, protocol.CopyEntry{Key: fmt.Sprint(i), Value: value, Revision: revision})
 			}
-			data, err := cache.Get(entries)
+			data, err := cache.Get(1, entries)
 			assert.NilError(t, err)
-			assert.Equal(t, data == nil, contentsOf(entries).bytes < minBytesToCompress)
+			assert.Equal(t, data == nil, contentsOf(1, entries).bytes < minBytesToCompress)
 			if data == nil {
 				continue
 			}
@@ -71,7 +71,7 @@
 	for round := range 2 {
 		for i := range 2 * cachedCopies {
 			entries := targetRecords(40 + i)
-			data, err := cache.Get(entries)
+			data, err := cache.Get(1, entries)
 			assert.NilError(t, err)
 			got, err := UnpackEntries(data)
 			assert.NilError(t, err)
@@ -84,7 +84,7 @@
 // Guards against a copy that its receivers reject for its size.
 func TestTooManyEntriesAreSentAsTheyAre(t *testing.T) {
 	var cache EntriesCache
-	data, err := cache.Get([]protocol.CopyEntry{{Key: "a", Value: make([]byte, maxEntriesBytes)}})
+	data, err := cache.Get(1, []protocol.CopyEntry{{Key: "a", Value: make([]byte, maxEntriesBytes)}})
 	assert.NilError(t, err)
 	assert.Assert(t, data == nil)
 }
--- a/pkg/transport/packed/packed.go
+++ b/pkg/transport/packed/packed.go
@@ -19,24 +19,24 @@
 // it, because it is not valid UTF-8.
 var gzipMagic = []byte{0x1f, 0x8b}
 
-// Cache holds the compressed form of the latest revision of a document, because
-// each VM sends it to several peers. The zero value is empty.
+// Cache holds the compressed form of the latest document, because each VM sends it
+// to several peers. The zero value is empty.
 type Cache struct {
 	mu         sync.Mutex
-	revision   int64
+	document   []byte
 	compressed []byte
 }
 
-// Get returns the compressed form of document, which has the given revision. It
+// Get returns the compressed form of document, which must not be modified later. It
 // returns a small document uncompressed.
-func (c *Cache) Get(revision int64, document []byte) []byte {
+func (c *Cache) Get(document []byte) []byte {
 	if len(document) < minBytesToCompress {
 		return document
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision != revision {
-		c.compressed, c.revision = Compress(document), revision
+	if !bytes.Equal(c.document, document) {
+		c.compressed, c.document = Compress(document), document
 	}
 	return c.compressed
 }
