--- a/pkg/transport/packed/entries_test.go
+++ b/pkg/transport/packed/entries_test.go
@@ -101,3 +101,17 @@
 	_, err = UnpackEntries(Compress(make([]byte, maxEntriesBytes+1)))
 	assert.ErrorContains(t, err, "exceeds")
 }
+
+// Guards against a packed copy of an earlier era of the store, which has given the same
+// revisions to other values.
+func TestCopiesOfTwoErasAreKeptApart(t *testing.T) {
+	var cache EntriesCache
+	for era := range uint64(2) {
+		value := bytes.Repeat([]byte{byte(era)}, 2*minBytesToCompress)
+		data, err := cache.Get(era, []protocol.CopyEntry{{Key: "a", Value: value, Revision: 1}})
+		assert.NilError(t, err)
+		got, err := UnpackEntries(data)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got[0].Value, value)
+	}
+}
