Let the soak restore the store from an older copy

The store is away for 0.3 s and comes back from a copy up to 3.3 s old; its writers write again a second later.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -115,6 +115,8 @@
 		b.killAllVMs(f.length / 2)
 	case storeDown, storeSlow, storeLost, storeLate:
 		b.impairStore(f)
+	case storeRestored:
+		b.restoreStore(f)
 	case storeExpiry:
 		b.expireTargetRecords(f.length)
 	case storeCompact:
@@ -229,6 +231,30 @@
 	b.store.SetFaults(standin.StoreFaults{})
 }
 
+const (
+	// storeAwayTime is the time for which the store is away before it comes back from
+	// an older copy, and rewriteTime the time until its writers have written again.
+	storeAwayTime = 300 * time.Millisecond
+	rewriteTime   = time.Second
+)
+
+// restoreStore takes a copy of the store and lets the store come back from it later.
+func (b *testbed) restoreStore(f fault) {
+	if !b.restoring.CompareAndSwap(false, true) {
+		return
+	}
+	defer b.restoring.Store(false)
+	from := b.store.Copy()
+	time.Sleep(f.length)
+	defer b.faults.begin(scopeStore)()
+	b.store.SetFaults([]standin.StoreFaults{{Status: http.StatusServiceUnavailable}, {Hang: true}}[f.variant%2])
+	time.Sleep(storeAwayTime)
+	writeAgain := b.store.Restore(from)
+	b.store.SetFaults(standin.StoreFaults{})
+	time.Sleep(rewriteTime)
+	writeAgain()
+}
+
 // expireTargetRecords makes the store unavailable and removes the records of the
 // targets meanwhile. The targets register again a second after the store is back.
 func (b *testbed) expireTargetRecords(length time.Duration) {
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -25,11 +25,14 @@
 	storeLate    faultKind = "store_late"    // writes happen late, without a reply
 	storeExpiry  faultKind = "store_expiry"  // records of targets expire while the store is down
 	storeCompact faultKind = "store_compact" // the history is dropped
-	targetCrash  faultKind = "target_crash"  // a target ends and comes back
-	targetDrain  faultKind = "target_drain"  // a target is drained and ends
-	targetReuse  faultKind = "target_reuse"  // the address of a target goes to another service
-	targetFault  faultKind = "target_fault"  // wrong responses
-	targetLink   faultKind = "target_link"   // the link to one target
+	// storeRestored lets the store be away and come back from an older copy. It is drawn
+	// apart from the others.
+	storeRestored faultKind = "store_restored"
+	targetCrash   faultKind = "target_crash" // a target ends and comes back
+	targetDrain   faultKind = "target_drain" // a target is drained and ends
+	targetReuse   faultKind = "target_reuse" // the address of a target goes to another service
+	targetFault   faultKind = "target_fault" // wrong responses
+	targetLink    faultKind = "target_link"  // the link to one target
 	// targetStatement is a wrong statement of a target about whether a request has
 	// run. It is drawn apart from the others.
 	targetStatement faultKind = "target_statement"
@@ -105,23 +108,29 @@
 		}
 	}
 	if meanGap == meanGaps[0] {
-		faults = append(faults, newStatementFaults(seed, length)...)
+		faults = append(faults, newSeparateFaults(targetStatement, meanStatementGap, seed, 1, length)...)
+	}
+	if meanGap == meanGaps[1] {
+		faults = append(faults, newSeparateFaults(storeRestored, meanRestoreGap, seed, 2, length)...)
 	}
 	sort.SliceStable(faults, func(a, b int) bool { return faults[a].start < faults[b].start })
 	return faults
 }
 
-// meanStatementGap is the mean time between two faults of targetStatement.
-const meanStatementGap = 1500 * time.Millisecond
+const (
+	// meanStatementGap is the mean time between two faults of targetStatement.
+	meanStatementGap = 1500 * time.Millisecond
+	// meanRestoreGap is the mean time between two faults of storeRestored.
+	meanRestoreGap = 8 * time.Second
+)
 
-// newStatementFaults returns the faults of kind targetStatement. They are added
-// where most faults overlap, and have a generator of their own, so that the plans
-// of earlier seeds keep their other faults.
-func newStatementFaults(seed uint64, length time.Duration) (faults []fault) {
-	r := rand.New(rand.NewPCG(seed, 1))
-	for at := firstFaultDelay; at < length; at += time.Duration(r.ExpFloat64() * float64(meanStatementGap)) {
+// newSeparateFaults returns the faults of a kind that has a generator of its own, so
+// that the plans of earlier seeds keep their other faults.
+func newSeparateFaults(kind faultKind, meanGap time.Duration, seed, stream uint64, length time.Duration) (faults []fault) {
+	r := rand.New(rand.NewPCG(seed, stream))
+	for at := firstFaultDelay; at < length; at += time.Duration(r.ExpFloat64() * float64(meanGap)) {
 		faults = append(faults, fault{
-			kind: targetStatement, start: at, index: r.IntN(60), variant: r.IntN(faultVariants),
+			kind: kind, start: at, index: r.IntN(60), variant: r.IntN(faultVariants),
 			length: minFaultLength + time.Duration(r.Int64N(int64(faultLengthRange))),
 		})
 	}
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,6 +92,7 @@
 	endpointOf    map[*standin.Instance]*endpoint
 	nextID        int
 	newestVersion int
+	restoring     atomic.Bool // the store is about to come back from a copy
 	publications  []publication
 	drains        []drain
 	evacuations   []evacuation
