Fetch routes that another VM has in force and the store does not deliver

A VM that started right after the store came back from a copy, and whose question to other VMs got no reply in time, served by the older routes until the operator wrote again.

--- a/pkg/coordination/feed/era.go
+++ b/pkg/coordination/feed/era.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,24 +36,6 @@
 // Era returns the era of the copy, or 0 if it is not known.
 func (f *follower) Era() uint64 { return f.Position().Era }
 
-// HintEra informs the follower of an era that the store has stated, to this VM or to
-// another one. If the copy is of an earlier era, the follower reads all entries after a
-// random part of newEraPause. A hint of the same era has no further effect, so that a
-// wrong one costs one read.
-func (f *follower) HintEra(era uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.cache.era == 0 || era <= f.cache.era || era <= f.hintedEra {
-		return
-	}
-	f.hintedEra = era
-	time.AfterFunc(rand.N(newEraPause), func() {
-		if f.Era() < era {
-			f.Reread()
-		}
-	})
-}
-
 // storeIsInNewEra reports whether a failed call shows that the store is in a later
 // era than the copy.
 func (f *follower) storeIsInNewEra(err error) bool {
--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -12,11 +12,6 @@
 	"hickoryroute/pkg/transport/platform"
 )
 
-// hintDelay is the time that this VM's watch has to deliver a change that
-// another VM already has. It exceeds batchDelay, during which no watch may
-// be running.
-const hintDelay = 280 * time.Millisecond
-
 // followerConfig holds the dependencies and callbacks of a follower.
 type followerConfig struct {
 	// name is the name of the dependency in log events.
@@ -136,42 +131,6 @@
 	return f.cfg.now().Sub(t), true
 }
 
-// NewestEntry returns the era and the revision of the newest entry.
-func (f *follower) NewestEntry() platform.Position {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return platform.Position{Era: f.cache.era, Revision: f.cache.newestRevision()}
-}
-
-// HintEntry informs the follower that another VM has an entry of the given position. A
-// hint of another era tells nothing about the entries of this one. If this VM has no entry as new after hintDelay, its watch delivers
-// nothing or is late, and the follower reads all entries.
-func (f *follower) HintEntry(at platform.Position) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.hintPending || !f.lacks(at) {
-		return
-	}
-	f.hintPending = true
-	time.AfterFunc(hintDelay, func() { f.checkHint(at) })
-}
-
-// lacks reports whether the copy is of the era of an entry and older than the entry.
-// The caller holds the lock.
-func (f *follower) lacks(at platform.Position) bool {
-	return at.SameEra(f.cache.position()) && at.Revision > f.cache.newestRevision()
-}
-
-func (f *follower) checkHint(at platform.Position) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hintPending = false
-	if f.lacks(at) && (!f.lacks(f.missing) || f.missing.Before(at)) {
-		f.missing = at
-		f.interruptWatch()
-	}
-}
-
 // Recheck lets the follower ask for changes now, because this process did not run
 // for a time.
 func (f *follower) Recheck() {
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -20,6 +20,10 @@
 	versionCheckReplies = 2
 	// versionCheckTimeout limits that wait. It exceeds a round trip between regions.
 	versionCheckTimeout = peerTimeout
+	// newerVersionDelay is the time that the store has to deliver a version that another
+	// VM has in force, before this VM asks that one. It exceeds the pause between two
+	// watches and the read that a hint of the newest entry causes.
+	newerVersionDelay = 600 * time.Millisecond
 )
 
 // latestEra returns the latest era of the store that this VM knows of, or 0.
@@ -59,17 +63,23 @@
 	p.gateway.hintEra(era)
 }
 
-// fetchCarried gets a newer version of the routes from another VM if the store has come
-// back from an older copy, which may lack it. The exchange does not wait for it.
-func (p *peers) fetchCarried(vm feed.VM, version uint64) {
-	if version <= p.gateway.versionInForce() || !p.gateway.operatorFeed.Unconfirmed() || !p.fetchingCarried.CompareAndSwap(false, true) {
+// fetchNewerVersion gets a newer version of the routes from another VM if the store does
+// not deliver it: it may have come back from an older copy, which lacks it. If this VM
+// knows that it has, it asks at once. The exchange does not wait for it.
+func (p *peers) fetchNewerVersion(ctx context.Context, vm feed.VM, version uint64) {
+	if version <= p.gateway.versionInForce() || !p.fetchingVersion.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		defer p.fetchingCarried.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
-		defer cancel()
-		p.askForCarried(ctx, vm)
+		defer p.fetchingVersion.Store(false)
+		if !p.gateway.operatorFeed.Unconfirmed() {
+			wait.For(ctx, newerVersionDelay)
+		}
+		if version > p.gateway.versionInForce() {
+			ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+			defer cancel()
+			p.askForCarried(ctx, vm)
+		}
 	}()
 }
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -77,7 +77,7 @@
 	packed       packed.Cache
 	packedCopies packed.EntriesCache
 
-	fetchingCarried atomic.Bool // fetchCarried runs
+	fetchingVersion atomic.Bool // fetchNewerVersion is under way
 
 	mu            sync.Mutex
 	lastMessageAt map[string]time.Time // time of the last message of each VM, by id
@@ -162,8 +162,8 @@
 // exchange sends the state of this VM to another VM and takes over the state in
 // its reply. A brief exchange carries no loads. It reports whether the VM has
 // replied.
-func (p *peers) exchange(ctx context.Context, vm feed.VM, brief bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+func (p *peers) exchange(runCtx context.Context, vm feed.VM, brief bool) bool {
+	ctx, cancel := context.WithTimeout(runCtx, peerTimeout)
 	defer cancel()
 	self := p.gateway.cfg.Self
 	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Brief: brief, Limits: p.ownLimits(), Era: p.gateway.latestEra()}
@@ -185,7 +185,7 @@
 	p.mergeCrashes(reply.Crashes)
 	p.mergeLimits(reply.Limits)
 	p.takeHints(reply.Newest, reply.NewestEra, reply.Era)
-	p.fetchCarried(vm, reply.Version)
+	p.fetchNewerVersion(runCtx, vm, reply.Version)
 	return true
 }
 
--- a/pkg/gateway/readercopies_test.go
+++ b/pkg/gateway/readercopies_test.go
@@ -39,11 +39,18 @@
 
 // serve serves the peer until the end of the test and returns its address.
 func (c *copyingPeer) serve(t *testing.T) string {
+	t.Helper()
+	return serveGateway(t, c)
+}
+
+// serveGateway serves the calls of other VMs until the end of the test and returns the
+// address.
+func serveGateway(t *testing.T, handler peer.GatewayHandler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := peer.NewServer(peer.ServerConfig{})
-	go func() { _ = server.ServeGateway(listener, c) }()
+	go func() { _ = server.ServeGateway(listener, handler) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
 }
