--- a/pkg/coordination/feed/carried.go
+++ b/pkg/coordination/feed/carried.go
@@ -135,11 +135,14 @@
 	time.AfterFunc(rewriteGrace+rand.N(newEraPause), o.Recheck)
 }
 
-// carryEvacuations keeps zones evacuated for a time.
+// carryEvacuations keeps zones evacuated for a time if the store has lost their
+// entries.
 func (o *OperatorFollower) carryEvacuations(entries []platform.Entry, remaining time.Duration) {
 	c := &o.carried
 	for _, e := range entries {
-		if _, known := c.evacuations[e.Key]; known {
+		_, carried := c.evacuations[e.Key]
+		_, stored := o.cache.entries[e.Key]
+		if carried || stored {
 			continue
 		}
 		if c.evacuations == nil {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -239,6 +239,7 @@
 )
 
 // restoreStore takes a copy of the store and lets the store come back from it later.
+// The next version gets a revision that the store has given out before.
 func (b *testbed) restoreStore(f fault) {
 	if !b.restoring.CompareAndSwap(false, true) {
 		return
@@ -253,6 +254,7 @@
 	b.store.SetFaults(standin.StoreFaults{})
 	time.Sleep(rewriteTime)
 	writeAgain()
+	b.publish()
 }
 
 // expireTargetRecords makes the store unavailable and removes the records of the
