Let the soak check a version written after the store's return

Writes of others that are lost and not written again leave the revision of the store behind, so that the next version gets one that was given out before; it is published when the bounds hold again.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -236,24 +236,32 @@
 	// an older copy, and rewriteTime the time until its writers have written again.
 	storeAwayTime = 300 * time.Millisecond
 	rewriteTime   = time.Second
+	// lostWrites is the number of writes of others that the store loses and that are not
+	// written again, so that later versions get revisions that were given out before.
+	lostWrites = 60
 )
 
 // restoreStore takes a copy of the store and lets the store come back from it later.
-// The next version gets a revision that the store has given out before.
 func (b *testbed) restoreStore(f fault) {
 	if !b.restoring.CompareAndSwap(false, true) {
 		return
 	}
 	defer b.restoring.Store(false)
 	from := b.store.Copy()
+	b.publish()
+	for range lostWrites {
+		b.store.Put("others/key", "")
+	}
 	time.Sleep(f.length)
-	defer b.faults.begin(scopeStore)()
+	end := b.faults.begin(scopeStore)
 	b.store.SetFaults([]standin.StoreFaults{{Status: http.StatusServiceUnavailable}, {Hang: true}}[f.variant%2])
 	time.Sleep(storeAwayTime)
 	writeAgain := b.store.Restore(from)
 	b.store.SetFaults(standin.StoreFaults{})
 	time.Sleep(rewriteTime)
 	writeAgain()
+	end()
+	time.Sleep(settleTime) // the bounds hold again, so the version is checked
 	b.publish()
 }
 
