Ask for the version while a starting VM reads its first copies

The VMs of the region are now asked with a brief exchange in parallel to the reading, for 0.15 s at most, and only a VM that has more is asked for it. VMs in the grace period say so, since a version alone does not tell of a lost evacuation: the third case of TestStoreThatCameBackFromACopy fails without that.

--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -18,12 +19,15 @@
 	// serves, and versionCheckReplies the number of replies that it waits for.
 	versionCheckVMs     = 3
 	versionCheckReplies = 2
-	// versionCheckTimeout limits that wait. It exceeds a round trip between regions.
-	versionCheckTimeout = peerTimeout
+	// versionCheckTimeout limits that wait. It exceeds a round trip within a region.
+	versionCheckTimeout = 150 * time.Millisecond
 	// newerVersionDelay is the time that the store has to deliver a version that another
 	// VM has in force, before this VM asks that one. It exceeds the pause between two
 	// watches and the read that a hint of the newest entry causes.
 	newerVersionDelay = 600 * time.Millisecond
+	// startupPeriod is the time after the start in which a VM asks at once, because its
+	// question before it served may have got no reply.
+	startupPeriod = 3 * time.Second
 )
 
 // latestEra returns the latest era of the store that this VM knows of, or 0.
@@ -64,15 +68,16 @@
 }
 
 // fetchNewerVersion gets a newer version of the routes from another VM if the store does
-// not deliver it: it may have come back from an older copy, which lacks it. If this VM
-// knows that it has, it asks at once. The exchange does not wait for it.
+// not deliver it: it may have come back from an older copy, which lacks it. A VM
+// that knows that it has, or that has just started, asks at once. The exchange does not wait for it.
 func (p *peers) fetchNewerVersion(ctx context.Context, vm feed.VM, version uint64) {
 	if version <= p.gateway.versionInForce() || !p.fetchingVersion.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer p.fetchingVersion.Store(false)
-		if !p.gateway.operatorFeed.Unconfirmed() {
+		startedLately := p.gateway.cfg.Now().Sub(p.readerCopies.startedAt) < startupPeriod
+		if !startedLately && !p.gateway.operatorFeed.Unconfirmed() {
 			wait.For(ctx, newerVersionDelay)
 		}
 		if version > p.gateway.versionInForce() {
@@ -96,32 +101,96 @@
 
 // checkVersion lets a VM that has started ask some others for a newer version than the
 // store holds, which may just have come back from an older copy. HasSynced is false
-// until they have replied or versionCheckTimeout has passed.
+// until they have replied or versionCheckTimeout has passed. They are asked while this
+// VM reads its first copies, and those of its region first, so that a VM that starts
+// after a power loss seldom waits for VMs that are not back.
 func (p *peers) checkVersion(ctx context.Context) {
 	defer p.gateway.checkingVersion.Store(false)
-	for p.gateway.routes.Load() == nil || !p.vmListKnown() {
+	if !waitUntil(ctx, p.vmListKnown) {
+		return
+	}
+	answers := p.askVersions(ctx, p.versionCheckVMs())
+	if len(answers) == 0 || !waitUntil(ctx, func() bool { return p.gateway.routes.Load() != nil }) {
+		return
+	}
+	best := slices.MaxFunc(answers, func(a, b versionAnswer) int { return cmp.Compare(a.reply.Version, b.reply.Version) })
+	if p.mayCarry(&best.reply) {
+		ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+		defer cancel()
+		p.askForCarried(ctx, best.vm)
+	}
+}
+
+// mayCarry reports whether another VM may have in force what the copy of this one lacks:
+// newer routes, or evacuations from before the store came back.
+func (p *peers) mayCarry(reply *protocol.LoadsReply) bool {
+	return reply.Version > p.gateway.versionInForce() || reply.Unconfirmed ||
+		reply.NewestEra != 0 && reply.NewestEra < p.gateway.operatorFeed.Era()
+}
+
+// waitUntil waits until a condition holds. It returns false when ctx has ended.
+func waitUntil(ctx context.Context, condition func() bool) bool {
+	for !condition() {
 		if !wait.For(ctx, readyCheckInterval) {
-			return
+			return false
 		}
 	}
-	list := slices.DeleteFunc(slices.Clone(p.listVMs()), func(vm feed.VM) bool { return vm.PeerAddress == p.gateway.cfg.Self.PeerAddress })
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	list = list[:min(len(list), versionCheckVMs)]
+	return true
+}
+
+// versionCheckVMs returns the VMs that a starting VM asks for their version, at random
+// and those of its region first.
+func (p *peers) versionCheckVMs() []feed.VM {
+	self := p.gateway.cfg.Self
+	var near, far []feed.VM
+	for _, vm := range p.listVMs() {
+		switch {
+		case vm.PeerAddress == self.PeerAddress:
+		case vm.Region == self.Region:
+			near = append(near, vm)
+		default:
+			far = append(far, vm)
+		}
+	}
+	for _, list := range [][]feed.VM{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	list := append(near, far...)
+	return list[:min(len(list), versionCheckVMs)]
+}
+
+// versionAnswer is the reply of a VM that was asked for its version.
+type versionAnswer struct {
+	vm    feed.VM
+	reply protocol.LoadsReply
+}
+
+// askVersions asks VMs for the version that they have in force, and returns the first
+// replies.
+func (p *peers) askVersions(ctx context.Context, vms []feed.VM) (answers []versionAnswer) {
 	ctx, cancel := context.WithTimeout(ctx, versionCheckTimeout)
 	defer cancel()
-	replied := make(chan bool, len(list))
-	for _, vm := range list {
-		go func() { replied <- p.askForCarried(ctx, vm) }()
-	}
-	replies := 0
-	for range list {
-		if <-replied {
-			replies++
+	results := make(chan *versionAnswer, len(vms))
+	for _, vm := range vms {
+		go func() {
+			a := versionAnswer{vm: vm}
+			req := protocol.LoadsRequest{From: p.gateway.cfg.Self.ID, Region: p.gateway.cfg.Self.Region, Brief: true}
+			if p.client.Call(ctx, vm.PeerAddress, "Gateway.Loads", &req, &a.reply) != nil {
+				results <- nil
+				return
+			}
+			results <- &a
+		}()
+	}
+	for range vms {
+		if a := <-results; a != nil {
+			answers = append(answers, *a)
 		}
-		if replies == versionCheckReplies {
-			return
+		if len(answers) == versionCheckReplies {
+			break
 		}
 	}
+	return answers
 }
 
 // vmListKnown reports whether this VM has read the VM list, or has waited for it as long
--- a/pkg/gateway/era_test.go
+++ b/pkg/gateway/era_test.go
@@ -44,6 +44,7 @@
 		Layout: feed.Layout{DecodeOperator: decode},
 	})
 	g.routes.SetIfNewer(&route.Config{Version: 1})
+	g.peers.readerCopies.startedAt = time.Now().Add(-startupPeriod)
 	other := &carryingPeer{version: 2}
 	vm := feed.VM{ID: "carrier", PeerAddress: serveGateway(t, other)}
 	began := time.Now()
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -244,6 +244,7 @@
 	reply.Limits = p.ownLimits()
 	reply.Crashes, reply.Era, reply.Version = p.recentCrashes(), p.gateway.latestEra(), p.gateway.versionInForce()
 	reply.Newest, reply.NewestEra = p.newestEntry()
+	reply.Unconfirmed = p.gateway.operatorFeed.Unconfirmed()
 	switch {
 	case req.Region != self.Region:
 		reply.Uses = p.ownUtilization()
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -58,11 +58,13 @@
 	Limits []TargetLimit
 	Newest int64
 	// NewestEra and Era are as in LoadsRequest. Version is the version of the routes in
-	// force.
-	NewestEra uint64
-	Era       uint64
-	Version   uint64
-	Crashes   []CrashNotice
+	// force. Unconfirmed is true if the store has come back from an older copy and has
+	// not confirmed that version since.
+	NewestEra   uint64
+	Era         uint64
+	Version     uint64
+	Unconfirmed bool
+	Crashes     []CrashNotice
 }
 
 // CrashNotice lists the targets that a request has crashed since a target last
