Collect the era of the store once a tick

Each exchange took the locks of three followers to learn and pass on the era, also while a follower decodes the records of all targets. The VM now keeps the latest era it knows of in one place, and tells its followers with each tick. TestWordOfNewEraCausesOneRead holds what word of an era does.

--- a/pkg/coordination/feed/era_test.go
+++ b/pkg/coordination/feed/era_test.go
@@ -189,17 +189,24 @@
 	return o
 }
 
+// newLosingStore returns a store and a function that lets it come back without its
+// second version and an evacuation.
+func newLosingStore() (store *restoringStore, restore func()) {
+	store = &restoringStore{}
+	store.put("config", "1")
+	restore = store.copy()
+	store.put("config", "2")
+	store.put("zone/a", "")
+	return store, restore
+}
+
 // Guards against a store that came back from an older copy: its older routes must
 // neither come into force nor count as a confirmation of newer ones, a zone that was
 // evacuated since stays so until operators have had time to write again, and revisions
 // that are given out again must be read.
 func TestOperatorEntriesOutliveAnOlderCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &restoringStore{}
-		store.put("config", "1")
-		restore := store.copy()
-		store.put("config", "2")
-		store.put("zone/a", "")
+		store, restore := newLosingStore()
 		o := newOperatorTest(t, store, nil)
 		assert.DeepEqual(t, o.targets.EvacuatedZones(), []string{"a"})
 		confirmed := time.Now()
@@ -243,11 +250,7 @@
 // routes, or uses a zone that is evacuated.
 func TestStartingVMTakesOverWhatOthersCarry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &restoringStore{}
-		store.put("config", "1")
-		restore := store.copy()
-		store.put("config", "2")
-		store.put("zone/a", "")
+		store, restore := newLosingStore()
 		running := newOperatorTest(t, store, nil)
 		restore()
 		for _, step := range []string{"the other VM is in the era before", "in the same era"} {
@@ -266,6 +269,48 @@
 	})
 }
 
+// stalledWatches is a store whose watches tell nothing.
+type stalledWatches struct {
+	restoringStore
+	reads int // guarded by restoringStore.mu
+}
+
+func (s *stalledWatches) Snapshot(ctx context.Context, prefix string, freshness platform.Freshness) (platform.Snapshot, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	return s.restoringStore.Snapshot(ctx, prefix, freshness)
+}
+
+func (s *stalledWatches) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Changes, error) {
+	select {
+	case <-ctx.Done():
+		return platform.Changes{}, ctx.Err()
+	case <-time.After(wait):
+		return platform.Changes{Revision: after}, nil
+	}
+}
+
+// Guards against a VM that stays in an earlier era although others know of the new one,
+// and against wrong word of an era that makes VMs read the store again and again.
+func TestWordOfNewEraCausesOneRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &stalledWatches{}
+		store.put("config", "1")
+		o := newOperatorTest(t, store, nil)
+		store.copy()()
+		for _, hint := range []struct{ era, want uint64 }{{2, 2}, {9, 2}} {
+			reads := store.reads
+			for range 5 {
+				o.HintEra(hint.era)
+				time.Sleep(newEraPause)
+			}
+			assert.Equal(t, o.Era(), hint.want)
+			assert.Equal(t, store.reads, reads+1)
+		}
+	})
+}
+
 // Guards against a record that is decoded by an entry of an earlier era because its
 // revision was given out again.
 func TestRevisionOfNewEraIsDecodedAnew(t *testing.T) {
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -30,18 +30,23 @@
 	startupPeriod = 3 * time.Second
 )
 
-// latestEra returns the latest era of the store that this VM knows of, or 0.
-func (g *Gateway) latestEra() uint64 {
-	era := max(g.operatorFeed.Era(), g.targetFeed.Era(), g.vmFeed.Era())
-	if source, ok := g.cfg.Store.(platform.EraSource); ok {
-		era = max(era, source.LastEra())
+// raiseEra takes over an era that the store has stated, to this VM or to another one.
+func (g *Gateway) raiseEra(era uint64) {
+	for latest := g.latestEra.Load(); era > latest; latest = g.latestEra.Load() {
+		if g.latestEra.CompareAndSwap(latest, era) {
+			return
+		}
 	}
-	return era
 }
 
-// hintEra informs the followers of an era that the store has stated, to this VM or to
-// another one.
-func (g *Gateway) hintEra(era uint64) {
+// spreadEra collects the latest era that this VM knows of, and informs its followers.
+// The exchange informs the other VMs.
+func (g *Gateway) spreadEra() {
+	g.raiseEra(max(g.operatorFeed.Era(), g.targetFeed.Era(), g.vmFeed.Era()))
+	if source, ok := g.cfg.Store.(platform.EraSource); ok {
+		g.raiseEra(source.LastEra())
+	}
+	era := g.latestEra.Load()
 	g.operatorFeed.HintEra(era)
 	g.targetFeed.HintEra(era)
 	g.vmFeed.HintEra(era)
@@ -64,7 +69,7 @@
 // takeHints takes over what another VM knows of the store.
 func (p *peers) takeHints(newest int64, newestEra, era uint64) {
 	p.gateway.operatorFeed.HintEntry(platform.Position{Era: newestEra, Revision: newest})
-	p.gateway.hintEra(era)
+	p.gateway.raiseEra(era)
 }
 
 // fetchNewerVersion gets a newer version of the routes from another VM if the store does
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -125,7 +125,9 @@
 	// checkingVersion is true after the start until other VMs have been asked for a
 	// newer version of the routes.
 	checkingVersion atomic.Bool
-	exhausted       exhaustion
+	// latestEra is the latest era of the store that this VM knows of, or 0.
+	latestEra atomic.Uint64
+	exhausted exhaustion
 }
 
 // New returns a Gateway without routes and targets. Run reads them from the
@@ -171,7 +173,7 @@
 		}
 		return float64(g.cfg.DroppedLogLines())
 	})
-	set.NewGauge("hickory_gateway_store_era", func() float64 { return float64(g.latestEra()) })
+	set.NewGauge("hickory_gateway_store_era", func() float64 { return float64(g.latestEra.Load()) })
 	set.NewGauge("hickory_gateway_routes_unconfirmed", func() float64 {
 		if g.operatorFeed.Unconfirmed() {
 			return 1
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -116,7 +116,7 @@
 		case <-ticker.C:
 		}
 		p.recordTick()
-		p.gateway.hintEra(p.gateway.latestEra())
+		p.gateway.spreadEra()
 		if pause := pauses.check(p.gateway.suspendAwareNow()); pause > 0 {
 			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{
 				"paused_ms": pause.Milliseconds(), "suspended_ms": p.gateway.cfg.Suspended().Milliseconds(),
@@ -166,7 +166,7 @@
 	ctx, cancel := context.WithTimeout(runCtx, peerTimeout)
 	defer cancel()
 	self := p.gateway.cfg.Self
-	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Brief: brief, Limits: p.ownLimits(), Era: p.gateway.latestEra()}
+	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Brief: brief, Limits: p.ownLimits(), Era: p.gateway.latestEra.Load()}
 	req.Newest, req.NewestEra = p.newestEntry()
 	switch {
 	case vm.Region != self.Region:
@@ -242,7 +242,7 @@
 	self := p.gateway.cfg.Self
 	reply.From, reply.Region = self.ID, self.Region
 	reply.Limits = p.ownLimits()
-	reply.Crashes, reply.Era, reply.Version = p.recentCrashes(), p.gateway.latestEra(), p.gateway.versionInForce()
+	reply.Crashes, reply.Era, reply.Version = p.recentCrashes(), p.gateway.latestEra.Load(), p.gateway.versionInForce()
 	reply.Newest, reply.NewestEra = p.newestEntry()
 	reply.Unconfirmed = p.gateway.operatorFeed.Unconfirmed()
 	switch {
