Merge the store that comes back from an older copy

Cause: revisions and leases of the store can go back, and nothing was keyed by its era.

Change: copies, hints and leases are keyed by era and revision; versions and evacuations of the earlier era stay in force. Together with the keys of client accounts: while the store holds an older version than the one in force, its replies do not verify the keys.

--- a/pkg/coordination/feed/verified_age.go
+++ b/pkg/coordination/feed/verified_age.go
@@ -30,9 +30,13 @@
 	return f.cfg.now().Sub(*verifiedAt), true
 }
 
-// advanceVerifiedAt is called with the lock held, after onChange.
+// advanceVerifiedAt is called with the lock held, after onChange. While what is in
+// force is newer than what the store holds, the store verifies only the copy.
 func (f *follower) advanceVerifiedAt(t time.Time) {
 	f.cache.advanceVerifiedAt(t)
+	if f.cfg.isAhead != nil && f.cfg.isAhead() {
+		return
+	}
 	verifiedAt := f.cache.verifiedAt
 	if !verifiedAt.IsZero() {
 		f.verifiedAt.Store(&verifiedAt)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -77,6 +77,8 @@
 	packed       packed.Cache
 	packedCopies packed.EntriesCache
 
+	fetchingVersion atomic.Bool // fetchNewerVersion is under way
+
 	mu            sync.Mutex
 	lastMessageAt map[string]time.Time // time of the last message of each VM, by id
 	lastTick      time.Time            // of the exchange loop; zero before the first
@@ -114,6 +116,7 @@
 		case <-ticker.C:
 		}
 		p.recordTick()
+		p.gateway.spreadEra()
 		if pause := pauses.check(p.gateway.suspendAwareNow()); pause > 0 {
 			p.gateway.cfg.Logger.Log(EventMachineResumed, eventlog.Fields{
 				"paused_ms": pause.Milliseconds(), "suspended_ms": p.gateway.cfg.Suspended().Milliseconds(),
@@ -159,11 +162,12 @@
 // exchange sends the state of this VM to another VM and takes over the state in
 // its reply. A brief exchange carries no loads. It reports whether the VM has
 // replied.
-func (p *peers) exchange(ctx context.Context, vm feed.VM, brief bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+func (p *peers) exchange(runCtx context.Context, vm feed.VM, brief bool) bool {
+	ctx, cancel := context.WithTimeout(runCtx, peerTimeout)
 	defer cancel()
 	self := p.gateway.cfg.Self
-	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Newest: p.gateway.operatorFeed.NewestRevision(), Brief: brief, Limits: p.ownLimits()}
+	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Brief: brief, Limits: p.ownLimits(), Era: p.gateway.latestEra.Load()}
+	req.Newest, req.NewestEra = p.newestEntry()
 	switch {
 	case vm.Region != self.Region:
 		req.Uses = p.ownUtilization()
@@ -181,7 +185,8 @@
 	p.mergeCrashes(reply.Crashes)
 	p.mergeRefusals(reply.Refusals)
 	p.mergeLimits(reply.Limits)
-	p.gateway.operatorFeed.HintRevision(reply.Newest)
+	p.takeHints(reply.Newest, reply.NewestEra, reply.Era)
+	p.fetchNewerVersion(runCtx, vm, reply.Version)
 	return true
 }
 
@@ -235,11 +240,13 @@
 	p.mergeCrashes(req.Crashes)
 	p.mergeRefusals(req.Refusals)
 	p.mergeLimits(req.Limits)
-	p.gateway.operatorFeed.HintRevision(req.Newest)
+	p.takeHints(req.Newest, req.NewestEra, req.Era)
 	self := p.gateway.cfg.Self
 	reply.From, reply.Region = self.ID, self.Region
 	reply.Limits = p.ownLimits()
-	reply.Crashes, reply.Newest = p.recentCrashes(), p.gateway.operatorFeed.NewestRevision()
+	reply.Crashes, reply.Era, reply.Version = p.recentCrashes(), p.gateway.latestEra.Load(), p.gateway.versionInForce()
+	reply.Newest, reply.NewestEra = p.newestEntry()
+	reply.Unconfirmed = p.gateway.operatorFeed.Unconfirmed()
 	switch {
 	case req.Region != self.Region:
 		reply.Uses = p.ownUtilization()
