See callers leave behind requests that wait on the connection

Cause: net/http watches for a caller's departure by reading one byte in the background. The first byte of the next request ends that watch, so a caller that sends a request behind a running one and leaves is noticed only once the running request has its answer.

Change: the accepted connection (netconn.callerConn, below hickoryfront and hickoryd, above TLS) goes on reading while the server watches. An answer to a caller that has left closes the connection, so that requests which were read together with it are not run. A connection that ends behind an answer is shut for writing first, also if nothing unread has arrived yet. A request that was read together with the one before it counts as busy in a planned stop.

--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	callerListener := netconn.NewGracefulListener(listener, 0)
+	callerListener := netconn.NewGracefulListener(listener, 0, nil)
 	callerServer := newServer(&platform.CallerHandler{Gateway: g})
 	callerServer.ConnState = callerListener.TrackState
 	systemHandler := platform.NewSystemHandler(g, s.MaxLookupTTL)
--- a/pkg/transport/callerhttp/handler.go
+++ b/pkg/transport/callerhttp/handler.go
@@ -72,7 +72,7 @@
 func (s *Server) handle(h func(x *requestState) *protocol.Problem) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		start := time.Now()
-		x := &requestState{w: &responseWriter{ResponseWriter: w, server: s}, r: r}
+		x := &requestState{w: &responseWriter{ResponseWriter: w, server: s, caller: r.Context()}, r: r}
 		x.id = r.Header.Get(protocol.HeaderRequestID)
 		if !validRequestID(x.id) {
 			x.id = s.cfg.NewRequestID()
--- a/pkg/transport/callerhttp/response.go
+++ b/pkg/transport/callerhttp/response.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -31,6 +32,7 @@
 type responseWriter struct {
 	http.ResponseWriter
 	server *Server
+	caller context.Context // ends when the caller leaves
 	status int
 }
 
@@ -40,6 +42,8 @@
 		w.status = status
 		if w.server.Leaving() {
 			w.Header().Set(protocol.HeaderEntryLeaving, "true")
+		}
+		if w.server.Leaving() || w.caller.Err() != nil { // requests behind it must not be run
 			w.Header().Set("Connection", "close")
 		}
 	}
--- a/pkg/transport/callerhttp/server.go
+++ b/pkg/transport/callerhttp/server.go
@@ -130,13 +130,9 @@
 // Serve accepts connections from l until Shutdown or Close. It returns nil
 // after a shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	graceful := netconn.NewGracefulListener(l, s.cfg.MaxConns)
+	graceful := netconn.NewGracefulListener(l, s.cfg.MaxConns, s.cfg.TLS)
 	s.listener.Store(graceful)
-	l = graceful
-	if s.cfg.TLS != nil {
-		l = tls.NewListener(l, s.cfg.TLS)
-	}
-	err := s.http.Serve(l)
+	err := s.http.Serve(graceful)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.Leaving() {
 		return nil
 	}
--- a/pkg/transport/netconn/graceful_listener.go
+++ b/pkg/transport/netconn/graceful_listener.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,6 +34,8 @@
 type GracefulListener struct {
 	net.Listener
 	connLimit *semaphore.Weighted // nil for no limit
+	tls       *tls.Config         // nil for connections that are not encrypted
+	held      atomic.Int64        // bytes that the connections hold behind running requests
 
 	mu       sync.Mutex
 	conns    map[*trackedConn]bool
@@ -40,10 +44,12 @@
 }
 
 // NewGracefulListener wraps a listener. The ConnState of the server must be set
-// to TrackState. A maxConns above 0 limits the open connections; further ones
-// wait in the listen queue.
-func NewGracefulListener(l net.Listener, maxConns int) *GracefulListener {
-	g := &GracefulListener{Listener: l, conns: map[*trackedConn]bool{}}
+// to TrackState, and it must have an IdleTimeout and a ReadHeaderTimeout: reads
+// without a deadline are those of a request that is served. A maxConns above 0
+// limits the open connections; further ones wait in the listen queue. A tlsConfig
+// other than nil secures the connections. It must not offer HTTP/2.
+func NewGracefulListener(l net.Listener, maxConns int, tlsConfig *tls.Config) *GracefulListener {
+	g := &GracefulListener{Listener: l, tls: tlsConfig, conns: map[*trackedConn]bool{}}
 	if maxConns > 0 {
 		g.connLimit = semaphore.NewWeighted(int64(maxConns))
 	}
@@ -67,7 +73,7 @@
 	for {
 		raw, err := g.Listener.Accept()
 		if err == nil {
-			return g.track(raw), nil
+			return g.newCallerConn(g.track(raw)), nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !g.isStopping() {
 			return nil, err
@@ -92,6 +98,18 @@
 	return c
 }
 
+func (g *GracefulListener) newCallerConn(c *trackedConn) *callerConn {
+	out := &callerConn{Conn: c, tracked: c, total: &g.held}
+	if g.tls != nil {
+		out.Conn = tls.Server(c, g.tls)
+	}
+	return out
+}
+
+// HeldBytes returns the number of bytes that the connections hold of requests
+// behind those that are served.
+func (g *GracefulListener) HeldBytes() int64 { return g.held.Load() }
+
 func (g *GracefulListener) isStopping() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -116,11 +134,8 @@
 // TrackState records that a connection has become idle. It has the type of
 // http.Server.ConnState.
 func (g *GracefulListener) TrackState(c net.Conn, state http.ConnState) {
-	if secure, ok := c.(interface{ NetConn() net.Conn }); ok { // a TLS connection
-		c = secure.NetConn()
-	}
-	if conn, ok := c.(*trackedConn); ok && state == http.StateIdle {
-		conn.setIdle()
+	if conn, ok := c.(*callerConn); ok && state == http.StateIdle && !conn.holds() {
+		conn.tracked.setIdle()
 	}
 }
 
@@ -171,6 +186,9 @@
 	mu     sync.Mutex
 	busy   bool // a part of a request was read, and its response is not complete
 	ending bool // reads time out because the connection was idle
+	left   bool // the other side has closed the connection
+	// deadline is the deadline of reads that the server has set last.
+	deadline time.Time
 }
 
 // Read implements net.Conn. It marks the connection as busy. Bytes that were
@@ -178,11 +196,15 @@
 // served.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 {
+	if n == 0 && err == nil {
 		return n, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.left = c.left || err != nil && !isTimeout(err)
+	if n == 0 {
+		return n, err
+	}
 	c.busy = true
 	if c.ending {
 		c.ending = false
@@ -191,6 +213,31 @@
 	return n, err
 }
 
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// beginRequest marks the connection as busy with a request that is served. Its
+// bytes may have been read together with the request before it.
+func (c *trackedConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+	if c.ending {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails only if it is closed
+	}
+}
+
 func (c *trackedConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -210,13 +257,14 @@
 	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
 }
 
-// Close implements net.Conn. If bytes have arrived that were not read, it lets
-// the other side read the last response first: closing the connection at once
-// would reset it and discard what is still on the way.
+// Close implements net.Conn. If the other side may still send, or bytes have
+// arrived that were not read, it lets the other side read the last response first:
+// closing the connection at once would reset it and discard what is still on the
+// way.
 func (c *trackedConn) Close() (err error) {
 	c.closeOnce.Do(func() {
 		half, ok := c.Conn.(interface{ CloseWrite() error })
-		if ok && isReadable(c.Conn) && half.CloseWrite() == nil {
+		if ok && c.mayReceive() && half.CloseWrite() == nil {
 			go c.linger()
 			return
 		}
@@ -225,6 +273,16 @@
 	return err
 }
 
+// mayReceive reports whether bytes may arrive after the last response, or have
+// arrived and were not read. On an idle connection, nothing is on the way to the
+// other side.
+func (c *trackedConn) mayReceive() bool {
+	c.mu.Lock()
+	expected := c.busy && !c.left
+	c.mu.Unlock()
+	return expected || isReadable(c.Conn)
+}
+
 // linger discards what the other side sends until it closes the connection, for
 // at most lingerTime.
 func (c *trackedConn) linger() {
--- a/pkg/transport/netconn/graceful_listener_test.go
+++ b/pkg/transport/netconn/graceful_listener_test.go
@@ -24,7 +24,7 @@
 	for round := range 30 {
 		raw, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
-		g := NewGracefulListener(raw, 0)
+		g := NewGracefulListener(raw, 0, nil)
 		var mu sync.Mutex
 		handled := map[string]bool{}
 		server := &http.Server{ConnState: g.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -102,7 +102,7 @@
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = raw.Close() })
-	return NewGracefulListener(raw, maxConns)
+	return NewGracefulListener(raw, maxConns, nil)
 }
 
 // sendRequest opens a connection and sends one request.
@@ -155,7 +155,7 @@
 	sendRequest(t, g)
 	c, err := g.Accept()
 	assert.NilError(t, err)
-	for !isReadable(c.(*trackedConn).Conn) {
+	for !isReadable(c.(*callerConn).tracked.Conn) {
 		time.Sleep(time.Millisecond)
 	}
 	g.CloseIdle()
@@ -195,7 +195,7 @@
 func TestUnreadRequestDoesNotResetTheResponseBefore(t *testing.T) {
 	l, err := Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	graceful := NewGracefulListener(l, 0)
+	graceful := NewGracefulListener(l, 0, nil)
 	body := bytes.Repeat([]byte("x"), 1<<20)
 	server := &http.Server{ConnState: graceful.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(50 * time.Millisecond) // the second request arrives
--- a/pkg/transport/netconn/window_linux.go
+++ b/pkg/transport/netconn/window_linux.go
@@ -1,6 +1,7 @@
 package netconn
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -40,6 +41,22 @@
 	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 }
 
+// peerHasClosed reports whether the other side has closed a connection, or its
+// sending side, also if what it sent before is still unread. It returns false if
+// that cannot be found out.
+func peerHasClosed(c net.Conn) (closed bool) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	_ = control(socket, func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0
+	})
+	return closed
+}
+
 func control(socket syscall.Conn, f func(fd int)) error {
 	raw, err := socket.SyscallConn()
 	if err != nil {
--- a/pkg/transport/netconn/window_other.go
+++ b/pkg/transport/netconn/window_other.go
@@ -3,6 +3,7 @@
 package netconn
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -17,3 +18,5 @@
 
 // setUserTimeoutOf does nothing: keep-alive probes alone detect silent peers.
 func setUserTimeoutOf(int, time.Duration) error { return nil }
+
+func peerHasClosed(net.Conn) bool { return false }
