Bound the memory of answers to callers that read slowly

Cause: each request in flight could hold 64 KiB of a long answer and a copy buffer of 32 KiB. With 2,050 requests in flight on a VM of 4,100 descriptors and 184 MB, slow readers alone could take 192 MiB, by calculation.

Change: the first parts of all responses take 32 MiB at most; further ones are cut to 4 KiB and streamed from there. The rest of a response is copied through the buffer of its first part, and a first part of known length gets a buffer of that size. Metrics hickory_gateway_response_memory_bytes and hickory_caller_held_bytes.

--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -125,6 +125,7 @@
 		return err
 	}
 	callerListener := netconn.NewGracefulListener(listener, 0, nil)
+	callerListener.RegisterMetrics(g.Metrics())
 	callerServer := newServer(&platform.CallerHandler{Gateway: g})
 	callerServer.ConnState = callerListener.TrackState
 	systemHandler := platform.NewSystemHandler(g, s.MaxLookupTTL)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -121,7 +121,9 @@
 	peers        *peers
 	crashes      *crash.Table
 	stopping     stopState
-	exhausted    exhaustion
+	// responseMemory is what responses take until their callers have read them.
+	responseMemory responseMemory
+	exhausted      exhaustion
 }
 
 // New returns a Gateway without routes and targets. Run reads them from the
@@ -167,6 +169,7 @@
 		}
 		return float64(g.cfg.DroppedLogLines())
 	})
+	set.NewGauge("hickory_gateway_response_memory_bytes", func() float64 { return float64(g.responseMemory.reserved.Load()) })
 	set.NewGauge("hickory_gateway_requests_in_flight", func() float64 { return float64(g.stopping.inFlight.Load()) })
 	set.NewGauge(`hickory_gateway_target_connections{state="in_use"}`, func() float64 { return float64(g.targetClient.Usage().InUse) })
 	set.NewGauge(`hickory_gateway_target_connections{state="idle"}`, func() float64 { return float64(g.targetClient.Usage().Idle) })
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -21,6 +21,7 @@
 	"hickoryroute/pkg/state/targets"
 	"hickoryroute/pkg/steering/limit"
 	"hickoryroute/pkg/steering/placement"
+	"hickoryroute/pkg/transport/netconn"
 	"hickoryroute/pkg/transport/peer"
 )
 
@@ -290,7 +291,9 @@
 func TestMetricsPageMatchesTheCode(t *testing.T) {
 	now := time.Now()
 	var out bytes.Buffer
-	newTestGateway(&now).Metrics().WritePrometheus(&out)
+	set := newTestGateway(&now).Metrics()
+	netconn.NewGracefulListener(nil, 0, nil).RegisterMetrics(set) // as hickoryfront does
+	set.WritePrometheus(&out)
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	assert.NilError(t, err)
 	_, section, found := strings.Cut(string(page), "\n## hickoryfront\n")
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -45,6 +45,8 @@
 	Rest     io.ReadCloser
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
+
+	memory int64 // reserved of Gateway.responseMemory
 }
 
 // Reason says why a request ended without a response from a target. It is the
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -69,6 +68,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	defer g.responseMemory.release(response.memory)
 	if response.Rest != nil {
 		defer response.Rest.Close()
 	}
@@ -194,7 +194,18 @@
 // bufferResponse reads the first part of a response and reports the result of
 // the attempt to the picker.
 func (g *Gateway) bufferResponse(ctx context.Context, c *call, choice *placement.Choice, resp *target.Response, info ResponseInfo) (*Response, error) {
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	memory := g.responseMemory.reserve(bodyLength(c.Method, resp))
+	response, err := g.bufferWithin(ctx, c, choice, resp, info, memory)
+	if err != nil {
+		g.responseMemory.release(memory)
+	}
+	return response, err
+}
+
+// bufferWithin is bufferResponse with memory for the first part. The response
+// holds the memory.
+func (g *Gateway) bufferWithin(ctx context.Context, c *call, choice *placement.Choice, resp *target.Response, info ResponseInfo, memory int64) (*Response, error) {
+	buffered, err := readFirst(resp.Body, memory, resp.ContentLength >= 0)
 	if err != nil {
 		_ = resp.Body.Close()
 		return nil, err
@@ -211,8 +222,8 @@
 		_ = resp.Body.Close()
 		return nil, &failedResponseError{status: resp.Status, trace: resp.Trace, cause: errUnprovenStatus}
 	}
-	response := &Response{Trace: resp.Trace, Authentic: info.Authentic, Status: resp.Status, Header: resp.Header, Buffered: buffered, Length: resp.ContentLength}
-	if len(buffered) > maxBufferedResponse {
+	response := &Response{Trace: resp.Trace, Authentic: info.Authentic, Status: resp.Status, Header: resp.Header, Buffered: buffered, Length: resp.ContentLength, memory: memory}
+	if int64(len(buffered)) > memory {
 		response.Rest = &longBody{ReadCloser: resp.Body, ctx: ctx, gateway: g, call: c, choice: choice, hasEnd: resp.ContentLength >= 0}
 		return response, nil
 	}
--- a/pkg/transport/callerhttp/server.go
+++ b/pkg/transport/callerhttp/server.go
@@ -131,6 +131,7 @@
 // after a shutdown.
 func (s *Server) Serve(l net.Listener) error {
 	graceful := netconn.NewGracefulListener(l, s.cfg.MaxConns, s.cfg.TLS)
+	graceful.RegisterMetrics(s.cfg.Metrics)
 	s.listener.Store(graceful)
 	err := s.http.Serve(graceful)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) && s.Leaving() {
--- a/pkg/transport/netconn/caller_conn_test.go
+++ b/pkg/transport/netconn/caller_conn_test.go
@@ -113,7 +113,7 @@
 			assert.Assert(t, time.Since(left) < promptly, "the request ran on for %v", time.Since(left))
 			waitUntilStopped(t, g)
 			assert.Equal(t, ranBehind.Load(), int32(0))
-			assert.Equal(t, g.HeldBytes(), int64(0))
+			assert.Equal(t, g.held.Load(), int64(0))
 		})
 	}
 }
@@ -162,7 +162,7 @@
 			assert.NilError(t, err)
 			assert.Equal(t, string(body), text)
 		}
-		assert.Equal(t, g.HeldBytes(), int64(0))
+		assert.Equal(t, g.held.Load(), int64(0))
 	}
 }
 
@@ -228,14 +228,14 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	for g.HeldBytes() < maxHeldBytes && ctx.Err() == nil {
+	for g.held.Load() < maxHeldBytes && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(20 * time.Millisecond)
-	assert.Equal(t, g.HeldBytes(), int64(maxHeldBytes))
+	assert.Equal(t, g.held.Load(), int64(maxHeldBytes))
 	for _, conn := range conns {
 		assert.NilError(t, conn.Close())
 	}
 	waitUntilStopped(t, g)
-	assert.Equal(t, g.HeldBytes(), int64(0))
+	assert.Equal(t, g.held.Load(), int64(0))
 }
--- a/pkg/transport/netconn/graceful_listener.go
+++ b/pkg/transport/netconn/graceful_listener.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/semaphore"
 )
@@ -106,9 +107,10 @@
 	return out
 }
 
-// HeldBytes returns the number of bytes that the connections hold of requests
-// behind those that are served.
-func (g *GracefulListener) HeldBytes() int64 { return g.held.Load() }
+// RegisterMetrics adds the metrics of the listener to a set.
+func (g *GracefulListener) RegisterMetrics(set *metrics.Set) {
+	set.GetOrCreateGauge("hickory_caller_held_bytes", func() float64 { return float64(g.held.Load()) })
+}
 
 func (g *GracefulListener) isStopping() bool {
 	g.mu.Lock()
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -156,6 +156,7 @@
 		c.testbed.addFinding("non-idempotent request ran %d times, last on %s: %s", c.runsByID[a.ID], i.ID, &sent)
 	}
 	c.checkDrainAndEvacuation(i, a, &sent)
+	c.checkLeft(i, a, &sent)
 }
 
 // checkDrainAndEvacuation checks that an instance runs no new request after its
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -90,6 +90,7 @@
 		load.Go(func() { b.runWorker(n, seed, stop) })
 	}
 	load.Go(func() { b.runVersionProber(seed, stop) })
+	load.Go(func() { b.runLeavers(seed, stop) })
 	load.Go(func() { b.recordStalls(stop) })
 	load.Go(func() { b.checkRefusalsPeriodically(stop) })
 	b.injectAll(faults)
