Deliver closing answers to late readers, and answer plain HTTP on TLS ports

A connection that is closed behind an answer lingered for one second in all, so that a caller which reads the answer later and sends a further request got a reset.

net/http answers plain HTTP on a port for TLS only for connections of type tls.Conn, which the listener hides since the watch for departures; the listener gives the answer itself.

--- a/pkg/transport/netconn/caller_conn.go
+++ b/pkg/transport/netconn/caller_conn.go
@@ -1,12 +1,15 @@
 package netconn
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -77,7 +80,25 @@
 	case watches:
 		return 0, c.watch(p)
 	}
-	return c.Conn.Read(p)
+	n, err = c.Conn.Read(p)
+	if err != nil && c.Conn != c.tracked {
+		answerPlainHTTP(err)
+	}
+	return n, err
+}
+
+// answerPlainHTTP answers a caller that does not encrypt its request although it
+// must. The server would do so for connections of type tls.Conn.
+func answerPlainHTTP(handshake error) {
+	var unencrypted tls.RecordHeaderError
+	if !errors.As(handshake, &unencrypted) || unencrypted.Conn == nil {
+		return
+	}
+	switch string(unencrypted.RecordHeader[:]) {
+	case "GET /", "HEAD ", "POST ", "PUT /", "OPTIO":
+		// An error means that the caller has left.
+		_, _ = io.WriteString(unencrypted.Conn, "HTTP/1.0 400 Bad Request\r\n\r\nThis port needs HTTPS.\n")
+	}
 }
 
 // Close implements net.Conn.
--- a/pkg/transport/netconn/caller_conn_test.go
+++ b/pkg/transport/netconn/caller_conn_test.go
@@ -215,6 +215,38 @@
 	assert.Equal(t, len(got), len(body))
 }
 
+// Guards against a closing response that is discarded because its caller reads it
+// late and sends a further request meanwhile.
+func TestClosingResponseReachesLateReader(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), 8<<20) // more than the buffers of the sockets
+	_, dial := serveCallers(t, false, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(body)
+	})
+	conn := dial()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(64<<10))
+	send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	got, err := io.ReadAll(io.LimitReader(conn, int64(len(body)-1<<20)))
+	assert.NilError(t, err)
+	time.Sleep(lingerTime + 300*time.Millisecond)
+	send(t, conn, shortRequest)
+	time.Sleep(100 * time.Millisecond)
+	rest, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	_, text, _ := bytes.Cut(append(got, rest...), []byte("\r\n\r\n"))
+	assert.Assert(t, len(text) >= len(body), "%d of %d bytes", len(text), len(body))
+}
+
+// Guards against callers that send plain HTTP to a port for TLS and learn nothing
+// about it.
+func TestPlainRequestToTLSIsAnswered(t *testing.T) {
+	l, _ := serveCallers(t, true, func(http.ResponseWriter, *http.Request) {})
+	resp, err := http.Get("http://" + l.Addr().String())
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+}
+
 // Guards against callers that together let a VM hold more than its memory: what
 // is held stays within the limit, and departures are seen beyond it.
 func TestHeldBytesAreLimited(t *testing.T) {
--- a/pkg/transport/netconn/graceful_listener.go
+++ b/pkg/transport/netconn/graceful_listener.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,7 +25,7 @@
 	// arrived just as its connection was about to be closed as idle.
 	lateRequestTimeout = 10 * time.Second
 	// lingerTime limits how long a closed connection is kept for the other side to
-	// read the last response.
+	// close it as well, once everything has been delivered.
 	lingerTime = time.Second
 )
 
@@ -288,11 +289,26 @@
 }
 
 // linger discards what the other side sends until it closes the connection, for
-// at most lingerTime.
+// at most lingerTime, or for closedWindowTimeout while bytes are undelivered.
 func (c *trackedConn) linger() {
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only if it is closed
-	_, _ = io.Copy(io.Discard, c.Conn)                     // any error ends the wait
-	_ = c.end()                                            // nothing is left to be delivered
+	for end := time.Now().Add(closedWindowTimeout - lingerTime); ; {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only if it is closed
+		_, err := io.Copy(io.Discard, c.Conn)
+		if !isTimeout(err) || !c.delivers() || time.Now().After(end) {
+			break
+		}
+	}
+	_ = c.end() // nothing is left to be delivered, or the other side reads no more
+}
+
+// delivers reports whether the other side has not received everything yet.
+func (c *trackedConn) delivers() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	d, err := readDelivery(socket)
+	return err == nil && (d.inFlight || d.unsent)
 }
 
 // end closes the connection and stops tracking it.
