Merge the watch of callers that leave behind waiting requests

Change: the connection reads on while a request runs, within limits of memory, and cancels it when the caller leaves; answers to slow readers are bounded. The reset of HTTP/1.0 callers finds the tracked connection below the new wrapper.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -134,8 +134,10 @@
 	checkingVersion atomic.Bool
 	// latestEra is the latest era of the store that this VM knows of, or 0.
 	latestEra atomic.Uint64
-	exhausted exhaustion
-	keys      keyService
+	// responseMemory is what responses take until their callers have read them.
+	responseMemory responseMemory
+	exhausted      exhaustion
+	keys           keyService
 }
 
 // New returns a Gateway without routes and targets. Run reads them from the
@@ -193,6 +195,7 @@
 		}
 		return 0
 	})
+	set.NewGauge("hickory_gateway_response_memory_bytes", func() float64 { return float64(g.responseMemory.reserved.Load()) })
 	set.NewGauge("hickory_gateway_requests_in_flight", func() float64 { return float64(g.stopping.inFlight.Load()) })
 	set.NewGauge("hickory_gateway_keys_verified_age_seconds", func() float64 { return ageSeconds(g.operatorFeed.VerifiedAge()) })
 	set.NewGauge(`hickory_gateway_target_connections{state="in_use"}`, func() float64 { return float64(g.targetClient.Usage().InUse) })
--- a/pkg/transport/netconn/abort.go
+++ b/pkg/transport/netconn/abort.go
@@ -19,11 +19,9 @@
 
 // reset closes a connection with RST.
 func reset(conn net.Conn) {
-	if secure, ok := conn.(interface{ NetConn() net.Conn }); ok { // without the alert that ends TLS properly
-		conn = secure.NetConn()
-	}
-	if tracked, ok := conn.(*trackedConn); ok {
-		tracked.reset()
+	if caller, ok := conn.(*callerConn); ok {
+		caller.end(net.ErrClosed)
+		caller.tracked.reset() // without the alert that ends TLS properly
 		return
 	}
 	setReset(conn)
--- a/pkg/transport/netconn/graceful_listener.go
+++ b/pkg/transport/netconn/graceful_listener.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/semaphore"
 )
@@ -21,7 +25,7 @@
 	// arrived just as its connection was about to be closed as idle.
 	lateRequestTimeout = 10 * time.Second
 	// lingerTime limits how long a closed connection is kept for the other side to
-	// read the last response.
+	// close it as well, once everything has been delivered.
 	lingerTime = time.Second
 )
 
@@ -32,6 +36,8 @@
 type GracefulListener struct {
 	net.Listener
 	connLimit *semaphore.Weighted // nil for no limit
+	tls       *tls.Config         // nil for connections that are not encrypted
+	held      atomic.Int64        // bytes that the connections hold behind running requests
 
 	mu       sync.Mutex
 	conns    map[*trackedConn]bool
@@ -40,10 +46,12 @@
 }
 
 // NewGracefulListener wraps a listener. The ConnState of the server must be set
-// to TrackState. A maxConns above 0 limits the open connections; further ones
-// wait in the listen queue.
-func NewGracefulListener(l net.Listener, maxConns int) *GracefulListener {
-	g := &GracefulListener{Listener: l, conns: map[*trackedConn]bool{}}
+// to TrackState, and it must have an IdleTimeout and a ReadHeaderTimeout: reads
+// without a deadline are those of a request that is served. A maxConns above 0
+// limits the open connections; further ones wait in the listen queue. A tlsConfig
+// other than nil secures the connections. It must not offer HTTP/2.
+func NewGracefulListener(l net.Listener, maxConns int, tlsConfig *tls.Config) *GracefulListener {
+	g := &GracefulListener{Listener: l, tls: tlsConfig, conns: map[*trackedConn]bool{}}
 	if maxConns > 0 {
 		g.connLimit = semaphore.NewWeighted(int64(maxConns))
 	}
@@ -67,7 +75,7 @@
 	for {
 		raw, err := g.Listener.Accept()
 		if err == nil {
-			return g.track(raw), nil
+			return g.newCallerConn(g.track(raw)), nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !g.isStopping() {
 			return nil, err
@@ -92,6 +100,19 @@
 	return c
 }
 
+func (g *GracefulListener) newCallerConn(c *trackedConn) *callerConn {
+	out := &callerConn{Conn: c, tracked: c, total: &g.held}
+	if g.tls != nil {
+		out.Conn = tls.Server(c, g.tls)
+	}
+	return out
+}
+
+// RegisterMetrics adds the metrics of the listener to a set.
+func (g *GracefulListener) RegisterMetrics(set *metrics.Set) {
+	set.GetOrCreateGauge("hickory_caller_held_bytes", func() float64 { return float64(g.held.Load()) })
+}
+
 func (g *GracefulListener) isStopping() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -116,11 +137,8 @@
 // TrackState records that a connection has become idle. It has the type of
 // http.Server.ConnState.
 func (g *GracefulListener) TrackState(c net.Conn, state http.ConnState) {
-	if secure, ok := c.(interface{ NetConn() net.Conn }); ok { // a TLS connection
-		c = secure.NetConn()
-	}
-	if conn, ok := c.(*trackedConn); ok && state == http.StateIdle {
-		conn.setIdle()
+	if conn, ok := c.(*callerConn); ok && state == http.StateIdle && !conn.holds() {
+		conn.tracked.setIdle()
 	}
 }
 
@@ -171,6 +189,9 @@
 	mu     sync.Mutex
 	busy   bool // a part of a request was read, and its response is not complete
 	ending bool // reads time out because the connection was idle
+	left   bool // the other side has closed the connection
+	// deadline is the deadline of reads that the server has set last.
+	deadline time.Time
 }
 
 // Read implements net.Conn. It marks the connection as busy. Bytes that were
@@ -178,11 +199,15 @@
 // served.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 {
+	if n == 0 && err == nil {
 		return n, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.left = c.left || err != nil && !isTimeout(err)
+	if n == 0 {
+		return n, err
+	}
 	c.busy = true
 	if c.ending {
 		c.ending = false
@@ -191,6 +216,33 @@
 	return n, err
 }
 
+// isTimeout reports whether a read has met its deadline. It asserts the type as
+// net/http does: errors.As would allocate memory for each request.
+func isTimeout(err error) bool {
+	failure, ok := err.(net.Error)
+	return ok && failure.Timeout()
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// beginRequest marks the connection as busy with a request that is served. Its
+// bytes may have been read together with the request before it.
+func (c *trackedConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+	if c.ending {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails only if it is closed
+	}
+}
+
 func (c *trackedConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -210,13 +262,14 @@
 	_ = c.Conn.SetReadDeadline(aLongTimeAgo)
 }
 
-// Close implements net.Conn. If bytes have arrived that were not read, it lets
-// the other side read the last response first: closing the connection at once
-// would reset it and discard what is still on the way.
+// Close implements net.Conn. If the other side may still send, or bytes have
+// arrived that were not read, it lets the other side read the last response first:
+// closing the connection at once would reset it and discard what is still on the
+// way.
 func (c *trackedConn) Close() (err error) {
 	c.closeOnce.Do(func() {
 		half, ok := c.Conn.(interface{ CloseWrite() error })
-		if ok && isReadable(c.Conn) && half.CloseWrite() == nil {
+		if ok && c.mayReceive() && half.CloseWrite() == nil {
 			go c.linger()
 			return
 		}
@@ -225,12 +278,37 @@
 	return err
 }
 
+// mayReceive reports whether bytes may arrive after the last response, or have
+// arrived and were not read. On an idle connection, nothing is on the way to the
+// other side.
+func (c *trackedConn) mayReceive() bool {
+	c.mu.Lock()
+	expected := c.busy && !c.left
+	c.mu.Unlock()
+	return expected || isReadable(c.Conn)
+}
+
 // linger discards what the other side sends until it closes the connection, for
-// at most lingerTime.
+// at most lingerTime, or for closedWindowTimeout while bytes are undelivered.
 func (c *trackedConn) linger() {
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only if it is closed
-	_, _ = io.Copy(io.Discard, c.Conn)                     // any error ends the wait
-	_ = c.end()                                            // nothing is left to be delivered
+	for end := time.Now().Add(closedWindowTimeout - lingerTime); ; {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only if it is closed
+		_, err := io.Copy(io.Discard, c.Conn)
+		if !isTimeout(err) || !c.delivers() || time.Now().After(end) {
+			break
+		}
+	}
+	_ = c.end() // nothing is left to be delivered, or the other side reads no more
+}
+
+// delivers reports whether the other side has not received everything yet.
+func (c *trackedConn) delivers() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	d, err := readDelivery(socket)
+	return err == nil && (d.inFlight || d.unsent)
 }
 
 // end closes the connection and stops tracking it.
