Send all entries to a VM whose copy lies between two reads of a reader

A reader that reads all entries again does not know of an entry that was written and deleted since its last read. A VM that had the entry from another reader, and then took the changes from this one, kept it: a target that has gone stayed listed until the VM's next read of all entries. A copy now records the gaps between its reads, and answers a position in one with all entries. TestDeletionBetweenTwoReadsReachesOtherVMs fails without it.

--- a/pkg/coordination/feed/entry_cache.go
+++ b/pkg/coordination/feed/entry_cache.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"hickoryroute/pkg/transport/platform"
@@ -45,8 +46,34 @@
 	loaded      bool
 	confirmedAt time.Time
 	deletions   []deletion
-	// deletionsFrom is the revision after which deletions holds every deletion.
+	// deletionsFrom is the revision after which deletions holds every deletion, but for
+	// gaps.
 	deletionsFrom int64
+	gaps          []gap
+}
+
+// gap is the time between two reads of all entries. An entry that was written and deleted
+// in it is not known to the cache, but may be to a VM whose position lies in it.
+type gap struct{ from, to int64 }
+
+// maxGaps bounds the gaps that an entryCache records.
+const maxGaps = 16
+
+// recordGap records that all entries were read as of two revisions.
+func (c *entryCache) recordGap(from, to int64) {
+	if from < c.deletionsFrom || to <= from+1 {
+		return
+	}
+	c.gaps = append(c.gaps, gap{from, to})
+	if len(c.gaps) > maxGaps {
+		c.deletionsFrom = max(c.deletionsFrom, c.gaps[0].to)
+		c.gaps = c.gaps[1:]
+	}
+}
+
+// isInGap reports whether a revision lies in a gap.
+func (c *entryCache) isInGap(revision int64) bool {
+	return slices.ContainsFunc(c.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
 }
 
 func newEntryCache() *entryCache { return &entryCache{entries: map[string]platform.Entry{}} }
@@ -70,8 +97,9 @@
 		next[e.Key] = e
 	}
 	if !c.loaded || !at.SameEra(c.position()) || revision < c.revision {
-		c.deletions, c.deletionsFrom = nil, revision
+		c.deletions, c.deletionsFrom, c.gaps = nil, revision, nil
 	}
+	c.recordGap(c.revision, revision)
 	for key := range c.entries {
 		if _, ok := next[key]; !ok {
 			c.recordDeletion(key, revision)
@@ -131,7 +159,7 @@
 	if !after.SameEra(c.position()) && c.era < after.Era {
 		return d
 	}
-	d.Full = after.Revision < c.deletionsFrom || after.Revision == 0 || !after.SameEra(c.position())
+	d.Full = after.Revision < c.deletionsFrom || after.Revision == 0 || !after.SameEra(c.position()) || c.isInGap(after.Revision)
 	for _, e := range c.entries {
 		if d.Full || e.Revision > after.Revision {
 			d.Entries = append(d.Entries, e)
--- a/pkg/coordination/feed/entry_cache_test.go
+++ b/pkg/coordination/feed/entry_cache_test.go
@@ -66,6 +66,21 @@
 	assert.Equal(t, len(m.entries), 1)
 }
 
+// Guards against VMs that keep a target that has gone: they had its record from one
+// reader, and another reader has read all entries before it was written and after it was
+// deleted.
+func TestDeletionBetweenTwoReadsReachesOtherVMs(t *testing.T) {
+	reader, vm := newEntryCache(), newEntryCache()
+	old := platform.Entry{Key: "a", Revision: 5}
+	reader.replace([]platform.Entry{old}, platform.Position{Revision: 10})
+	vm.replace([]platform.Entry{old, {Key: "b", Revision: 12}}, platform.Position{Revision: 12})
+	reader.replace([]platform.Entry{old}, platform.Position{Revision: 14})
+	assert.Assert(t, !reader.deltaSince(platform.Position{Revision: 10}, time.Now()).Full, "nothing is missing in a delta between its reads")
+	vm.merge(reader.deltaSince(vm.position(), time.Now()))
+	_, listed := vm.entries["b"]
+	assert.Assert(t, !listed)
+}
+
 // Guards against VMs that keep a target that has gone: its record was deleted between
 // two pages of a reader's read, which has the revision of its first page.
 func TestDeletionDuringPagedReadReachesOtherVMs(t *testing.T) {
