Carry over evacuations only while the era is young

A VM that is cut off from the store stays in the earlier era for long, and another one that asks it in a later outage would have evacuated zones again whose evacuation had ended. The entries of evacuated zones are kept apart, so that the configuration is not decoded again for each question. TestStartingVMTakesOverWhatOthersCarry holds the limit.

--- a/pkg/coordination/feed/carried.go
+++ b/pkg/coordination/feed/carried.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hickoryroute/pkg/eventlog"
@@ -28,10 +30,12 @@
 	// the store.
 	inForce platform.Entry
 	stored  uint64
-	// evacuations holds the evacuated zones of the earlier era by the keys of their
-	// entries, until graceUntil.
-	evacuations map[string]platform.Entry
-	graceUntil  time.Time
+	// storedEvacuations holds the entries of evacuated zones in the copy of the store, by
+	// their keys. evacuations holds those of the earlier era, until graceUntil.
+	storedEvacuations, evacuations map[string]platform.Entry
+	graceUntil                     time.Time
+	// eraBegan is when the copy came to its era, or was first read.
+	eraBegan time.Time
 	// unconfirmed is true from the beginning of an era until its grace period is over and
 	// the store holds the version in force. confirmedAt is when the store confirmed the
 	// version in force last, before that.
@@ -102,35 +106,22 @@
 // one's if the store has. The caller holds the lock.
 func (o *OperatorFollower) carriedEvacuations(otherIsAhead bool) ([]platform.Entry, time.Duration) {
 	if otherIsAhead {
-		return o.evacuationsAmong(o.cache.entries), rewriteGrace
+		return slices.Collect(maps.Values(o.carried.storedEvacuations)), rewriteGrace
 	}
-	var list []platform.Entry
-	for _, e := range o.carried.evacuations {
-		list = append(list, e)
-	}
-	return list, o.carried.graceUntil.Sub(o.follower.cfg.now())
+	return slices.Collect(maps.Values(o.carried.evacuations)), o.carried.graceUntil.Sub(o.follower.cfg.now())
 }
 
-// evacuationsAmong returns the entries of evacuated zones.
-func (o *OperatorFollower) evacuationsAmong(entries map[string]platform.Entry) []platform.Entry {
-	var list []platform.Entry
-	for _, e := range entries {
-		if decoded, err := o.cfg.Layout.DecodeOperator(e); err == nil && decoded.EvacuatedZone != "" {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
-// startEra keeps in force what the previous entries hold. The caller holds the lock.
-func (o *OperatorFollower) startEra(previous map[string]platform.Entry) {
+// startEra keeps in force what the entries of the previous era hold, which were the
+// last ones applied. The caller holds the lock.
+func (o *OperatorFollower) startEra(map[string]platform.Entry) {
 	c := &o.carried
 	if !c.unconfirmed {
 		c.confirmedAt = o.cache.confirmedAt
 	}
 	c.unconfirmed = true
-	o.carryEvacuations(o.evacuationsAmong(previous), rewriteGrace)
-	c.graceUntil = o.follower.cfg.now().Add(rewriteGrace)
+	c.eraBegan = o.follower.cfg.now()
+	o.carryEvacuations(slices.Collect(maps.Values(c.storedEvacuations)), rewriteGrace)
+	c.graceUntil = c.eraBegan.Add(rewriteGrace)
 	// The store confirms the routes and the evacuations once the grace period is over.
 	time.AfterFunc(rewriteGrace+rand.N(newEraPause), o.Recheck)
 }
@@ -162,7 +153,11 @@
 	if carried.Config != nil {
 		o.takeCarriedConfig(*carried.Config, o.follower.cfg.now().Add(-carried.ConfigAge))
 	}
-	o.carryEvacuations(carried.Evacuations, carried.Remaining)
+	// A VM that stays in an earlier era, cut off from the store, has evacuations that may
+	// have ended since.
+	if o.follower.cfg.now().Sub(o.carried.eraBegan) <= rewriteGrace {
+		o.carryEvacuations(carried.Evacuations, carried.Remaining)
+	}
 	if o.cache.loaded {
 		o.applyEntries()
 	}
--- a/pkg/coordination/feed/era_test.go
+++ b/pkg/coordination/feed/era_test.go
@@ -266,6 +266,10 @@
 			assert.Assert(t, starting.Carried(2, starting.Position()).Config == nil, "but not to VMs that have them")
 			time.Sleep(time.Second)
 		}
+		late := running.Carried(1, running.Position())
+		time.Sleep(2 * rewriteGrace)
+		running.Merge(Delta{Era: 1, Revision: 9, Carried: late}, SourcePeer)
+		assert.Equal(t, len(running.targets.EvacuatedZones()), 0, "another VM may stay in the earlier era for long")
 	})
 }
 
--- a/pkg/coordination/feed/operator_follower.go
+++ b/pkg/coordination/feed/operator_follower.go
@@ -68,7 +68,10 @@
 func (o *OperatorFollower) applyEntries() {
 	now := o.cfg.Now()
 	zones := map[string]bool{}
-	o.carried.stored = 0
+	if o.carried.eraBegan.IsZero() {
+		o.carried.eraBegan = o.follower.cfg.now()
+	}
+	o.carried.stored, o.carried.storedEvacuations = 0, map[string]platform.Entry{}
 	for _, e := range o.cache.entries {
 		decoded, err := o.cfg.Layout.DecodeOperator(e)
 		if err != nil {
@@ -79,6 +82,7 @@
 		}
 		if decoded.EvacuatedZone != "" {
 			zones[decoded.EvacuatedZone] = true
+			o.carried.storedEvacuations[e.Key] = e
 		}
 		if decoded.Config != nil {
 			o.carried.stored = max(o.carried.stored, decoded.Config.Version)
