Drop an unused argument of a follower's callback

The previous entries are no longer needed when an era begins, since the entries of evacuated zones are kept apart. Tests of the package pass.

--- a/pkg/coordination/feed/carried.go
+++ b/pkg/coordination/feed/carried.go
@@ -113,7 +113,7 @@
 
 // startEra keeps in force what the entries of the previous era hold, which were the
 // last ones applied. The caller holds the lock.
-func (o *OperatorFollower) startEra(map[string]platform.Entry) {
+func (o *OperatorFollower) startEra() {
 	c := &o.carried
 	if !c.unconfirmed {
 		c.confirmedAt = o.cache.confirmedAt
--- a/pkg/coordination/feed/era.go
+++ b/pkg/coordination/feed/era.go
@@ -74,7 +74,7 @@
 		"revision": f.cache.revision, "missing": missing, "changed": changed, "source": string(f.source),
 	})
 	if f.cfg.onNewEra != nil {
-		f.cfg.onNewEra(previous)
+		f.cfg.onNewEra()
 	}
 	return true
 }
--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -31,10 +31,9 @@
 	// means that none does.
 	readsForOthers func() bool
 	// onNewEra is called under the lock when the entries come from a new era of the
-	// store for the first time, before onChange. Its argument holds the previous
-	// entries; the time of the last confirmation is still the previous one. It may be
-	// nil.
-	onNewEra func(previous map[string]platform.Entry)
+	// store for the first time, before onChange. The time of the last confirmation is
+	// still the previous one. It may be nil.
+	onNewEra func()
 	// onCarried is called under the lock with what another VM carries over from an
 	// earlier era, before its entries are merged; it may be nil.
 	onCarried func(*Carried)
--- a/pkg/coordination/feed/lease_era.go
+++ b/pkg/coordination/feed/lease_era.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"hickoryroute/pkg/transport/platform"
 )
 
 // errLeaseUnverified means that the store has come back from an older copy and that
@@ -16,7 +14,7 @@
 // again. They notice at different times, with their next renewals, which spares the
 // store. A VM that ends without notice stays listed for a lease's time as well. The
 // caller holds the lock.
-func (v *VMRegistry) startEra(map[string]platform.Entry) {
+func (v *VMRegistry) startEra() {
 	v.decoder.reset()
 	v.graceUntil = v.cfg.Now().Add(v.cfg.Timing.LeaseTTL)
 	v.inGrace = true
--- a/pkg/coordination/feed/target_follower.go
+++ b/pkg/coordination/feed/target_follower.go
@@ -68,7 +68,7 @@
 
 // startEra prepares the set for records from an older copy of the store. The caller
 // holds the lock.
-func (t *TargetFollower) startEra(map[string]platform.Entry) {
+func (t *TargetFollower) startEra() {
 	t.decoder.reset()
 	t.cfg.Targets.StartEra(t.cache.revision, t.cfg.Now())
 	time.AfterFunc(rewriteGrace+rand.N(newEraPause), t.Recheck)
