Give requests that came back no preference over first tries

Requests that came back are mostly late, and each takes the place of one that would be in time. They are still recognized for the log and for the budget of resends.

--- a/pkg/steering/admission/admission.go
+++ b/pkg/steering/admission/admission.go
@@ -149,7 +149,7 @@
 	}
 	base := d.Accepted
 	if level > 0 && !use.protected(r, route) {
-		behind, rest := use.givesWay(r, class)
+		behind, rest := use.givesWay(r)
 		strict := (1 - rest) * min((1-behind)*float64(tight), float64(goalWait(r.Goal, r.Work)))
 		d.Accepted = time.Duration(float64(base) + level*(strict-float64(base)))
 	}
@@ -176,23 +176,14 @@
 	excess := r.Wait - min(d.Accepted, r.Left)
 	spread := 1 + retrySpread*r.Chance
 	hold := max(minHold, time.Duration(spread*float64(excess)))
-	bound := time.Duration((1-d.Level)*maxHeldFraction*float64(r.Goal)) - r.Held
+	bound := time.Duration(maxHeldFraction*float64(r.Goal)) - r.Held
 	if d.Cause != CauseExpired && hold <= min(bound, r.Left) && c.held < maxHeld {
 		c.held++
 		d.Verdict, d.Delay = Hold, hold
 		return
 	}
 	d.Verdict = Reject
-	d.Delay = min(max(time.Duration(spread*float64(excess)), returnDelay(r)), time.Duration(maxRetryFraction*float64(r.Left)))
-}
-
-// returnDelay returns the shortest Retry-After. A caller that is late in any case
-// comes back when the other VMs know of it; the others may still be in time.
-func returnDelay(r *Request) time.Duration {
-	if isLate(r) {
-		return SpreadTime
-	}
-	return 0
+	d.Delay = min(time.Duration(spread*float64(excess)), time.Duration(maxRetryFraction*float64(r.Left)))
 }
 
 // Resume ends the wait of a held request.
--- a/pkg/steering/admission/use.go
+++ b/pkg/steering/admission/use.go
@@ -51,7 +51,6 @@
 	// These parts of the accepted wait are what requests give up at level 1.
 	givesWayLate      = 0.3 // the caller loses the least
 	givesWayOverShare = 0.6 // others need the room that the account takes
-	givesWayFirst     = 0.1 // first tries leave room for requests that came back
 	givesWayPerStep   = 0.15
 	// goalWaitSmoothing is the weight of one request in the mean of goalWait.
 	goalWaitSmoothing = 0.05
@@ -75,10 +74,9 @@
 	byPriority [Priorities]counts
 	// goalWait is the mean wait, by priority, with which a response still comes
 	// within its goal.
-	goalWait   [Priorities]time.Duration
-	returnedAt time.Time // when a request last came back
-	routes     *lru.Table[string, *routeUse]
-	accounts   accountShares
+	goalWait [Priorities]time.Duration
+	routes   *lru.Table[string, *routeUse]
+	accounts accountShares
 }
 
 // routeUse are the counts of one route, decayed at a time of their own.
@@ -122,9 +120,6 @@
 		route.arrived++
 		u.observeGoalWait(r)
 	}
-	if r.Spent > 0 {
-		u.returnedAt = r.Now
-	}
 	return route
 }
 
@@ -193,25 +188,18 @@
 
 // givesWay returns what a request gives up at level 1: the part of the wait with
 // which more urgent requests are in time, and the part of its own accepted wait.
-func (u *serviceUse) givesWay(r *Request, class Class) (behind, rest float64) {
+func (u *serviceUse) givesWay(r *Request) (behind, rest float64) {
 	own := priorityIndex(r)
-	behind = min(1, givesWayPerStep*float64(u.moreUrgent(own)))
-	if u.accounts.overShare(r) {
-		rest = givesWayOverShare
-	}
-	if class == ClassReturned {
-		return behind, rest
-	}
 	for urgent := range own {
 		if u.byPriority[urgent].servedShare() < u.byPriority[own].servedShare()-maxOrderGap {
 			return 1, 1
 		}
 	}
-	if r.Now.Sub(u.returnedAt) < returnTime {
-		rest += givesWayFirst
-	}
-	if class == ClassLate {
+	if isLate(r) {
 		rest += givesWayLate
 	}
-	return behind, min(1, rest)
+	if u.accounts.overShare(r) {
+		rest += givesWayOverShare
+	}
+	return min(1, givesWayPerStep*float64(u.moreUrgent(own))), min(1, rest)
 }
