Let targets of the soak send malformed heads and reset uploads

The soak had responses without a length, but none that was cut, no head that is not valid, and no request with a long body. A kind of fault of its own draws them for every third seed, so that the plans of earlier seeds stay as they were; these seeds also have uploads of 150 KB.

The proxy of the soak had the fault that the system had: after a reset whose error its writer had got, it passed the end on as a proper one. It now asks the system, too.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -129,6 +129,8 @@
 		b.injectTargetFault(e, targetFaultOf(f.variant), f.length)
 	case targetStatement:
 		b.injectTargetFault(e, statementFaults[f.variant%len(statementFaults)], f.length)
+	case targetTrouble:
+		b.injectTargetFault(e, troubleFaults[f.variant%len(troubleFaults)], f.length)
 	case targetLink:
 		b.impairLink(e.link, numberedScope(scopePrefixTarget, e.index), f)
 	case configChange:
@@ -331,6 +333,10 @@
 	standin.FaultUnprovenStatus, standin.FaultEarlierRefusal, standin.FaultShedWithoutID,
 }
 
+var troubleFaults = []standin.InstanceFault{
+	standin.FaultEarlyReset, standin.FaultMalformedHead, standin.FaultUnframed,
+}
+
 // endlessFaults take the last variants, so that the plans of earlier seeds keep
 // the other faults.
 var endlessFaults = []standin.InstanceFault{standin.FaultEndlessHead, standin.FaultEndlessBody}
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	standin.Request
 	service       string
 	idempotent    bool
+	bodyParts     int
 	vm            *vm
 	processNumber int // of the VM's process that ran when the attempt began
 	began, ended  time.Time
@@ -41,7 +43,7 @@
 	defer l.mu.Unlock()
 	l.lastID++
 	a.ID = fmt.Sprintf("req-%d", l.lastID)
-	a.Body = "body of " + a.ID
+	a.Body = strings.Repeat("body of "+a.ID+" ", a.bodyParts)
 	a.began = time.Now()
 	l.byID[a.ID] = a
 }
@@ -80,7 +82,10 @@
 	processNumber, _, _ := v.state()
 	a := &attempt{
 		Request: standin.Request{Method: method, Host: callerHost, Path: path, Object: object, Deadline: routeTimeout},
-		vm:      v, processNumber: processNumber, service: service, idempotent: idempotent,
+		vm:      v, processNumber: processNumber, service: service, idempotent: idempotent, bodyParts: 1,
+	}
+	if strings.HasSuffix(path, "/"+uploadObject) {
+		a.bodyParts = uploadParts
 	}
 	b.attempts.begin(a)
 	outcome := standin.Send(client, v.caller.address(), a.Request)
@@ -100,6 +105,9 @@
 	longRequestShare = 0.1
 	// unsafeRequestShare is the share of requests that are not idempotent.
 	unsafeRequestShare = 0.5
+	// uploadObject is the last part of the paths of long uploads, which have uploadParts
+	// times the body of others: about 150 KB, which the response repeats.
+	uploadObject, uploadParts = "upload", 10_000
 	// failurePause keeps a worker whose VM is unreachable from using a whole core.
 	failurePause = 30 * time.Millisecond
 )
@@ -149,6 +157,9 @@
 	object := fmt.Sprint(r.IntN(objectCount))
 	if r.Float64() < longRequestShare {
 		object = "long"
+		if b.uploads && r.IntN(2) == 0 {
+			object = uploadObject
+		}
 	}
 	if r.Float64() < unsafeRequestShare {
 		return b.sendAttempt(client, v, http.MethodPost, "/"+service+"/unsafe/"+object, service, false, object)
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -33,9 +33,11 @@
 	// targetStatement is a wrong statement of a target about whether a request has
 	// run. It is drawn apart from the others.
 	targetStatement faultKind = "target_statement"
-	configChange    faultKind = "config_change"   // a new version
-	configStorm     faultKind = "config_storm"    // several versions in quick succession
-	zoneEvacuated   faultKind = "zone_evacuation" // no requests may be sent to a zone
+	// targetTrouble is a response that is cut or not valid, and is drawn apart as well.
+	targetTrouble faultKind = "target_trouble"
+	configChange  faultKind = "config_change"   // a new version
+	configStorm   faultKind = "config_storm"    // several versions in quick succession
+	zoneEvacuated faultKind = "zone_evacuation" // no requests may be sent to a zone
 )
 
 // faultWeights holds the relative frequency of each kind.
@@ -104,24 +106,27 @@
 			}
 		}
 	}
-	if meanGap == meanGaps[0] {
-		faults = append(faults, newStatementFaults(seed, length)...)
+	switch meanGap {
+	case meanGaps[0]:
+		faults = append(faults, newTargetFaults(targetStatement, seed, length)...)
+	case meanGaps[1]:
+		faults = append(faults, newTargetFaults(targetTrouble, seed, length)...)
 	}
 	sort.SliceStable(faults, func(a, b int) bool { return faults[a].start < faults[b].start })
 	return faults
 }
 
-// meanStatementGap is the mean time between two faults of targetStatement.
-const meanStatementGap = 1500 * time.Millisecond
+// meanTargetGap is the mean time between two faults of newTargetFaults.
+const meanTargetGap = 1500 * time.Millisecond
 
-// newStatementFaults returns the faults of kind targetStatement. They are added
-// where most faults overlap, and have a generator of their own, so that the plans
-// of earlier seeds keep their other faults.
-func newStatementFaults(seed uint64, length time.Duration) (faults []fault) {
+// newTargetFaults returns the faults of a kind that is drawn apart: targetStatement
+// where most faults overlap, and targetTrouble where fewer do. They have a generator of
+// their own, so that the plans of earlier seeds keep their other faults.
+func newTargetFaults(kind faultKind, seed uint64, length time.Duration) (faults []fault) {
 	r := rand.New(rand.NewPCG(seed, 1))
-	for at := firstFaultDelay; at < length; at += time.Duration(r.ExpFloat64() * float64(meanStatementGap)) {
+	for at := firstFaultDelay; at < length; at += time.Duration(r.ExpFloat64() * float64(meanTargetGap)) {
 		faults = append(faults, fault{
-			kind: targetStatement, start: at, index: r.IntN(60), variant: r.IntN(faultVariants),
+			kind: kind, start: at, index: r.IntN(60), variant: r.IntN(faultVariants),
 			length: minFaultLength + time.Duration(r.Int64N(int64(faultLengthRange))),
 		})
 	}
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"hickoryroute/pkg/transport/netconn"
 )
 
 // linkState is the impairment that a proxy applies to its connections.
@@ -172,7 +174,8 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		// A writer that has got the error of a reset leaves an ordinary end to the reader.
+		if err == io.EOF && !netconn.ReadEnding(from).Reset {
 			_ = to.(*net.TCPConn).CloseWrite()
 			return
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -84,6 +85,7 @@
 func runSeed(t *testing.T, binary string, seed uint64) {
 	b := newTestbed(t, binary)
 	faults := newPlan(seed, *faultPeriod)
+	b.uploads = slices.ContainsFunc(faults, func(f fault) bool { return f.kind == targetTrouble })
 	stop := make(chan struct{})
 	var load sync.WaitGroup
 	for n := range workerCount {
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -85,6 +85,7 @@
 	attempts  *attemptLog
 	faults    *faultLog
 	checker   *checker
+	uploads   bool // some requests have long bodies
 
 	mu            sync.Mutex
 	instances     []*standin.Instance // all that have been started
