--- a/pkg/transport/target/response_test.go
+++ b/pkg/transport/target/response_test.go
@@ -243,3 +243,28 @@
 		assert.Equal(t, asFailure(err).Kind, KindInvalid)
 	}
 }
+
+// Guards against a long head whose buffer loses or keeps bytes, so that its body or
+// the next response on the connection is wrong.
+func TestLongHeadsKeepTheirConnection(t *testing.T) {
+	dials := 0
+	client := pipeClient(Config{ReuseWithoutEcho: true}, func(n int, c net.Conn) {
+		dials = n
+		r := bufio.NewReader(c)
+		for size := 1; ; size *= 2 {
+			if _, err := (&countingTarget{}).readRequest(r); err != nil {
+				return
+			}
+			interim := "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("l", size) + "\r\n\r\n"
+			body := strings.Repeat("b", size)
+			_, _ = fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s", interim, strings.Repeat("x", size), size, body)
+		}
+	})
+	defer client.Close()
+	for size := 1; size < DefaultMaxHeaderBytes/2; size *= 2 {
+		body, f := fetch(context.Background(), client, newPost("target", "", "body"))
+		assert.Assert(t, f == nil, "%d: %v", size, f)
+		assert.Equal(t, body, strings.Repeat("b", size))
+	}
+	assert.Equal(t, dials, 1)
+}
