--- a/pkg/transport/target/dialect.go
+++ b/pkg/transport/target/dialect.go
@@ -33,7 +33,8 @@
 	// KindMismatched.
 	SkipSurplusResponses bool
 	// AllowCloseDelimited accepts responses that end when the target closes the
-	// connection. A reset connection is still reported as KindTruncated.
+	// connection. Their end must be proven, see Responses in the package
+	// documentation.
 	AllowCloseDelimited bool
 }
 
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -12,7 +12,10 @@
 // A response is delivered only if its end is known: by Content-Length, by
 // chunked coding, or because it has no body (HEAD, 204, 304). A response that
 // is delimited only by the end of the connection is rejected with
-// KindTruncated, because a broken connection would look like its end.
+// KindTruncated, because a broken connection would look like its end. With
+// Dialect.AllowCloseDelimited it is accepted if the request was written and
+// delivered as a whole and no reset is known. Package responsehead checks each
+// head; one that is not valid is rejected with KindMalformed.
 //
 // A target should echo the header Hickory-Request-Id. A response with another
 // id is rejected with KindMismatched. No connection carries two requests with the
