--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -36,9 +36,11 @@
 	// targetStatement is a wrong statement of a target about whether a request has
 	// run. It is drawn apart from the others.
 	targetStatement faultKind = "target_statement"
-	configChange    faultKind = "config_change"   // a new version
-	configStorm     faultKind = "config_storm"    // several versions in quick succession
-	zoneEvacuated   faultKind = "zone_evacuation" // no requests may be sent to a zone
+	// targetTrouble is a response that is cut or not valid, and is drawn apart as well.
+	targetTrouble faultKind = "target_trouble"
+	configChange  faultKind = "config_change"   // a new version
+	configStorm   faultKind = "config_storm"    // several versions in quick succession
+	zoneEvacuated faultKind = "zone_evacuation" // no requests may be sent to a zone
 )
 
 // faultWeights holds the relative frequency of each kind.
@@ -107,10 +109,11 @@
 			}
 		}
 	}
-	if meanGap == meanGaps[0] {
-		faults = append(faults, newSeparateFaults(targetStatement, meanStatementGap, seed, 1, length)...)
-	}
-	if meanGap == meanGaps[1] {
+	switch meanGap {
+	case meanGaps[0]:
+		faults = append(faults, newSeparateFaults(targetStatement, meanTargetGap, seed, 1, length)...)
+	case meanGaps[1]:
+		faults = append(faults, newSeparateFaults(targetTrouble, meanTargetGap, seed, 1, length)...)
 		faults = append(faults, newSeparateFaults(storeRestored, meanRestoreGap, seed, 2, length)...)
 	}
 	sort.SliceStable(faults, func(a, b int) bool { return faults[a].start < faults[b].start })
@@ -118,8 +121,9 @@
 }
 
 const (
-	// meanStatementGap is the mean time between two faults of targetStatement.
-	meanStatementGap = 1500 * time.Millisecond
+	// meanTargetGap is the mean time between two faults of targetStatement, or of
+	// targetTrouble.
+	meanTargetGap = 1500 * time.Millisecond
 	// meanRestoreGap is the mean time between two faults of storeRestored.
 	meanRestoreGap = 8 * time.Second
 )
