Keep a request whose handler sets a later read deadline

If nothing more may be held behind a request, the watch for the caller's departure waits for the deadline by which the server ends it. It took any deadline for that one, so that a handler which limits the time to read, as hickoryd's does, cancelled its own request. Only a deadline that has passed ends the watch now. TestLaterDeadlineDoesNotEndTheWatch failed before with "context canceled".

--- a/pkg/transport/netconn/caller_conn.go
+++ b/pkg/transport/netconn/caller_conn.go
@@ -218,15 +218,15 @@
 // the server has ended the watch, or if the system says that the caller has left:
 // that cannot be seen by reading if nothing more may be held.
 func (c *callerConn) waitForRoom() error {
-	wake, ended := c.nextDeadline()
-	if ended {
+	wake, passed := c.nextDeadline()
+	if passed {
 		return os.ErrDeadlineExceeded
 	}
 	timer := time.NewTimer(departureCheckInterval)
 	defer timer.Stop()
 	select {
 	case <-wake:
-		return os.ErrDeadlineExceeded
+		return nil
 	case <-timer.C:
 	}
 	if peerHasClosed(c.tracked.Conn) {
@@ -236,12 +236,12 @@
 	return nil
 }
 
-// nextDeadline returns a channel that is closed once a deadline is set. ended is
-// true if one is set already.
-func (c *callerConn) nextDeadline() (wake <-chan struct{}, ended bool) {
+// nextDeadline returns a channel that is closed once a deadline is set. passed is
+// true if the present one has passed.
+func (c *callerConn) nextDeadline() (wake <-chan struct{}, passed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.deadline.IsZero() {
+	if !c.deadline.IsZero() && !c.deadline.After(time.Now()) {
 		return nil, true
 	}
 	if c.wake == nil {
--- a/pkg/transport/netconn/caller_conn_test.go
+++ b/pkg/transport/netconn/caller_conn_test.go
@@ -247,6 +247,25 @@
 	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
 }
 
+// Guards against a request that is cancelled because its handler limits the time
+// for reads while nothing more can be held behind it.
+func TestLaterDeadlineDoesNotEndTheWatch(t *testing.T) {
+	g, dial := serveCallers(t, false, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond) // the buffer fills
+		assert.Check(t, http.NewResponseController(w).SetReadDeadline(time.Now().Add(time.Minute)))
+		time.Sleep(2 * departureCheckInterval)
+		assert.Check(t, r.Context().Err())
+		w.Header().Set("Connection", "close")
+	})
+	conn := dial()
+	send(t, conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+strings.Repeat(shortRequest, 2*maxHeldPerConn/len(shortRequest)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.NilError(t, conn.Close())
+	waitUntilStopped(t, g)
+}
+
 // Guards against callers that together let a VM hold more than its memory: what
 // is held stays within the limit, and departures are seen beyond it.
 func TestHeldBytesAreLimited(t *testing.T) {
