Count the time of a waiting request from its arrival

Cause: a request behind another on its connection counted as received when the one before it had ended, so that it was held up to its route's timeout once more, and its target was told more time than its caller had left.

Change: the connection remembers when the bytes arrived that it holds, and the adapter takes that as the time of receipt.

--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -129,6 +129,7 @@
 	callerListener.RegisterMetrics(g.Metrics())
 	callerServer := newServer(&platform.CallerHandler{Gateway: g})
 	callerServer.ConnState = callerListener.TrackState
+	callerServer.ConnContext = netconn.WithConn
 	systemHandler := platform.NewSystemHandler(g, s.MaxLookupTTL)
 	serveErrors := make(chan error, 1)
 	for _, endpoint := range []struct {
--- a/pkg/transport/netconn/caller_conn.go
+++ b/pkg/transport/netconn/caller_conn.go
@@ -48,6 +48,8 @@
 	held      []byte        // bytes that were read and not returned yet
 	reserved  int64         // the part of total that the buffer of held takes
 	left      error         // the error that ended the connection, or nil
+	arrivals  arrivals      // of the bytes in held
+	arrivedAt time.Time     // when the bytes of the last read arrived; zero if they were not held
 }
 
 // SetReadDeadline implements net.Conn. The server sets no deadline before it
@@ -69,6 +71,7 @@
 	c.mu.Lock()
 	watches := c.announced && len(p) == 1
 	c.announced = false
+	c.arrivedAt = time.Time{}
 	n, err := 0, c.left
 	if !watches && err == nil {
 		n = c.takeHeld(p)
@@ -176,11 +179,18 @@
 		c.enlarge()
 	}
 	c.held = append(c.held, arrived...)
+	c.arrivals.add(len(arrived), time.Now())
 }
 
-// takeHeld moves held bytes to p. c.mu must be held.
+// takeHeld moves held bytes that arrived together to p. c.mu must be held.
 func (c *callerConn) takeHeld(p []byte) int {
-	n := copy(p, c.held)
+	if len(c.held) == 0 {
+		return 0
+	}
+	together, at := c.arrivals.first()
+	n := copy(p, c.held[:together])
+	c.arrivals.take(n)
+	c.arrivedAt = at
 	c.held = c.held[n:]
 	if len(c.held) == 0 {
 		c.release()
@@ -190,7 +200,7 @@
 
 // release frees the buffer. c.mu must be held.
 func (c *callerConn) release() {
-	c.held = nil
+	c.held, c.arrivals = nil, nil
 	c.total.Add(-c.reserved)
 	c.reserved = 0
 }
--- a/pkg/transport/netconn/caller_conn_test.go
+++ b/pkg/transport/netconn/caller_conn_test.go
@@ -39,7 +39,7 @@
 	}
 	g := NewGracefulListener(l, 0, config)
 	server := &http.Server{
-		ConnState: g.TrackState, Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute,
+		ConnState: g.TrackState, ConnContext: WithConn, Handler: handler, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute,
 	}
 	go func() { _ = server.Serve(g) }()
 	t.Cleanup(func() { _ = server.Close() })
