Merge the placement by availability zone

Change: where round trip and answer size make crossing dear, each zone has one replica of an object; the share of the spill returns to the balanced one; loads are packed.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -65,8 +65,10 @@
 	resends    *metrics.Counter
 	spilled    *metrics.Counter
 	warm       *metrics.Counter
-	duration   *metrics.Histogram
-	turnedAway map[turnedAwayKey]*metrics.Counter
+	// The bytes of requests and responses by the place of the target.
+	ownZoneBytes, otherZoneBytes, otherRegionBytes *metrics.Counter
+	duration                                       *metrics.Histogram
+	turnedAway                                     map[turnedAwayKey]*metrics.Counter
 
 	peerErrors *metrics.Counter
 	// Requests that were refused for their key.
@@ -84,6 +86,11 @@
 		resends:    s.NewCounter(`hickory_gateway_resends_total`),
 		spilled:    s.NewCounter(`hickory_gateway_spilled_total`),
 		warm:       s.NewCounter(`hickory_gateway_warm_total`),
+
+		ownZoneBytes:     s.NewCounter(`hickory_gateway_target_bytes_total{target="own_zone"}`),
+		otherZoneBytes:   s.NewCounter(`hickory_gateway_target_bytes_total{target="other_zone"}`),
+		otherRegionBytes: s.NewCounter(`hickory_gateway_target_bytes_total{target="other_region"}`),
+
 		duration:   s.NewHistogram(`hickory_gateway_request_seconds`),
 		turnedAway: newTurnedAwayCounters(s),
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -163,7 +163,7 @@
 	cfg.Resends.VMs = func() int { return len(g.vmFeed.List()) }
 	g.resendBudget = limit.NewResendLimiter(cfg.Resends)
 	g.picker = placement.New(placement.Config{
-		Region: cfg.Self.Region, DemandShare: g.demandShare, AllowCold: g.allowColdTarget, AllowLimited: g.allowLimitedTarget, MaxSpillChange: cfg.MaxSpillChange,
+		Region: cfg.Self.Region, Zone: cfg.Self.Zone, DemandShare: g.demandShare, AllowCold: g.allowColdTarget, AllowLimited: g.allowLimitedTarget, MaxSpillChange: cfg.MaxSpillChange,
 	})
 	dialer := netconn.Dialer{Timeout: dialTimeout}
 	g.targetClient = target.New(target.Config{
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -28,6 +28,13 @@
 	// VMs that carry no requests. unresponsiveAfter is two and a half times as
 	// long.
 	idleTicks = 5
+	// farZoneRoundTrip is the round trip from which on at most maxFarPeers VMs of the
+	// other zones of the region are called at a tick, in turn: bytes to these zones are
+	// dear, and the VMs of each zone mostly use the targets of their own. Their loads
+	// stay in use for five ticks. With two named VMs in each zone, all are called at
+	// each tick: calls at each third tick cost 0.003 of the worth of a day.
+	farZoneRoundTrip = 4 * time.Millisecond
+	maxFarPeers      = 2
 	// peerTimeout limits one call to a peer. It exceeds a round trip between
 	// regions.
 	peerTimeout = 300 * time.Millisecond
@@ -71,6 +78,7 @@
 	demandMu sync.Mutex
 	demand   demandState // guarded by demandMu
 
+	targetNames  targetNames
 	readerCopies *readerCopies
 	// packed caches the compressed form of the newest large entry, and packedCopies
 	// that of the latest large copies.
@@ -81,6 +89,7 @@
 
 	mu            sync.Mutex
 	lastMessageAt map[string]time.Time // time of the last message of each VM, by id
+	packedReaders map[string]bool      // VMs that can read packed loads, by id
 	lastTick      time.Time            // of the exchange loop; zero before the first
 	largeSiteAt   time.Time            // when the VM list was last long; zero if it never was
 }
@@ -166,13 +175,17 @@
 	ctx, cancel := context.WithTimeout(runCtx, peerTimeout)
 	defer cancel()
 	self := p.gateway.cfg.Self
-	req := protocol.LoadsRequest{From: self.ID, Region: self.Region, Crashes: p.recentCrashes(), Brief: brief, Limits: p.ownLimits(), Era: p.gateway.latestEra.Load()}
+	req := protocol.LoadsRequest{
+		From: self.ID, Region: self.Region, Zone: self.Zone, Brief: brief, Crashes: p.recentCrashes(), Limits: p.ownLimits(),
+		Era: p.gateway.latestEra.Load(), AcceptsPacked: true, RoundTripUs: p.gateway.picker.ZoneRoundTrip(vm.Zone).Microseconds(),
+	}
 	req.Newest, req.NewestEra = p.newestEntry()
 	switch {
 	case vm.Region != self.Region:
 		req.Uses = p.ownUtilization()
 	case !brief:
-		req.Loads, req.Refusals = p.ownLoads(), p.ownRefusals()
+		p.setOwnLoads(&req.Loads, &req.Packed, p.acceptsPacked(vm.ID))
+		req.Refusals = p.ownRefusals()
 	}
 	var reply protocol.LoadsReply
 	began := p.gateway.cfg.Now()
@@ -180,8 +193,9 @@
 		p.gateway.metrics.peerErrors.Inc()
 		return false
 	}
-	p.gateway.picker.RecordRoundTrip(vm.Region, p.gateway.cfg.Now().Sub(began))
-	p.applyPeerState(reply.From, reply.Region, brief, reply.Loads, reply.Uses)
+	p.gateway.picker.RecordRoundTrip(vm.Region, vm.Zone, p.gateway.cfg.Now().Sub(began))
+	p.recordAcceptsPacked(reply.From, reply.AcceptsPacked)
+	p.applyPeerState(reply.From, reply.Region, brief, p.receivedLoads(reply.Loads, reply.Packed), reply.Uses)
 	p.mergeCrashes(reply.Crashes)
 	p.mergeRefusals(reply.Refusals)
 	p.mergeLimits(reply.Limits)
@@ -236,13 +250,16 @@
 
 // Loads implements peer.GatewayHandler.
 func (p *peers) Loads(_ context.Context, req *protocol.LoadsRequest, reply *protocol.LoadsReply) error {
-	p.applyPeerState(req.From, req.Region, req.Brief, req.Loads, req.Uses)
+	p.applyPeerState(req.From, req.Region, req.Brief, p.receivedLoads(req.Loads, req.Packed), req.Uses)
+	if req.RoundTripUs > 0 {
+		p.gateway.picker.RecordRoundTrip(req.Region, req.Zone, time.Duration(req.RoundTripUs)*time.Microsecond)
+	}
 	p.mergeCrashes(req.Crashes)
 	p.mergeRefusals(req.Refusals)
 	p.mergeLimits(req.Limits)
 	p.takeHints(req.Newest, req.NewestEra, req.Era)
 	self := p.gateway.cfg.Self
-	reply.From, reply.Region = self.ID, self.Region
+	reply.From, reply.Region, reply.AcceptsPacked = self.ID, self.Region, true
 	reply.Limits = p.ownLimits()
 	reply.Crashes, reply.Era, reply.Version = p.recentCrashes(), p.gateway.latestEra.Load(), p.gateway.versionInForce()
 	reply.Newest, reply.NewestEra = p.newestEntry()
@@ -251,7 +268,8 @@
 	case req.Region != self.Region:
 		reply.Uses = p.ownUtilization()
 	case !req.Brief:
-		reply.Loads, reply.Refusals = p.ownLoads(), p.ownRefusals()
+		p.setOwnLoads(&reply.Loads, &reply.Packed, req.AcceptsPacked)
+		reply.Refusals = p.ownRefusals()
 	}
 	return nil
 }
--- a/pkg/gateway/peerselect.go
+++ b/pkg/gateway/peerselect.go
@@ -22,6 +22,7 @@
 	if busy {
 		full = p.selectLocalPeers(r.named, !named)
 	}
+	full = p.limitFarPeers(full, tick)
 	if busy && tick%remoteRegionTicks == 0 {
 		full = append(full, p.selectRemotePeers(r.named)...)
 	}
@@ -41,6 +42,23 @@
 	return full, append(brief, p.selectLocalPeers(others, false)...)
 }
 
+// limitFarPeers returns the VMs of a list without most of those in far zones: at each
+// tick it keeps the next maxFarPeers of these.
+func (p *peers) limitFarPeers(list []feed.VM, tick int) []feed.VM {
+	var near, far []feed.VM
+	for _, vm := range list {
+		if p.isFarZone(vm) {
+			far = append(far, vm)
+		} else {
+			near = append(near, vm)
+		}
+	}
+	for i := range min(maxFarPeers, len(far)) {
+		near = append(near, far[(tick*maxFarPeers+i)%len(far)])
+	}
+	return near
+}
+
 // selectRemotePeers returns one random VM of each other region in a list.
 func (p *peers) selectRemotePeers(list []feed.VM) []feed.VM {
 	byRegion := map[string][]feed.VM{}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -245,7 +245,9 @@
 	now := g.cfg.Now()
 	g.crashes.RecordResponse(c.fingerprint, now)
 	failed := resp.Status >= http.StatusInternalServerError
-	g.picker.Done(choice, placement.Result{Responded: true, Failed: failed, Load: info.Load, Now: now})
+	size := c.exchangedBytes(resp.ContentLength, len(buffered))
+	g.countBytes(choice.Target, size)
+	g.picker.Done(choice, placement.Result{Responded: true, Failed: failed, Load: info.Load, Bytes: size, Now: now})
 	if failed && g.takeResend(c, now) {
 		_ = resp.Body.Close()
 		return nil, &failedResponseError{status: resp.Status, trace: resp.Trace, cause: errServerError}
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -32,11 +32,20 @@
 type LoadsRequest struct {
 	From   string // id of the sending VM
 	Region string
+	Zone   string
+	// RoundTripUs is the shortest round trip that the sender has measured to the zone
+	// of the receiver, if that is another zone of the same region; 0 if there is none.
+	// Of each pair of VMs only one calls and can measure it.
+	RoundTripUs int64
 	// Brief asks for a reply without loads, because the sender or the receiver
 	// handles no requests.
 	Brief bool
 	Loads []TargetLoad
-	Uses  []ServiceUse
+	// Packed holds the loads in place of Loads (PackLoads).
+	Packed []byte
+	// AcceptsPacked is true if the sender can read packed loads.
+	AcceptsPacked bool
+	Uses          []ServiceUse
 	// Limits lists the targets that have stated a limit to the sender.
 	Limits []TargetLimit
 	// Newest is the revision of the newest operator entry that the sender has, in the
@@ -56,9 +65,12 @@
 	From   string
 	Region string
 	Loads  []TargetLoad
-	Uses   []ServiceUse
-	Limits []TargetLimit
-	Newest int64
+	// Packed and AcceptsPacked are those of LoadsRequest.
+	Packed        []byte
+	AcceptsPacked bool
+	Uses          []ServiceUse
+	Limits        []TargetLimit
+	Newest        int64
 	// NewestEra and Era are as in LoadsRequest. Version is the version of the routes in
 	// force. Unconfirmed is true if the store has come back from an older copy and has
 	// not confirmed that version since.
--- a/pkg/state/targets/targets.go
+++ b/pkg/state/targets/targets.go
@@ -90,6 +90,16 @@
 	return len(v.all)
 }
 
+// ForEach calls f with each listed target, leaving ones included.
+func (v *View) ForEach(f func(t *Target)) {
+	if v == nil {
+		return
+	}
+	for _, t := range v.all {
+		f(t)
+	}
+}
+
 // CountListed returns the number of listed targets of a service.
 func (v *View) CountListed(service string) int {
 	if v == nil {
--- a/pkg/steering/admission/admission.go
+++ b/pkg/steering/admission/admission.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// minWaitFraction is the smallest accepted wait for a slot, relative to the
+	// MinWaitFraction is the smallest accepted wait for a slot, relative to the
 	// latency goal of the route.
-	minWaitFraction = 0.3
+	MinWaitFraction = 0.3
 	// urgencyStep lengthens the accepted wait for each step of priority above
 	// lowestPriority, so that less urgent work is refused first.
 	urgencyStep = 0.25
@@ -130,7 +130,7 @@
 // goalWait returns the wait with which a response still comes within its goal, or
 // the smallest accepted one.
 func goalWait(goal, work time.Duration) time.Duration {
-	return max(goal-work, time.Duration(minWaitFraction*float64(goal)))
+	return max(goal-work, time.Duration(MinWaitFraction*float64(goal)))
 }
 
 // Decide returns what happens to a request. After Hold, the caller waits, calls
--- a/pkg/steering/placement/choice.go
+++ b/pkg/steering/placement/choice.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"hickoryroute/pkg/state/account"
@@ -29,6 +28,7 @@
 	Spilled         bool          // the request was to spill, or the target is in another region
 	LoadReportAge   time.Duration // age of the last load report; negative if there is none
 	ExpectedWait    time.Duration // part of ExpectedLatency that is spent waiting for a slot
+	cost            float64       // ExpectedLatency in seconds with penalties and discounts
 	unscaledWait    float64       // ExpectedWait in seconds before the wait scale is applied
 	route           *route.Route
 	object          string
@@ -49,14 +49,17 @@
 // bestLocal returns the best target of the own region. Targets are weighted by
 // their slots.
 func (p *Picker) bestLocal(s *serviceState, object string, q Query) *Choice {
-	return p.bestInGroup(s, s.split.local, object, q, func(t *targets.Target) float64 { return float64(t.Slots) })
+	if crossing := p.zoneCrossing(s, q); crossing > 0 {
+		return p.bestByZone(s, object, q, crossing)
+	}
+	return p.bestInGroup(s, s.split.local, object, q, replicas, bySlots)
 }
 
 // bestRemote returns the best target of the other regions. Targets are weighted
 // by the part of their slots that their own region does not need.
 func (p *Picker) bestRemote(s *serviceState, object string, q Query) *Choice {
 	spare := s.split.spareCapacity(&q, p.cfg.Region, p.cfg.DemandShare)
-	return p.bestInGroup(s, s.split.remote, object, q, func(t *targets.Target) float64 {
+	return p.bestInGroup(s, s.split.remote, object, q, replicas, func(t *targets.Target) float64 {
 		return spare[t.Region] * float64(t.Slots)
 	})
 }
@@ -66,38 +69,37 @@
 const initialCandidates = 8
 
 // bestInGroup returns the target with the lowest cost among the first usable
-// ones in the object's ranking, or nil if none is usable. Targets of weight 0
-// are skipped.
-func (p *Picker) bestInGroup(s *serviceState, group []*targets.Target, object string, q Query, weight func(*targets.Target) float64) *Choice {
+// ones in the object's ranking, at most limit, or nil if none is usable. Targets
+// of weight 0 are skipped.
+func (p *Picker) bestInGroup(s *serviceState, group []*targets.Target, object string, q Query, limit int, weight func(*targets.Target) float64) *Choice {
 	for n := initialCandidates; ; n *= initialCandidates {
-		best, found := p.bestAmongFirst(s, n, group, object, q, weight)
-		if found == replicas || n >= len(group) {
+		best, found := p.bestAmongFirst(s, n, group, object, q, limit, weight)
+		if found == limit || n >= len(group) {
 			return best
 		}
 	}
 }
 
 // bestAmongFirst does the same as bestInGroup for the first n targets of the
-// ranking. It also returns how many usable targets it found, at most replicas.
-func (p *Picker) bestAmongFirst(s *serviceState, n int, group []*targets.Target, object string, q Query, weight func(*targets.Target) float64) (best *Choice, found int) {
+// ranking. It also returns how many usable targets it found, at most limit.
+func (p *Picker) bestAmongFirst(s *serviceState, n int, group []*targets.Target, object string, q Query, limit int, weight func(*targets.Target) float64) (best *Choice, found int) {
 	ranked := newRanking(object, n)
 	for i, t := range group {
 		if w := weight(t); w > 0 && q.allows(t) {
 			ranked.add(i, t.ID, w)
 		}
 	}
-	lowest := math.Inf(1)
 	for _, r := range ranked.top {
-		if found == replicas {
+		if found == limit {
 			break
 		}
 		t := group[r.index]
 		if !p.isUsable(s, t, q.Now) {
 			continue
 		}
-		c, cost := p.evaluate(s, t, object, found, q)
-		if cost < lowest {
-			best, lowest = c, cost
+		c := p.evaluate(s, t, object, found, q)
+		if best == nil || c.cost < best.cost {
+			best = c
 		}
 		found++
 	}
@@ -108,10 +110,9 @@
 // objects which it has cached.
 const warmQueueShare = 0.8
 
-// evaluate estimates the latency of a request at one target. The returned cost
-// is that latency plus penalties and minus the discount for warming up a
-// replica.
-func (p *Picker) evaluate(s *serviceState, t *targets.Target, object string, rank int, q Query) (*Choice, float64) {
+// evaluate estimates the latency of a request at one target. The cost is that
+// latency plus penalties and minus the discount for warming up a replica.
+func (p *Picker) evaluate(s *serviceState, t *targets.Target, object string, rank int, q Query) *Choice {
 	ts := s.peekState(t)
 	w := s.work.forRoute(q.Route.Name, q.Route.LatencyGoal)
 	slowness := p.slowness(ts, t, q.Now)
@@ -128,11 +129,11 @@
 	if !ts.reportedAt.IsZero() {
 		c.LoadReportAge = q.Now.Sub(ts.reportedAt)
 	}
-	cost := latency + p.penalty(ts, t)
+	c.cost = latency + p.penalty(ts, t)
 	if !warm && s.isSticky(q) {
-		cost -= s.warmupDiscount(work - w.warm)
+		c.cost -= s.warmupDiscount(work - w.warm)
 	}
-	return c, cost
+	return c
 }
 
 func toDuration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
--- a/pkg/steering/placement/picker.go
+++ b/pkg/steering/placement/picker.go
@@ -53,7 +53,7 @@
 
 // Config holds the settings and the dependencies of a Picker.
 type Config struct {
-	Region string
+	Region, Zone string
 	// DemandShare returns the expected share of all requests that comes from a
 	// region. It needs no measurements.
 	DemandShare func(region string) float64
@@ -76,8 +76,9 @@
 type Picker struct {
 	cfg   Config
 	peers peerLoads
-	// roundTrips holds the measured round trips to other regions.
-	roundTrips regionRoundTrips
+	// regionRoundTrips holds the measured round trips to other regions, zoneRoundTrips
+	// those to the other availability zones of the own region.
+	regionRoundTrips, zoneRoundTrips roundTrips
 
 	mu       sync.RWMutex
 	services map[string]*serviceState
@@ -94,7 +95,8 @@
 	spill        spillController
 	utilizations map[string]regionUtilization
 	// split divides the most recent list of targets by region.
-	split regionSplit
+	split   regionSplit
+	zoneFit zoneFit
 }
 
 // New returns a Picker without any measurements.
@@ -167,7 +169,7 @@
 	s := p.service(q.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.split.update(list, p.cfg.Region)
+	s.split.update(list, p.cfg.Region, p.cfg.Zone)
 	if s.spill.isDue(q.Now) {
 		p.updateSpill(s, q)
 	}
@@ -218,8 +220,10 @@
 	Refused bool
 	// ConnectionFailed is true if the connection broke or could not be opened.
 	ConnectionFailed bool
-	Load             *LoadReport // nil if none was reported
-	Now              time.Time
+	// Bytes is the size of the request and the response, as far as it is known.
+	Bytes int64
+	Load  *LoadReport // nil if none was reported
+	Now   time.Time
 }
 
 // Done ends a request that Pick has counted and updates the estimates with its
@@ -279,6 +283,7 @@
 	if c.unscaledWait > 0 && !c.Target.Cold(r.Now) {
 		s.waitScale.observe(c.unscaledWait, seconds-(c.ExpectedLatency-c.ExpectedWait).Seconds())
 	}
+	s.work.forRoute(c.route.Name, c.route.LatencyGoal).observeBytes(r.Bytes)
 	if c.ExpectedWait == 0 && !c.Target.Cold(r.Now) {
 		s.work.forRoute(c.route.Name, c.route.LatencyGoal).observe(seconds/max(1, slowness), c.Warm)
 	}
--- a/pkg/steering/placement/picker_test.go
+++ b/pkg/steering/placement/picker_test.go
@@ -177,8 +177,8 @@
 func TestShortestRoundTripIsUsed(t *testing.T) {
 	p := newTestPicker(true)
 	assert.Equal(t, p.roundTrip("away"), defaultRemoteRoundTrip)
-	p.RecordRoundTrip("away", 24*time.Millisecond)
-	p.RecordRoundTrip("away", 300*time.Millisecond)
+	p.RecordRoundTrip("away", "away-a", 24*time.Millisecond)
+	p.RecordRoundTrip("away", "away-a", 300*time.Millisecond)
 	assert.Assert(t, p.roundTrip("away") < 0.025)
 	assert.Equal(t, p.roundTrip("home"), localRoundTrip)
 }
--- a/pkg/steering/placement/regions.go
+++ b/pkg/steering/placement/regions.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 
 	"hickoryroute/pkg/state/targets"
@@ -27,10 +26,11 @@
 func (p *Picker) updateSpill(s *serviceState, q Query) {
 	q.Account = nil
 	local, all := s.split.allowedSlots(&q, p.cfg.Region)
-	initial := balancedShare(local, all, p.cfg.DemandShare(p.cfg.Region))
+	balanced := balancedShare(local, all, p.cfg.DemandShare(p.cfg.Region))
 	utilization := p.utilization(s, p.usableTargets(s, s.split.local, q), q.Now)
 	others := s.remoteUtilization(p.usableTargets(s, s.split.remote, q), q.Now)
-	s.spill.update(initial, utilization, others, p.cfg.MaxSpillChange, q.Now)
+	s.spill.update(balanced, utilization, others, p.cfg.MaxSpillChange, q.Now)
+	s.updateZoneFit(q.Now)
 }
 
 // usableTargets returns the targets of a group that may take a request.
@@ -94,22 +94,29 @@
 type regionSplit struct {
 	list          []*targets.Target
 	local, remote []*targets.Target
-	slots         map[string]int // by region
+	// ownZone and otherZones divide local by availability zone.
+	ownZone, otherZones []*targets.Target
+	slots               map[string]int // by region
 }
 
 // update splits a list, which must not change afterwards. It does nothing if
 // the list is the same as in the last call.
-func (d *regionSplit) update(list []*targets.Target, region string) {
+func (d *regionSplit) update(list []*targets.Target, region, zone string) {
 	if d.slots != nil && len(list) == len(d.list) && (len(list) == 0 || &list[0] == &d.list[0]) {
 		return
 	}
 	*d = regionSplit{list: list, slots: map[string]int{}}
 	for _, t := range list {
 		d.slots[t.Region] += t.Slots
-		if t.Region == region {
-			d.local = append(d.local, t)
-		} else {
+		if t.Region != region {
 			d.remote = append(d.remote, t)
+			continue
+		}
+		d.local = append(d.local, t)
+		if t.Zone == zone {
+			d.ownZone = append(d.ownZone, t)
+		} else {
+			d.otherZones = append(d.otherZones, t)
 		}
 	}
 }
@@ -161,40 +168,12 @@
 	return busy / float64(slots)
 }
 
-// roundTripDrift is the fraction by which the recorded round trip may rise with
-// each measurement, so that it recovers from one that was short by chance.
-const roundTripDrift = 0.02
-
-// regionRoundTrips holds the round trips to the other regions. The zero value
-// is empty. It is safe for concurrent use.
-type regionRoundTrips struct {
-	mu      sync.RWMutex
-	seconds map[string]float64
-}
-
-// RecordRoundTrip records a measured round trip to a region. The shortest one
-// is kept, because queues and busy processors only lengthen it.
-func (p *Picker) RecordRoundTrip(region string, d time.Duration) {
-	p.roundTrips.mu.Lock()
-	defer p.roundTrips.mu.Unlock()
-	if p.roundTrips.seconds == nil {
-		p.roundTrips.seconds = map[string]float64{}
-	}
-	old, ok := p.roundTrips.seconds[region]
-	if !ok {
-		old = d.Seconds()
-	}
-	p.roundTrips.seconds[region] = min(d.Seconds(), old*(1+roundTripDrift))
-}
-
 // roundTrip returns the round trip to a region, in seconds.
 func (p *Picker) roundTrip(region string) float64 {
 	if region == p.cfg.Region {
 		return localRoundTrip
 	}
-	p.roundTrips.mu.RLock()
-	defer p.roundTrips.mu.RUnlock()
-	if d, ok := p.roundTrips.seconds[region]; ok {
+	if d, ok := p.regionRoundTrips.to(region); ok {
 		return d
 	}
 	return defaultRemoteRoundTrip
--- a/pkg/steering/placement/spill.go
+++ b/pkg/steering/placement/spill.go
@@ -15,6 +15,11 @@
 	// equally busy keep their own.
 	spillGap   = 0.2
 	reclaimGap = 0.05
+	// largeReclaimGap is how much the utilization of the others must exceed that of
+	// this region for it to spill less than the share that balances all regions. A
+	// region with few targets would take back its objects while its traffic is low
+	// and hand them out again at the next peak, and each move makes them uncached.
+	largeReclaimGap = 0.3
 	// spillBand is the range of the share over which an object moves to the
 	// other regions request by request. Without it, several objects whose
 	// hashes lie close together would move at once.
@@ -55,12 +60,13 @@
 	return !s.started || now.Sub(s.updatedAt) >= spillInterval
 }
 
-// update adjusts the share if that is due. utilization is that of this region
-// and othersUtilization that of the other regions. maxChange is the part of a
+// update adjusts the share if that is due. balanced is the share at which all regions
+// are equally utilized at the expected demand, utilization that of this region and
+// othersUtilization that of the other regions. maxChange is the part of a
 // region's requests that may move to another region within spillChangeWindow.
-func (s *spillController) update(initial, utilization, othersUtilization, maxChange float64, now time.Time) float64 {
+func (s *spillController) update(balanced, utilization, othersUtilization, maxChange float64, now time.Time) float64 {
 	if !s.started {
-		s.started, s.share, s.updatedAt, s.utilization = true, min(maxSpillShare, initial), now, utilization
+		s.started, s.share, s.updatedAt, s.utilization = true, min(maxSpillShare, balanced), now, utilization
 		return s.share
 	}
 	if !s.isDue(now) {
@@ -73,8 +79,10 @@
 	switch {
 	case s.utilization > highUtilization && s.utilization > othersUtilization+spillGap:
 		s.share = min(maxSpillShare, s.share+step)
-	case s.utilization < lowUtilization || s.utilization < othersUtilization+reclaimGap:
+	case s.utilization < othersUtilization-largeReclaimGap:
 		s.share = max(0, s.share-step)
+	case s.utilization < lowUtilization || s.utilization < othersUtilization+reclaimGap:
+		s.share = max(min(s.share, balanced), s.share-step)
 	}
 	return s.share
 }
--- a/pkg/steering/placement/spill_test.go
+++ b/pkg/steering/placement/spill_test.go
@@ -68,3 +68,34 @@
 	assert.Assert(t, math.Abs(balancedShare(8, 80, 1.0/3)-0.7) < 1e-9)
 	assert.Equal(t, balancedShare(0, 0, 0.5), 0.0)
 }
+
+// Guards against a region with few targets that takes back its objects while its
+// traffic is low and hands them out again at the next peak: a tenth of its requests
+// met targets that did not have the object cached.
+func TestSmallRegionKeepsItsBalancedShare(t *testing.T) {
+	var s spillController
+	now := start
+	for n := range 200 {
+		now = now.Add(spillInterval)
+		s.update(0.7, 0.1+0.3*float64(n%2), 0.3, 0.15, now)
+	}
+	assert.Equal(t, s.share, 0.7)
+	for range 200 { // the others are overloaded
+		now = now.Add(spillInterval)
+		s.update(0.7, 0.1, 0.9, 0.15, now)
+	}
+	assert.Equal(t, s.share, 0.0)
+}
+
+// Guards against a VM that keeps a share that it derived from the first few targets
+// it had heard of, while the other VMs of its region spill fewer objects.
+func TestShareReturnsToTheBalance(t *testing.T) {
+	var s spillController
+	now := start
+	s.update(1, 1, 0.3, 0.15, now)
+	for range 200 {
+		now = now.Add(spillInterval)
+		s.update(0.7, 0.2, 0.3, 0.15, now)
+	}
+	assert.Equal(t, s.share, 0.7)
+}
--- a/pkg/steering/placement/work.go
+++ b/pkg/steering/placement/work.go
@@ -13,6 +13,9 @@
 	// and on an uncached object, relative to the latency goal of the route.
 	warmPrior = 0.4
 	coldPrior = 1.2
+	// bytesSmoothing is the weight of one response in the mean size of a route. The
+	// first one counts in full.
+	bytesSmoothing = 0.02
 	// maxWorkSample bounds one sample relative to the mean, so that a few long
 	// requests hardly change it.
 	maxWorkSample = 3.0
@@ -22,7 +25,11 @@
 
 // workEstimate is the mean work time of the requests of one route, for objects
 // that the target has cached (warm) and for others (cold).
-type workEstimate struct{ warm, cold float64 } // seconds
+type workEstimate struct {
+	warm, cold float64 // seconds
+	bytes      float64 // mean size of a request and its response
+	byZone     bool    // objects are placed by availability zone, as far as these can cache them
+}
 
 // workTable holds the work estimates by route name.
 type workTable struct {
@@ -51,3 +58,11 @@
 	}
 	*mean += (min(seconds, maxWorkSample**mean) - *mean) * workSmoothing
 }
+
+// observeBytes records the size of a request and its response.
+func (w *workEstimate) observeBytes(n int64) {
+	if w.bytes == 0 {
+		w.bytes = float64(n)
+	}
+	w.bytes += (float64(n) - w.bytes) * bytesSmoothing
+}
