Let the fault soak use keys of client accounts and take them away

Cause: the soak knew no accounts, so that no overlap of faults tried the check of keys and the bound on removed ones.

Change: each version of its configuration has an account with a lasting key and one that the next version takes away. All requests carry a key; targets must see the account's name and no key; a key that was taken away runs nothing later than 5 s, on disturbed VMs too.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -75,7 +75,7 @@
 		c.checkNoResponse(sent)
 	case o.Status == http.StatusServiceUnavailable && o.RetryAfter <= 0:
 		c.testbed.addFinding("refusal without Retry-After: %s", sent)
-	case o.Status >= 400 && o.Status < 500 && !strings.HasPrefix(sent.Path, "/desk/only-"):
+	case o.Status >= 400 && o.Status < 500 && !strings.HasPrefix(sent.Path, "/desk/only-") && sent.Path != keyPath:
 		c.testbed.addFinding("valid request rejected with a client error: %s", sent)
 	}
 	if c.testbed.vmUndisturbed(sent.vm, sent.began, sent.ended) {
@@ -150,6 +150,8 @@
 	case !known || sent.Path != a.Path:
 		c.testbed.addFinding("%s ran request %q with path %s, which no caller sent", i.ID, a.ID, a.Path)
 		return
+	case a.HasKey || a.Account != accountName:
+		c.testbed.addFinding("%s ran a request in the name of %q, with the key %t: %s", i.ID, a.Account, a.HasKey, &sent)
 	case sent.service != i.Service:
 		c.testbed.addFinding("%s of %s ran a request for %s: %s", i.ID, i.Service, sent.service, &sent)
 	case !sent.idempotent && c.runsByID[a.ID] > 1:
@@ -226,6 +228,30 @@
 	}
 }
 
+// revokeBound is the time after its removal from which on a key runs nothing at any VM,
+// with or without faults.
+const revokeBound = 5 * time.Second
+
+// checkKey checks a request with the key that only one version has.
+func (c *checker) checkKey(sent *attempt, version int) {
+	removedAt, removed := c.publishedAt(version + 1)
+	if sent.outcome.Status == http.StatusOK && removed && sent.began.Sub(removedAt) > revokeBound {
+		c.testbed.addFinding("key of version %d used %v after its removal: %s", version, sent.began.Sub(removedAt), sent)
+	}
+}
+
+// publishedAt returns when the store accepted a version, and false if it has not yet.
+func (c *checker) publishedAt(version int) (time.Time, bool) {
+	c.testbed.mu.Lock()
+	defer c.testbed.mu.Unlock()
+	for _, p := range c.testbed.publications {
+		if p.version == version {
+			return p.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // checkServedVersion checks a version that was in force: no newer one was before
 // and no newer one had to be.
 func (c *checker) checkServedVersion(sent *attempt, version int) {
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -77,9 +77,14 @@
 
 // sendAttempt sends one request through a VM and checks the response.
 func (b *testbed) sendAttempt(client *http.Client, v *vm, method, path, service string, idempotent bool, object string) attempt {
+	return b.sendWithKey(client, v, method, path, service, idempotent, object, lastingKey)
+}
+
+// sendWithKey is sendAttempt with another key of the client account.
+func (b *testbed) sendWithKey(client *http.Client, v *vm, method, path, service string, idempotent bool, object, key string) attempt {
 	processNumber, _, _ := v.state()
 	a := &attempt{
-		Request: standin.Request{Method: method, Host: callerHost, Path: path, Object: object, Deadline: routeTimeout},
+		Request: standin.Request{Method: method, Host: callerHost, Path: path, Object: object, Key: key, Deadline: routeTimeout},
 		vm:      v, processNumber: processNumber, service: service, idempotent: idempotent,
 	}
 	b.attempts.begin(a)
@@ -181,8 +186,11 @@
 // versionProbeInterval is the time between two probes of the version in force.
 const versionProbeInterval = 60 * time.Millisecond
 
-// runVersionProber sends random VMs requests for routes that only one version
-// has.
+// keyPath is the path of requests with a key that only one version has.
+const keyPath = "/desk/safe/key"
+
+// runVersionProber sends random VMs requests for routes and with keys that only one
+// version has.
 func (b *testbed) runVersionProber(seed uint64, stop <-chan struct{}) {
 	r := rand.New(rand.NewPCG(seed, 1<<32))
 	client := newClient()
@@ -203,6 +211,8 @@
 		version := max(1, newest-r.IntN(3))
 		a := b.sendAttempt(client, v, http.MethodGet, versionPrefix(version), deskService, true, "")
 		b.checker.checkVersion(&a, version)
+		a = b.sendWithKey(client, v, http.MethodGet, keyPath, deskService, true, "", versionKey(version))
+		b.checker.checkKey(&a, version)
 	}
 }
 
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -237,12 +237,22 @@
 		{Host: callerHost, Prefix: "/bank/safe/", Kind: "safe", Service: bankService, TimeoutMs: ms},
 		{Host: callerHost, Prefix: "/bank/unsafe/", Kind: "unsafe", Service: bankService, TimeoutMs: ms},
 		{Host: callerHost, Prefix: versionPrefix(version), Kind: "safe", Service: deskService, TimeoutMs: ms},
-	})
+	}, standin.Account{Name: accountName, Keys: []string{lastingKey, versionKey(version)}})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.publications = append(b.publications, publication{version, time.Now()})
 }
 
+const (
+	// accountName is the client account of all requests, and lastingKey its key in all
+	// versions.
+	accountName = "school"
+	lastingKey  = "lasting-key"
+)
+
+// versionKey returns the key that only one version has.
+func versionKey(version int) string { return fmt.Sprintf("key-of-%d", version) }
+
 // versionPrefix returns the path prefix of a route that only one version has.
 func versionPrefix(version int) string { return fmt.Sprintf("/desk/only-%d/", version) }
 
