--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -138,6 +138,8 @@
 			b.publish()
 			time.Sleep(150 * time.Millisecond)
 		}
+	case keyRemoval:
+		b.removeKeyDuringOutage(f.length)
 	case zoneEvacuated:
 		b.evacuateZone(zoneNames[f.index%len(zoneNames)])
 	}
@@ -229,6 +231,15 @@
 	b.store.SetFaults(standin.StoreFaults{})
 }
 
+// removeKeyDuringOutage publishes a version that no VM hears of for a time.
+func (b *testbed) removeKeyDuringOutage(length time.Duration) {
+	defer b.faults.begin(scopeStore)()
+	b.store.SetFaults(standin.StoreFaults{Hang: true})
+	b.publish()
+	time.Sleep(length)
+	b.store.SetFaults(standin.StoreFaults{})
+}
+
 // expireTargetRecords makes the store unavailable and removes the records of the
 // targets meanwhile. The targets register again a second after the store is back.
 func (b *testbed) expireTargetRecords(length time.Duration) {
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -36,6 +36,9 @@
 	configChange    faultKind = "config_change"   // a new version
 	configStorm     faultKind = "config_storm"    // several versions in quick succession
 	zoneEvacuated   faultKind = "zone_evacuation" // no requests may be sent to a zone
+	// keyRemoval takes a key away while the store is silent for longer than the key may
+	// be used. It is not drawn, but added to some plans.
+	keyRemoval faultKind = "key_removal"
 )
 
 // faultWeights holds the relative frequency of each kind.
@@ -107,6 +110,11 @@
 	if meanGap == meanGaps[0] {
 		faults = append(faults, newStatementFaults(seed, length)...)
 	}
+	if meanGap == meanGaps[1] {
+		// Other faults of the store have ended then; the end of one would end this one.
+		after := length + minFaultLength + faultLengthRange
+		faults = append(faults, fault{kind: keyRemoval, start: after, length: revokeBound + 2*time.Second})
+	}
 	sort.SliceStable(faults, func(a, b int) bool { return faults[a].start < faults[b].start })
 	return faults
 }
