--- a/pkg/coordination/feed/entry_cache.go
+++ b/pkg/coordination/feed/entry_cache.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"hickoryroute/pkg/transport/platform"
@@ -8,7 +9,8 @@
 
 // Delta holds the changes of the entries below a prefix since a revision.
 type Delta struct {
-	// Revision is the store revision that merging the delta leads to.
+	// Era and Revision are the state of the store that merging the delta leads to.
+	Era      uint64
 	Revision int64
 	// Full is true if Entries holds all entries, not only the changed ones.
 	Full    bool
@@ -21,12 +23,24 @@
 	// not send it.
 	VerifiedAge time.Duration
 	Verified    bool
+	// Carried holds what is in force on the VM although its copy does not have it; nil
+	// if there is nothing of the kind.
+	Carried *Carried
 }
 
-// AddAge lets the entries be older by the time that their transfer took.
+// AddAge lets the entries, and what is carried, be older by the time that their
+// transfer took.
 func (d *Delta) AddAge(transfer time.Duration) {
 	d.Age += transfer
 	d.VerifiedAge += transfer
+	if d.Carried != nil {
+		d.Carried.ConfigAge += transfer
+		d.Carried.Remaining -= transfer
+	}
+}
+
+func (d *Delta) position() platform.Position {
+	return platform.Position{Era: d.Era, Revision: d.Revision}
 }
 
 // maxDeletions bounds the deletions that an entryCache records. A VM that is
@@ -43,6 +57,7 @@
 // so that it can return the changes since an earlier revision.
 type entryCache struct {
 	entries     map[string]platform.Entry
+	era         uint64 // of the store that revision belongs to; 0 if it is not known
 	revision    int64
 	loaded      bool
 	confirmedAt time.Time
@@ -50,31 +65,67 @@
 	// the store, even if watches have not reported everything.
 	verifiedAt time.Time
 	deletions  []deletion
-	// deletionsFrom is the revision after which deletions holds every deletion.
+	// deletionsFrom is the revision after which deletions holds every deletion, but for
+	// gaps.
 	deletionsFrom int64
+	gaps          []gap
+}
+
+// gap is the time between two reads of all entries. An entry that was written and deleted
+// in it is not known to the cache, but may be to a VM whose position lies in it.
+type gap struct{ from, to int64 }
+
+// maxGaps bounds the gaps that an entryCache records.
+const maxGaps = 16
+
+// recordGap records that all entries were read as of two revisions.
+func (c *entryCache) recordGap(from, to int64) {
+	if from < c.deletionsFrom || to <= from+1 {
+		return
+	}
+	c.gaps = append(c.gaps, gap{from, to})
+	if len(c.gaps) > maxGaps {
+		c.deletionsFrom = max(c.deletionsFrom, c.gaps[0].to)
+		c.gaps = c.gaps[1:]
+	}
+}
+
+// isInGap reports whether a revision lies in a gap.
+func (c *entryCache) isInGap(revision int64) bool {
+	return slices.ContainsFunc(c.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
 }
 
 func newEntryCache() *entryCache { return &entryCache{entries: map[string]platform.Entry{}} }
 
-// replace sets all entries as of a revision. It returns false and changes
-// nothing if the cache is newer.
-func (c *entryCache) replace(entries []platform.Entry, revision int64) bool {
-	if c.loaded && revision < c.revision {
+// position returns the state of the store that the cache shows.
+func (c *entryCache) position() platform.Position {
+	return platform.Position{Era: c.era, Revision: c.revision}
+}
+
+// replace sets all entries as of a state of the store. It returns false and changes
+// nothing if the cache is newer. A first known era is taken with any revision, because
+// a revision without an era may come from before the store went back.
+func (c *entryCache) replace(entries []platform.Entry, at platform.Position) bool {
+	firstEra := c.era == 0 && at.Era != 0
+	if c.loaded && !firstEra && at.Before(c.position()) {
 		return false
 	}
+	revision := at.Revision
 	next := make(map[string]platform.Entry, len(entries))
 	for _, e := range entries {
 		next[e.Key] = e
 	}
-	if !c.loaded {
-		c.deletionsFrom = revision
+	if !c.loaded || !at.SameEra(c.position()) || revision < c.revision {
+		c.deletions, c.deletionsFrom, c.gaps = nil, revision, nil
 	}
+	c.recordGap(c.revision, revision)
 	for key := range c.entries {
 		if _, ok := next[key]; !ok {
 			c.recordDeletion(key, revision)
 		}
 	}
 	c.entries, c.revision, c.loaded = next, revision, true
+	c.era = max(c.era, at.Era)
 	return true
 }
 
@@ -109,7 +160,7 @@
 	}
 }
 
-// apply adds changes that follow the cache's revision.
+// apply adds changes that follow the cache's revision in its era.
 func (c *entryCache) apply(changes platform.Changes) {
 	for _, change := range changes.Changes {
 		switch {
@@ -124,16 +175,22 @@
 		}
 	}
 	c.revision = max(c.revision, changes.Revision)
+	c.era = max(c.era, changes.Era)
 }
 
-// deltaSince returns the changes after a revision.
-func (c *entryCache) deltaSince(after int64, now time.Time) Delta {
+// deltaSince returns the changes after a state of the store. For a state of a later
+// era there are none, and one of an earlier era gets all entries.
+func (c *entryCache) deltaSince(after platform.Position, now time.Time) Delta {
 	d := Delta{
-		Revision: c.revision, Age: now.Sub(c.confirmedAt), Full: after < c.deletionsFrom || after == 0,
+		Era: c.era, Revision: c.revision, Age: now.Sub(c.confirmedAt),
 		VerifiedAge: now.Sub(c.verifiedAt), Verified: !c.verifiedAt.IsZero(),
 	}
+	if !after.SameEra(c.position()) && c.era < after.Era {
+		return d
+	}
+	d.Full = after.Revision < c.deletionsFrom || after.Revision == 0 || !after.SameEra(c.position()) || c.isInGap(after.Revision)
 	for _, e := range c.entries {
-		if d.Full || e.Revision > after {
+		if d.Full || e.Revision > after.Revision {
 			d.Entries = append(d.Entries, e)
 		}
 	}
@@ -141,21 +198,24 @@
 		return d
 	}
 	for _, deleted := range c.deletions {
-		if _, ok := c.entries[deleted.key]; !ok && deleted.revision > after {
+		if _, ok := c.entries[deleted.key]; !ok && deleted.revision > after.Revision {
 			d.Deleted = append(d.Deleted, deleted.key)
 		}
 	}
 	return d
 }
 
-// merge adds a delta that was requested with the cache's revision. It returns
+// merge adds a delta that was requested with the cache's position. It returns
 // false if the delta is not newer.
 func (c *entryCache) merge(d Delta) bool {
-	if c.loaded && d.Revision <= c.revision || !c.loaded && !d.Full {
+	if c.loaded && !c.position().Before(d.position()) || !c.loaded && !d.Full {
 		return false
 	}
 	if d.Full {
-		return c.replace(d.Entries, d.Revision)
+		return c.replace(d.Entries, d.position())
+	}
+	if !d.position().SameEra(c.position()) {
+		return false
 	}
 	for _, e := range d.Entries {
 		c.entries[e.Key] = e
@@ -164,6 +224,6 @@
 		delete(c.entries, key)
 		c.recordDeletion(key, d.Revision)
 	}
-	c.revision = d.Revision
+	c.revision, c.era = d.Revision, max(c.era, d.Era)
 	return true
 }
--- a/pkg/gateway/key_age.go
+++ b/pkg/gateway/key_age.go
@@ -13,6 +13,12 @@
 // differ.
 const keyAgeMargin = 0.04
 
+// watchesPerRevocation is the number of full watches of the store within
+// Config.RevokeWithin. A watch that ends with a change just before its wait is over
+// verifies the keys as of its begin only, so the next one must end in time as well,
+// less the time for which watches may report nothing.
+const watchesPerRevocation = 5
+
 // keyService says whether this VM serves requests with the keys of client accounts.
 type keyService struct {
 	suspended atomic.Bool
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -14,6 +13,7 @@
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/state/account"
+	"hickoryroute/pkg/steering/admission"
 	"hickoryroute/pkg/steering/crash"
 	"hickoryroute/pkg/steering/placement"
 	"hickoryroute/pkg/transport/target"
@@ -54,6 +54,7 @@
 	lastErr     error
 	choice      *placement.Choice // of the last attempt
 	fingerprint crash.Fingerprint
+	admission   admissionState
 }
 
 // Serve forwards one request. It calls respond with the response of the target,
@@ -65,12 +66,15 @@
 		deadline: earlier(r.Deadline, r.Received.Add(r.Route.Timeout)), suspended: r.Suspended,
 		fingerprint: crash.NewFingerprint(r.Host, r.Method, r.Path, r.Body.buffered),
 	}
+	c.admission.spent = g.returns.Spent(uint64(c.fingerprint), r.Deadline, r.Received)
 	g.resendBudget.CountRequest(c.service, g.cfg.Now())
 	response, refusal := g.serveCall(ctx, c)
 	g.recordOutcome(c, response, refusal)
 	if refusal != nil {
+		g.recordRefusal(c, refusal)
 		return refusal
 	}
+	defer g.responseMemory.release(response.memory)
 	if response.Rest != nil {
 		defer response.Rest.Close()
 	}
@@ -122,10 +126,16 @@
 			return nil, c.newRefusal(ReasonNoTarget, g.waitForTarget(c, now))
 		}
 		c.choice = choice
-		maxWait := min(placement.MaxWait(c.Route, c.Account, choice), c.deadline.Sub(now)-minSendTime)
-		if excessWait := choice.ExpectedWait - maxWait; excessWait > 0 && c.retries == 0 {
+		decision := g.decideAdmission(c, choice, now)
+		if decision.Verdict != admission.Run {
 			g.picker.Done(choice, placement.Result{Now: now})
-			return nil, c.newRefusal(ReasonNoCapacity, excessWait)
+		}
+		switch decision.Verdict {
+		case admission.Reject:
+			return nil, c.newRefusal(ReasonNoCapacity, decision.Delay)
+		case admission.Hold:
+			g.hold(ctx, c)
+			continue
 		}
 		if choice.Target.Cold(now) {
 			g.coldLimits.Take(choice.Target.ID, now)
@@ -216,7 +226,18 @@
 // bufferResponse reads the first part of a response and reports the result of
 // the attempt to the picker.
 func (g *Gateway) bufferResponse(ctx context.Context, c *call, choice *placement.Choice, resp *target.Response, info ResponseInfo) (*Response, error) {
-	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+	memory := g.responseMemory.reserve(bodyLength(c.Method, resp))
+	response, err := g.bufferWithin(ctx, c, choice, resp, info, memory)
+	if err != nil {
+		g.responseMemory.release(memory)
+	}
+	return response, err
+}
+
+// bufferWithin is bufferResponse with memory for the first part. The response
+// holds the memory.
+func (g *Gateway) bufferWithin(ctx context.Context, c *call, choice *placement.Choice, resp *target.Response, info ResponseInfo, memory int64) (*Response, error) {
+	buffered, err := readFirst(resp.Body, memory, resp.ContentLength >= 0)
 	if err != nil {
 		_ = resp.Body.Close()
 		return nil, err
@@ -233,8 +254,8 @@
 		_ = resp.Body.Close()
 		return nil, &failedResponseError{status: resp.Status, trace: resp.Trace, cause: errUnprovenStatus}
 	}
-	response := &Response{Trace: resp.Trace, Authentic: info.Authentic, Status: resp.Status, Header: resp.Header, Buffered: buffered, Length: resp.ContentLength}
-	if len(buffered) > maxBufferedResponse {
+	response := &Response{Trace: resp.Trace, Authentic: info.Authentic, Status: resp.Status, Header: resp.Header, Buffered: buffered, Length: resp.ContentLength, memory: memory}
+	if int64(len(buffered)) > memory {
 		response.Rest = &longBody{ReadCloser: resp.Body, ctx: ctx, gateway: g, call: c, choice: choice, hasEnd: resp.ContentLength >= 0}
 		return response, nil
 	}
@@ -304,7 +325,7 @@
 		return c.newRefusal(ReasonTimeout, 0)
 	case f.NotRun:
 		return g.resendNotRun(c, f, now)
-	case f.Kind == target.KindMismatched || f.Kind == target.KindMalformed || f.Kind == target.KindTruncated:
+	case f.Responded():
 		return g.resendPossiblyRun(c, ReasonBadResponse, now)
 	}
 	return g.resendPossiblyRun(c, ReasonResponseLost, now)
@@ -334,8 +355,8 @@
 		return nil
 	}
 	c.refusals++
-	if c.refusals > maxRefusals || !g.resendBudget.Take(c.service, now) {
-		return c.newRefusal(ReasonRefused, c.choice.ExpectedLatency)
+	if c.refusals > maxRefusals || !g.resendBudget.TakeLeaving(c.service, g.leftToReturned(c, now), now) {
+		return c.newRefusal(ReasonRefused, refusedRetryAfter(c))
 	}
 	return nil
 }
@@ -361,6 +382,9 @@
 		result.ConnectionFailed = ctx.Err() == nil
 	case target.KindTruncated, target.KindMismatched, target.KindMalformed:
 		result.Responded, result.Failed = true, true
+		g.cfg.Logger.Log(EventResponseRejected, eventlog.Fields{
+			"request": c.ID, "target": choice.Target.ID, "kind": f.Kind.String(), "status": f.Status, "conn": f.Connection, "error": f.Error(),
+		})
 	}
 	if result.ConnectionFailed {
 		g.targetSet.SuspectRestart(choice.Target.ID, now)
--- a/pkg/transport/callerhttp/response.go
+++ b/pkg/transport/callerhttp/response.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -8,6 +9,7 @@
 
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/transport/netconn"
 	"hickoryroute/pkg/transport/target"
 )
 
@@ -31,6 +33,7 @@
 type responseWriter struct {
 	http.ResponseWriter
 	server *Server
+	caller context.Context // ends when the caller leaves
 	status int
 }
 
@@ -40,6 +43,8 @@
 		w.status = status
 		if w.server.Leaving() {
 			w.Header().Set(protocol.HeaderEntryLeaving, "true")
+		}
+		if w.server.Leaving() || w.caller.Err() != nil { // requests behind it must not be run
 			w.Header().Set("Connection", "close")
 		}
 	}
@@ -71,7 +76,7 @@
 	}
 	if err != nil && hasBody {
 		s.cfg.Log.Log(eventAborted, eventlog.Fields{"request_id": x.id, "target": resp.Target, "cause": err.Error()})
-		panic(http.ErrAbortHandler)
+		netconn.AbortResponse(x.w, x.r)
 	}
 	return nil
 }
--- a/pkg/transport/target/response_test.go
+++ b/pkg/transport/target/response_test.go
@@ -54,6 +54,21 @@
 		{"hello\r\n\r\n", KindMalformed},
 		{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n12345", KindMalformed},
 		{"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 007 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1  200 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.2 200 OK\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nX-Bad : 1\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nX\x01Bad: 1\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nA: 1\r\n folded\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\nX: 1\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nX: a\rb\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nContent-Length : 4\r\nContent-Length: 4\r\n\r\n1234", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\n1234\r\n0\r\n\r\n", KindMalformed},
+		{"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n1234\r\n0\r\n\r\n", KindMalformed},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4, 4\r\n\r\n1234", KindMalformed},
 		{"", KindReset},
 		{"HTTP/1.1 200 OK\r\nContent-", KindReset},
 	} {
@@ -228,3 +243,28 @@
 		assert.Equal(t, asFailure(err).Kind, KindInvalid)
 	}
 }
+
+// Guards against a long head whose buffer loses or keeps bytes, so that its body or
+// the next response on the connection is wrong.
+func TestLongHeadsKeepTheirConnection(t *testing.T) {
+	dials := 0
+	client := pipeClient(Config{ReuseWithoutEcho: true}, func(n int, c net.Conn) {
+		dials = n
+		r := bufio.NewReader(c)
+		for size := 1; ; size *= 2 {
+			if _, err := (&countingTarget{}).readRequest(r); err != nil {
+				return
+			}
+			interim := "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("l", size) + "\r\n\r\n"
+			body := strings.Repeat("b", size)
+			_, _ = fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\nX: %s\r\nContent-Length: %d\r\n\r\n%s", interim, strings.Repeat("x", size), size, body)
+		}
+	})
+	defer client.Close()
+	for size := 1; size < DefaultMaxHeaderBytes/2; size *= 2 {
+		body, f := fetch(context.Background(), client, newPost("target", "", "body"))
+		assert.Assert(t, f == nil, "%d: %v", size, f)
+		assert.Equal(t, body, strings.Repeat("b", size))
+	}
+	assert.Equal(t, dials, 1)
+}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -115,6 +115,8 @@
 		b.killAllVMs(f.length / 2)
 	case storeDown, storeSlow, storeLost, storeLate:
 		b.impairStore(f)
+	case storeRestored:
+		b.restoreStore(f)
 	case storeExpiry:
 		b.expireTargetRecords(f.length)
 	case storeCompact:
@@ -129,6 +131,8 @@
 		b.injectTargetFault(e, targetFaultOf(f.variant), f.length)
 	case targetStatement:
 		b.injectTargetFault(e, statementFaults[f.variant%len(statementFaults)], f.length)
+	case targetTrouble:
+		b.injectTargetFault(e, troubleFaults[f.variant%len(troubleFaults)], f.length)
 	case targetLink:
 		b.impairLink(e.link, numberedScope(scopePrefixTarget, e.index), f)
 	case configChange:
@@ -240,6 +244,40 @@
 	b.store.SetFaults(standin.StoreFaults{})
 }
 
+const (
+	// storeAwayTime is the time for which the store is away before it comes back from
+	// an older copy, and rewriteTime the time until its writers have written again.
+	storeAwayTime = 300 * time.Millisecond
+	rewriteTime   = time.Second
+	// lostWrites is the number of writes of others that the store loses and that are not
+	// written again, so that later versions get revisions that were given out before.
+	lostWrites = 60
+)
+
+// restoreStore takes a copy of the store and lets the store come back from it later.
+func (b *testbed) restoreStore(f fault) {
+	if !b.restoring.CompareAndSwap(false, true) {
+		return
+	}
+	defer b.restoring.Store(false)
+	from := b.store.Copy()
+	b.publish()
+	for range lostWrites {
+		b.store.Put("others/key", "")
+	}
+	time.Sleep(f.length)
+	end := b.faults.begin(scopeStore)
+	b.store.SetFaults([]standin.StoreFaults{{Status: http.StatusServiceUnavailable}, {Hang: true}}[f.variant%2])
+	time.Sleep(storeAwayTime)
+	writeAgain := b.store.Restore(from)
+	b.store.SetFaults(standin.StoreFaults{})
+	time.Sleep(rewriteTime)
+	writeAgain()
+	end()
+	time.Sleep(settleTime) // the bounds hold again, so the version is checked
+	b.publish()
+}
+
 // expireTargetRecords makes the store unavailable and removes the records of the
 // targets meanwhile. The targets register again a second after the store is back.
 func (b *testbed) expireTargetRecords(length time.Duration) {
@@ -342,6 +380,10 @@
 	standin.FaultUnprovenStatus, standin.FaultEarlierRefusal, standin.FaultShedWithoutID,
 }
 
+var troubleFaults = []standin.InstanceFault{
+	standin.FaultEarlyReset, standin.FaultMalformedHead, standin.FaultUnframed,
+}
+
 // endlessFaults take the last variants, so that the plans of earlier seeds keep
 // the other faults.
 var endlessFaults = []standin.InstanceFault{standin.FaultEndlessHead, standin.FaultEndlessBody}
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,12 +86,14 @@
 	attempts  *attemptLog
 	faults    *faultLog
 	checker   *checker
+	uploads   bool // some requests have long bodies
 
 	mu            sync.Mutex
 	instances     []*standin.Instance // all that have been started
 	endpointOf    map[*standin.Instance]*endpoint
 	nextID        int
 	newestVersion int
+	restoring     atomic.Bool // the store is about to come back from a copy
 	publications  []publication
 	drains        []drain
 	evacuations   []evacuation
