--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -142,6 +142,8 @@
 			b.publish()
 			time.Sleep(150 * time.Millisecond)
 		}
+	case keyRemoval:
+		b.removeKeyDuringOutage(f.length)
 	case zoneEvacuated:
 		b.evacuateZone(zoneNames[f.index%len(zoneNames)])
 	}
@@ -233,6 +235,15 @@
 	b.store.SetFaults(standin.StoreFaults{})
 }
 
+// removeKeyDuringOutage publishes a version that no VM hears of for a time.
+func (b *testbed) removeKeyDuringOutage(length time.Duration) {
+	defer b.faults.begin(scopeStore)()
+	b.store.SetFaults(standin.StoreFaults{Hang: true})
+	b.publish()
+	time.Sleep(length)
+	b.store.SetFaults(standin.StoreFaults{})
+}
+
 const (
 	// storeAwayTime is the time for which the store is away before it comes back from
 	// an older copy, and rewriteTime the time until its writers have written again.
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -41,6 +41,9 @@
 	configChange  faultKind = "config_change"   // a new version
 	configStorm   faultKind = "config_storm"    // several versions in quick succession
 	zoneEvacuated faultKind = "zone_evacuation" // no requests may be sent to a zone
+	// keyRemoval takes a key away while the store is silent for longer than the key may
+	// be used. It is not drawn, but added to some plans.
+	keyRemoval faultKind = "key_removal"
 )
 
 // faultWeights holds the relative frequency of each kind.
@@ -115,6 +118,10 @@
 	case meanGaps[1]:
 		faults = append(faults, newSeparateFaults(targetTrouble, meanTargetGap, seed, 1, length)...)
 		faults = append(faults, newSeparateFaults(storeRestored, meanRestoreGap, seed, 2, length)...)
+	case meanGaps[2]:
+		// Other faults of the store have ended then; the end of one would end this one.
+		after := length + minFaultLength + faultLengthRange + 3*seriesGap
+		faults = append(faults, fault{kind: keyRemoval, start: after, length: revokeBound + 2*time.Second})
 	}
 	sort.SliceStable(faults, func(a, b int) bool { return faults[a].start < faults[b].start })
 	return faults
