Hold the limits of client accounts over all VMs

Accounts state a rate and a burst for all VMs together, and nothing kept to them. The limit of each account is divided into six slots. One VM at a time grants for a slot; it has claimed the slot under a revision in the store and grants while the store has confirmed the claim within 3 s. A VM asks the nearest granter for all accounts in one call and holds some requests of busy accounts in advance for 0.4 s. Refusals are 429 beyond the limit and 503 if too few granters can be reached.

The simulation of holders and granters found that a process which ended while it still waited for the last granter was replaced at its address at once; a claim now says whether its wait was over (settled). It fails with the claim age left out of the wait, with no check of the age at the grant, and with grants that go on after a slot is given up.

--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hickoryroute/pkg/coordination/feed"
+	"hickoryroute/pkg/coordination/quota"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/gateway"
 	"hickoryroute/pkg/steering/limit"
@@ -104,6 +105,7 @@
 		Dialect:           platform.Dialect(),
 		ParseResponseHead: platform.ParseResponseHead,
 		Resends:           limit.ResendConfig{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Quota:             quota.Params{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
 		MaxSpillChange:    s.MaxSpillChange,
 		RevokeWithin:      s.RevokeWithin,
 		MaxDescriptors:    s.MaxDescriptors,
--- a/pkg/coordination/feed/vm_registry.go
+++ b/pkg/coordination/feed/vm_registry.go
@@ -56,7 +56,8 @@
 type VMRegistry struct {
 	cfg VMRegistryConfig
 	follower
-	list atomic.Pointer[[]VM]
+	list  atomic.Pointer[[]VM]
+	roles atomic.Pointer[map[string]RoleClaim]
 
 	// The fields below are guarded by follower.mu.
 
@@ -66,6 +67,7 @@
 	deregistered bool
 	listed       map[string]VM // VMs in list, by ID
 	decoder      decoder[VM]
+	roleDecoder  decoder[namedClaim]
 	// graceUntil is the end of the grace period in which VMs without a record
 	// stay listed.
 	graceUntil time.Time
@@ -76,6 +78,8 @@
 func NewVMRegistry(cfg VMRegistryConfig) *VMRegistry {
 	v := &VMRegistry{cfg: cfg, listed: map[string]VM{cfg.Self.ID: cfg.Self}}
 	v.decoder = decoder[VM]{decode: decodeVM, logger: cfg.Logger}
+	v.roleDecoder = decoder[namedClaim]{decode: v.decodeRole, logger: cfg.Logger}
+	v.roles.Store(&map[string]RoleClaim{})
 	v.follower = newFollower(followerConfig{
 		name: "store: VM list", prefix: cfg.Layout.WritablePrefix + "vm/", feed: cfg.Feed, timing: cfg.Timing,
 		logger: cfg.Logger, now: cfg.Now,
@@ -235,7 +239,7 @@
 			next[id] = vm
 		}
 	}
-	for _, vm := range v.decoder.decodeAll(v.cache.entries) {
+	for _, vm := range v.decoder.decodeAll(v.updateRoles()) {
 		next[vm.ID] = vm
 	}
 	next[v.cfg.Self.ID] = v.cfg.Self
--- /dev/null
+++ b/pkg/coordination/quota/ownership.go
@@ -0,0 +1,272 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"hickoryroute/pkg/coordination/feed"
+	"hickoryroute/pkg/steering/placement"
+)
+
+const (
+	// maxPause is the longest time between two updates after which this process is
+	// taken to have run all the time. After a longer pause a confirmation that had
+	// waited in a buffer may look recent.
+	maxPause = 400 * time.Millisecond
+	// settleTime is the time after the start of this process in which it claims no
+	// slot of others, because its VM list may still be incomplete.
+	settleTime = 2500 * time.Millisecond
+	// claimRetry is the time between two attempts to claim a slot.
+	claimRetry = 700 * time.Millisecond
+	// misplacedTime is the time for which a granter keeps a slot that another VM should
+	// hold. Each move costs the slot for a second or less.
+	misplacedTime = 15 * time.Second
+	// minStrength is the strength that a granter must have, as a share of the strongest
+	// VM among the candidates.
+	minStrength = 0.5
+)
+
+// View is what a VM knows of the slots.
+type View struct {
+	VMs    []feed.VM
+	Claims map[string]feed.RoleClaim
+	// Age is the time since the store has confirmed the claims.
+	Age time.Duration
+	// Listening is true if this process listens at its peer address, so that no earlier
+	// process at the address runs any more.
+	Listening bool
+}
+
+// Move is a write by which this VM takes, confirms or gives up a slot.
+type Move struct {
+	Slot   int
+	Expect int64 // revision of the claim that the write replaces
+	Claim  feed.RoleClaim
+	// settles is true if the write says that the wait of this VM is over.
+	settles bool
+	// wait is the time between the write and the first grant.
+	wait time.Duration
+}
+
+// Release reports whether the move gives the slot up.
+func (m Move) Release() bool { return m.Claim.VM == "" }
+
+// ownSlot is the state of one slot on this VM.
+type ownSlot struct {
+	revision       int64     // of the own claim; 0 if this VM does not hold the slot
+	claimedAt      time.Time // when the claim of this revision became known
+	grantsFrom     time.Time // no grant before
+	triedAt        time.Time // of the last move
+	misplacedSince time.Time
+	// leaving is true if a write that gives up this claim may take effect at any time.
+	leaving bool
+}
+
+// Ownership decides which slots this VM claims and whether it may grant for them. Its
+// times are those of a clock that counts the time for which the machine was suspended.
+// It is safe for concurrent use.
+type Ownership struct {
+	params  Params
+	self    feed.VM
+	regions []string
+	started time.Time
+
+	mu          sync.Mutex
+	slots       [Slots]ownSlot
+	updatedAt   time.Time
+	confirmedAt time.Time
+	resumedAt   time.Time // when this process last ran again after a pause
+	stopping    bool
+}
+
+// NewOwnership returns the state of a VM that has just started. The regions are in an
+// order that all VMs share.
+func NewOwnership(p Params, self feed.VM, regions []string, now time.Time) *Ownership {
+	return &Ownership{params: p, self: self, regions: regions, started: now, updatedAt: now}
+}
+
+// Update takes over a view and returns the moves that this VM should make. It is called
+// several times within maxPause.
+func (o *Ownership) Update(v View, now time.Time) []Move {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now.Sub(o.updatedAt) > maxPause {
+		o.resumedAt = now
+	}
+	o.updatedAt, o.confirmedAt = now, now.Add(-v.Age)
+	var moves []Move
+	for slot := range o.slots {
+		claim := v.Claims[Role(slot)]
+		o.follow(slot, claim, now)
+		if move, ok := o.move(slot, claim, v, now); ok {
+			o.slots[slot].triedAt = now
+			moves = append(moves, move)
+		}
+	}
+	return moves
+}
+
+// follow takes over the claim of a slot. A claim of this VM that appears without a
+// confirmed write counts as one that was just made: the reply to the write was lost, or
+// the store has gone back. If only the reply to the write that settles it was lost, it
+// goes on. A copy from before the own write is ignored. The caller holds
+// the lock.
+func (o *Ownership) follow(slot int, claim feed.RoleClaim, now time.Time) {
+	s := &o.slots[slot]
+	outdated := claim.Revision < s.revision && o.confirmedAt.Before(s.claimedAt.Add(claimMargin))
+	switch {
+	case outdated || claim.VM == o.self.ID && claim.Revision == s.revision:
+	case claim.VM == o.self.ID && s.revision > 0 && claim.Revision > s.revision && claim.Settled:
+		s.revision = claim.Revision
+	case claim.VM == o.self.ID:
+		s.hold(claim.Revision, now, o.params.takeoverWait())
+	default:
+		s.revision = 0
+	}
+}
+
+// hold records a claim of this VM.
+func (s *ownSlot) hold(revision int64, now time.Time, wait time.Duration) {
+	s.revision, s.claimedAt, s.grantsFrom = revision, now, now.Add(wait)
+	s.misplacedSince, s.leaving = time.Time{}, false
+}
+
+// move returns the move that this VM should make for a slot. The caller holds the lock.
+func (o *Ownership) move(slot int, claim feed.RoleClaim, v View, now time.Time) (Move, bool) {
+	s := &o.slots[slot]
+	if v.Age > MaxClaimAge || now.Sub(s.triedAt) < claimRetry || o.stopping || !v.Listening {
+		return Move{}, false
+	}
+	if claim.VM == o.self.ID {
+		return o.ownMove(s, slot, claim, v, now)
+	}
+	m := Move{Slot: slot, Expect: claim.Revision, wait: o.params.takeoverWait(), Claim: feed.RoleClaim{VM: o.self.ID, Address: o.self.PeerAddress}}
+	restarted := claim.VM != "" && claim.Address == o.self.PeerAddress
+	if claim.Settled && (restarted || claim.VM == "") {
+		// The process that granted has ended, or has ceased to grant before its last write.
+		m.wait, m.Claim.Settled = o.params.Lifetime(), true
+	}
+	free := claim.VM == "" || !listed(v.VMs, claim)
+	settled := now.Sub(o.started) >= settleTime
+	return m, restarted || free && settled && Preferred(slot, v.VMs, o.regions) == o.self.PeerAddress
+}
+
+// ownMove returns the move for a slot that this VM has claimed. The caller holds the
+// lock.
+func (o *Ownership) ownMove(s *ownSlot, slot int, claim feed.RoleClaim, v View, now time.Time) (Move, bool) {
+	waited := s.revision == claim.Revision && !now.Before(s.grantsFrom)
+	if s.leaving || o.misplaced(s, slot, v, now) {
+		return Move{Slot: slot, Expect: claim.Revision, Claim: feed.RoleClaim{Settled: claim.Settled || waited}}, true
+	}
+	m := Move{Slot: slot, Expect: claim.Revision, settles: true, Claim: claim}
+	m.Claim.Settled = true
+	return m, waited && !claim.Settled
+}
+
+// misplaced reports whether another VM should have held a slot of this VM for
+// misplacedTime. The caller holds the lock.
+func (o *Ownership) misplaced(s *ownSlot, slot int, v View, now time.Time) bool {
+	if Preferred(slot, v.VMs, o.regions) == o.self.PeerAddress {
+		s.misplacedSince = time.Time{}
+		return false
+	}
+	if s.misplacedSince.IsZero() {
+		s.misplacedSince = now
+	}
+	return now.Sub(s.misplacedSince) >= misplacedTime
+}
+
+// listed reports whether the VM that has claimed a slot is listed, or a later process
+// at its address.
+func listed(vms []feed.VM, claim feed.RoleClaim) bool {
+	for _, vm := range vms {
+		if vm.ID == claim.VM || vm.PeerAddress == claim.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// GiveUp ends the grants for a slot. It is called before the write that gives the slot
+// up is sent: the write may take effect at any time later, also if its reply is lost, and
+// the next granter does not wait for the confirmations of this VM to grow old.
+func (o *Ownership) GiveUp(m Move) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.slots[m.Slot].leaving = true
+}
+
+// Claimed records that the store has confirmed a claim.
+func (o *Ownership) Claimed(m Move, revision int64, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := &o.slots[m.Slot]
+	switch {
+	case m.settles && s.revision == m.Expect:
+		s.revision = revision
+	case !m.settles && revision >= s.revision:
+		s.hold(revision, now, m.wait)
+	}
+}
+
+// Stop ends all grants for good and returns the moves that give up the slots.
+func (o *Ownership) Stop() []Move {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stopping = true
+	var moves []Move
+	for slot, s := range o.slots {
+		if s.revision > 0 {
+			settled := !o.updatedAt.Before(s.grantsFrom)
+			moves = append(moves, Move{Slot: slot, Expect: s.revision, Claim: feed.RoleClaim{Settled: settled}})
+		}
+	}
+	return moves
+}
+
+// GrantsSince returns since when this VM may grant for a slot, and false if it may not
+// grant now.
+func (o *Ownership) GrantsSince(slot int, now time.Time) (time.Time, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := &o.slots[slot]
+	paused := now.Sub(o.updatedAt) > maxPause || !o.resumedAt.IsZero() && o.confirmedAt.Before(o.resumedAt.Add(maxPause))
+	fresh := now.Sub(o.confirmedAt) <= MaxClaimAge
+	held := s.revision > 0 && !s.leaving && !now.Before(s.grantsFrom)
+	return s.grantsFrom, held && !o.stopping && !paused && fresh
+}
+
+// Preferred returns the peer address of the VM that should hold a slot: one of the
+// strongest VMs of the region of the slot, or of all VMs if the region has none.
+func Preferred(slot int, vms []feed.VM, regions []string) string {
+	region := ""
+	if len(regions) > 0 {
+		region = regions[slot%len(regions)]
+	}
+	candidates := strongest(vms, region)
+	if len(candidates) == 0 {
+		candidates = strongest(vms, "")
+	}
+	if top := placement.TopRanked(Role(slot), candidates, 1); len(top) > 0 {
+		return top[0]
+	}
+	return ""
+}
+
+// strongest returns the peer addresses of the strong VMs of a region, or of all
+// regions if the region is empty.
+func strongest(vms []feed.VM, region string) (addresses []string) {
+	strength := func(vm feed.VM) float64 { return vm.Cores * vm.LinkMbps }
+	most := 0.0
+	for _, vm := range vms {
+		if region == "" || vm.Region == region {
+			most = max(most, strength(vm))
+		}
+	}
+	for _, vm := range vms {
+		if (region == "" || vm.Region == region) && strength(vm) >= minStrength*most {
+			addresses = append(addresses, vm.PeerAddress)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/pkg/coordination/quota/quota_test.go
@@ -0,0 +1,198 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/coordination/feed"
+)
+
+var (
+	testSelf  = feed.VM{ID: "vm-2", PeerAddress: "10.0.0.2:1", Region: "r", Cores: 1, LinkMbps: 100}
+	otherRole = feed.RoleClaim{VM: "vm-1", Address: "10.0.0.1:1", Settled: true, Revision: 7}
+)
+
+// claimedBy returns a view in which all slots have one claim, confirmed just now.
+func claimedBy(claim feed.RoleClaim, vms ...feed.VM) View {
+	v := View{VMs: vms, Claims: map[string]feed.RoleClaim{}, Listening: true}
+	for slot := range Slots {
+		v.Claims[Role(slot)] = claim
+	}
+	return v
+}
+
+// grantsFrom takes slot 0 over and returns the time from its claim to the first grant.
+func grantsFrom(t *testing.T, v View) time.Duration {
+	t.Helper()
+	o := NewOwnership(simParams, testSelf, []string{"r"}, simStart.Add(-settleTime))
+	moves := o.Update(v, simStart)
+	assert.Equal(t, len(moves), Slots)
+	o.Claimed(moves[0], 8, simStart)
+	own := moves[0].Claim
+	own.Revision = 8
+	v = claimedBy(own, testSelf)
+	for after := time.Duration(0); after < time.Minute; after += 100 * time.Millisecond {
+		o.Update(v, simStart.Add(after))
+		if _, ok := o.GrantsSince(0, simStart.Add(after)); ok {
+			return after
+		}
+	}
+	t.Fatal("the VM never grants")
+	return 0
+}
+
+// Guards against a slot that stays without a granter for longer than its last one may
+// still be spent, and against one that is granted by two VMs: the simulation found a
+// process that ended while it still waited, and was replaced at its address at once.
+func TestTakeoverWaitsForTheLastGranter(t *testing.T) {
+	long, short := simParams.takeoverWait(), simParams.Lifetime()
+	ended := claimedBy(otherRole, testSelf)
+	assert.Equal(t, grantsFrom(t, ended), long)
+
+	released := claimedBy(feed.RoleClaim{Revision: 7, Settled: true}, testSelf)
+	assert.Equal(t, grantsFrom(t, released), short)
+
+	restarted := claimedBy(feed.RoleClaim{VM: "vm-0", Address: testSelf.PeerAddress, Settled: true, Revision: 7}, testSelf)
+	assert.Equal(t, grantsFrom(t, restarted), short)
+
+	endedWhileWaiting := claimedBy(feed.RoleClaim{VM: "vm-0", Address: testSelf.PeerAddress, Revision: 7}, testSelf)
+	assert.Equal(t, grantsFrom(t, endedWhileWaiting), long)
+}
+
+// Guards against a VM that claims the slot of one that is listed or has restarted, or
+// before its own VM list is complete.
+func TestSlotInUseIsNotClaimed(t *testing.T) {
+	listed := feed.VM{ID: "vm-1", PeerAddress: otherRole.Address, Region: "r"}
+	restarted := feed.VM{ID: "vm-3", PeerAddress: otherRole.Address, Region: "r"}
+	for _, other := range []feed.VM{listed, restarted} {
+		o := NewOwnership(simParams, testSelf, []string{"r"}, simStart.Add(-settleTime))
+		assert.Equal(t, len(o.Update(claimedBy(otherRole, testSelf, other), simStart)), 0)
+	}
+	o := NewOwnership(simParams, testSelf, []string{"r"}, simStart)
+	assert.Equal(t, len(o.Update(claimedBy(otherRole, testSelf), simStart)), 0)
+}
+
+// Guards against a VM that grants after a pause with a confirmation that had waited in a
+// buffer, or while the store has not confirmed its claim for too long.
+func TestGranterStopsAfterAPauseAndWithAnOldClaim(t *testing.T) {
+	own := feed.RoleClaim{VM: testSelf.ID, Address: testSelf.PeerAddress, Settled: true, Revision: 7}
+	o := NewOwnership(simParams, testSelf, []string{"r"}, simStart)
+	now := simStart
+	grants := func() bool {
+		_, ok := o.GrantsSince(0, now)
+		return ok
+	}
+	for ; now.Sub(simStart) <= simParams.takeoverWait(); now = now.Add(100 * time.Millisecond) {
+		o.Update(claimedBy(own, testSelf), now)
+	}
+	assert.Assert(t, grants())
+	now = now.Add(2 * time.Second)
+	assert.Assert(t, !grants(), "grants before the first check after a pause")
+	o.Update(claimedBy(own, testSelf), now)
+	assert.Assert(t, !grants(), "grants with a confirmation that may have waited in a buffer")
+	for range 5 {
+		now = now.Add(maxPause / 4)
+		o.Update(claimedBy(own, testSelf), now)
+	}
+	assert.Assert(t, grants())
+	old := claimedBy(own, testSelf)
+	old.Age = MaxClaimAge + time.Millisecond
+	o.Update(old, now)
+	assert.Assert(t, !grants(), "grants with an old claim")
+}
+
+func limitOf(rate, burst float64) func(string) (Limit, bool) {
+	return func(string) (Limit, bool) { return Limit{rate, burst}, true }
+}
+
+// Guards against a burst that each new granter adds, against a slot that has no whole
+// request of an account with a small limit, and against a lowered limit that is granted
+// once more.
+func TestBucketsStartEmptyAndFollowTheLimit(t *testing.T) {
+	g := NewGranter(simParams)
+	want := []Want{{"school", 1000}}
+	assert.Equal(t, g.Grant(0, simStart, want, limitOf(600, 600), simStart)[0].Count, 0)
+	assert.Equal(t, g.Grant(0, simStart, want, limitOf(600, 600), simStart.Add(500*time.Millisecond))[0].Count, 50)
+	assert.Equal(t, g.Grant(0, simStart, want, limitOf(600, 600), simStart.Add(time.Minute))[0].Count, 101)
+	assert.Equal(t, g.Grant(0, simStart, want, limitOf(60, 60), simStart.Add(2*time.Minute))[0].Count, 11)
+	assert.Equal(t, g.Grant(1, simStart, []Want{{"desk", 5}}, limitOf(0.3, 0.3), simStart)[0].Count, 1)
+	assert.Equal(t, g.Grant(0, simStart.Add(time.Hour), want, limitOf(600, 600), simStart.Add(time.Hour))[0].Count, 0)
+}
+
+// newTestHolder returns a holder with the granters of some slots.
+func newTestHolder(slots int) *Holder {
+	h := NewHolder(simParams)
+	var list []Source
+	for slot := range slots {
+		list = append(list, Source{slot, "10.0.0.1:1"})
+	}
+	h.SetSources(list)
+	return h
+}
+
+// Guards against requests that are spent later than their granter counts on, because
+// the reply was late.
+func TestGrantsExpireFromWhenTheyWereAsked(t *testing.T) {
+	h := newTestHolder(Slots)
+	assert.Equal(t, h.Take("school", false, simStart).Decision, Wait)
+	h.StartWaiting("school")
+	call := h.NextCalls(simStart)[0]
+	h.Apply(call, Replied, []Grant{{Count: 1}}, simStart.Add(simParams.Lifetime()-time.Millisecond))
+	assert.Equal(t, h.Take("school", true, simStart.Add(simParams.Lifetime())).Decision, Wait)
+
+	call = h.NextCalls(simStart.Add(time.Second))[0]
+	h.Apply(call, Replied, []Grant{{Count: 1}}, simStart.Add(time.Second))
+	r := h.Take("school", true, simStart.Add(time.Second))
+	assert.Equal(t, r.Decision, Granted)
+	h.GiveBack("school", r.End, simStart.Add(time.Second))
+	assert.Equal(t, h.Take("school", true, simStart.Add(time.Second)).Decision, Granted)
+}
+
+// Guards against an account that is told to be beyond its limit although granters are
+// missing, and against calls for each request of an account that is beyond it.
+func TestBeyondTheLimitNeedsTheAnswerOfEachGranter(t *testing.T) {
+	h := newTestHolder(Slots)
+	now := simStart
+	for slot := range Slots {
+		r := h.Take("school", slot > 0, now)
+		assert.Equal(t, r.Decision, Wait, "slot %d", slot)
+		if slot == 0 {
+			h.StartWaiting("school")
+		}
+		calls := h.NextCalls(now)
+		assert.Equal(t, len(calls), 1)
+		assert.Equal(t, calls[0].Slot, slot)
+		h.Apply(calls[0], Replied, []Grant{{Next: 300 * time.Millisecond}}, now)
+	}
+	r := h.Take("school", true, now)
+	assert.Equal(t, r.Decision, Beyond)
+	assert.Equal(t, r.RetryAfter, 300*time.Millisecond)
+	assert.Equal(t, len(h.NextCalls(now)), 0)
+	assert.Equal(t, len(h.LimitChanges(map[string]bool{}, now)), 1)
+
+	few := newTestHolder(minSlotsForBeyond - 1)
+	few.Take("school", false, now)
+	few.StartWaiting("school")
+	for range minSlotsForBeyond - 1 {
+		call := few.NextCalls(now)[0]
+		few.Apply(call, Replied, []Grant{{}}, now)
+	}
+	assert.Equal(t, few.Take("school", true, now).Decision, Unavailable)
+	assert.Equal(t, newTestHolder(0).Take("school", false, now).Decision, Unavailable)
+}
+
+func BenchmarkTake(b *testing.B) {
+	h := newTestHolder(Slots)
+	for i := range 84 {
+		h.Take(string(rune('a'+i)), false, simStart)
+	}
+	h.stocks["a"].add(b.N+1<<40, simStart.Add(time.Hour))
+	b.ReportAllocs()
+	for b.Loop() {
+		if h.Take("a", false, simStart).Decision != Granted {
+			b.Fatal("not granted")
+		}
+	}
+}
--- a/pkg/gateway/attempts.go
+++ b/pkg/gateway/attempts.go
@@ -71,6 +71,16 @@
 	return false
 }
 
+// sent reports whether a target may have received any attempt.
+func (list attempts) sent() bool {
+	for _, a := range list {
+		if a.end != attemptUnsent {
+			return true
+		}
+	}
+	return false
+}
+
 // newRefusal returns a refusal after these attempts. NotRun is set only if none
 // of them may have run.
 func (list attempts) newRefusal(reason Reason, retryAfter time.Duration) *Refusal {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"hickoryroute/internal/suspend"
 	"hickoryroute/internal/wait"
 	"hickoryroute/pkg/coordination/feed"
+	"hickoryroute/pkg/coordination/quota"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
 	"hickoryroute/pkg/state/route"
@@ -76,6 +77,8 @@
 	// no key of a client account may be used, at any VM; 0 means that VMs without new
 	// word of the store go on using the keys that they know.
 	RevokeWithin time.Duration
+	// Quota holds the tolerances for the limits of client accounts.
+	Quota quota.Params
 	// FirstStart is true if the whole system starts for the first time, so that
 	// all VMs start at once.
 	FirstStart bool
@@ -130,6 +133,7 @@
 	stopping     stopState
 	exhausted    exhaustion
 	keys         keyService
+	quotas       *quotas
 }
 
 // New returns a Gateway without routes and targets. Run reads them from the
@@ -149,6 +153,7 @@
 		ColdTime: func(service string) time.Duration { return g.serviceConfig(service).ColdTime },
 	})
 	g.createFeeds()
+	g.quotas = newQuotas(g)
 	cfg.Resends.VMs = func() int { return len(g.vmFeed.List()) }
 	g.resendBudget = limit.NewResendLimiter(cfg.Resends)
 	g.picker = placement.New(placement.Config{
@@ -214,6 +219,7 @@
 	go g.targetFeed.Run(ctx)
 	go g.vmFeed.Run(ctx)
 	go g.peers.run(ctx)
+	go g.quotas.run(ctx)
 	go g.logReady(ctx)
 	go g.watchConnections(ctx)
 	<-ctx.Done()
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -216,6 +216,10 @@
 	return nil
 }
 
+func (replyingPeer) Quota(context.Context, *protocol.QuotaRequest, *protocol.QuotaReply) error {
+	return nil
+}
+
 // Guards against a running VM that counts as unresponsive because it no longer
 // exchanges state with this VM. In one simulated day of the enlarged
 // trangia-route site, 65 VMs took each other for unresponsive 632 times.
@@ -299,7 +303,8 @@
 	for _, name := range metricName.FindAllString(section, -1) {
 		explained[name] = true
 	}
-	running := map[string]bool{"hickory_gateway_request_seconds": true} // a histogram without a sample writes nothing
+	// A histogram without a sample writes nothing.
+	running := map[string]bool{"hickory_gateway_request_seconds": true, "hickory_gateway_account_wait_seconds": true}
 	for _, name := range metricName.FindAllString(out.String(), -1) {
 		running[name] = true
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -91,7 +91,7 @@
 	if !c.hasHome() {
 		return nil, c.newRefusal(ReasonNoHome, maxRetryAfter)
 	}
-	return g.attemptTargets(ctx, c)
+	return g.attemptWithinLimit(ctx, c)
 }
 
 // hasHome reports whether any region may run the request.
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -76,6 +76,7 @@
 	times := newStopTimes(g.cfg.Now(), g.cfg.GracePeriod)
 	g.stopping.times.Store(times)
 	g.cfg.Logger.Log(EventStopping, eventlog.Fields{"in_flight": g.stopping.inFlight.Load()})
+	go g.quotas.release(ctx)
 	if err := g.vmFeed.Deregister(ctx); err != nil {
 		g.cfg.Logger.Log(EventStopping, eventlog.Fields{"error": err.Error()})
 	}
--- a/pkg/state/account/account.go
+++ b/pkg/state/account/account.go
@@ -36,3 +36,17 @@
 
 // Limited reports whether the requests of the account are limited.
 func (a *Account) Limited() bool { return a != nil && a.RatePerSecond > 0 }
+
+// AnyLimited reports whether the requests of any account are limited. A nil directory
+// has no accounts.
+func (d *Directory) AnyLimited() bool {
+	if d == nil {
+		return false
+	}
+	for _, a := range d.byName {
+		if a.Limited() {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/transport/peer/gateway.go
+++ b/pkg/transport/peer/gateway.go
@@ -12,6 +12,7 @@
 type GatewayHandler interface {
 	Loads(ctx context.Context, req *protocol.LoadsRequest, reply *protocol.LoadsReply) error
 	Copy(ctx context.Context, req *protocol.CopyRequest, reply *protocol.CopyReply) error
+	Quota(ctx context.Context, req *protocol.QuotaRequest, reply *protocol.QuotaReply) error
 }
 
 // ServeGateway accepts connections of other gateways until the listener fails
@@ -38,3 +39,8 @@
 func (s *gatewayService) Copy(req *protocol.CopyRequest, reply *protocol.CopyReply) error {
 	return run(s.ctx, s.server, s.handler.Copy, req, reply)
 }
+
+// Quota passes the call to the handler.
+func (s *gatewayService) Quota(req *protocol.QuotaRequest, reply *protocol.QuotaReply) error {
+	return run(s.ctx, s.server, s.handler.Quota, req, reply)
+}
--- a/pkg/transport/peer/peer_test.go
+++ b/pkg/transport/peer/peer_test.go
@@ -256,6 +256,10 @@
 	panic("fault")
 }
 
+func (panicHandler) Quota(context.Context, *protocol.QuotaRequest, *protocol.QuotaReply) error {
+	panic("fault")
+}
+
 // Guards against one call whose handler panics and ends the whole process, for
 // VMs of both programs. Later calls on the connection are still served.
 func TestPanicInHandlerEndsOnlyItsCall(t *testing.T) {
