--- a/pkg/coordination/quota/granter.go
+++ b/pkg/coordination/quota/granter.go
@@ -32,7 +32,7 @@
 	return Grant{Count: granted, Next: time.Duration((1 - b.level) / rate * float64(time.Second))}
 }
 
-// slotBuckets holds the buckets of one slot since this VM grants for it.
+// slotBuckets holds the buckets of one slot, which are empty at the time since.
 type slotBuckets struct {
 	since     time.Time
 	byAccount map[string]*bucket
@@ -50,8 +50,7 @@
 // NewGranter returns a granter without slots.
 func NewGranter(p Params) *Granter { return &Granter{params: p} }
 
-// Grant answers the wants for a slot that this VM has held without a break since a
-// time. limitOf returns the limit of an account and false for an unknown account; a
+// Grant answers the wants for a slot whose buckets at this VM fill since a time. limitOf returns the limit of an account and false for an unknown account; a
 // rate of 0 means that there is no limit.
 func (g *Granter) Grant(slot int, since time.Time, wants []Want, limitOf func(account string) (Limit, bool), now time.Time) []Grant {
 	g.mu.Lock()
--- a/pkg/coordination/quota/ownership.go
+++ b/pkg/coordination/quota/ownership.go
@@ -60,8 +60,11 @@
 	revision int64
 	knownAt  time.Time
 	// held is true if that claim is one of this VM.
-	held           bool
-	grantsFrom     time.Time // no grant before
+	held       bool
+	grantsFrom time.Time // no grant before
+	// fillsFrom is a time after which no other VM has granted. The buckets fill from
+	// then on.
+	fillsFrom      time.Time
 	triedAt        time.Time // of the last move
 	misplacedSince time.Time
 	// leaving is true if a write that gives up this claim may take effect at any time.
@@ -128,7 +131,8 @@
 	case own && s.held && claim.Revision > s.revision && claim.Settled:
 		s.revision, s.knownAt = claim.Revision, now
 	case own:
-		s.hold(claim.Revision, now, now.Add(o.params.takeoverWait()))
+		wait := o.params.takeoverWait()
+		s.hold(claim.Revision, now, now.Add(wait), now.Add(wait-o.params.Lifetime()))
 	default:
 		s.revision, s.knownAt, s.held = claim.Revision, now, false
 	}
@@ -136,8 +140,8 @@
 }
 
 // hold records a claim of this VM.
-func (s *ownSlot) hold(revision int64, now, grantsFrom time.Time) {
-	s.revision, s.knownAt, s.held, s.grantsFrom = revision, now, true, grantsFrom
+func (s *ownSlot) hold(revision int64, now, grantsFrom, fillsFrom time.Time) {
+	s.revision, s.knownAt, s.held, s.grantsFrom, s.fillsFrom = revision, now, true, grantsFrom, fillsFrom
 	s.misplacedSince, s.leaving = time.Time{}, false
 }
 
@@ -217,12 +221,16 @@
 	if grantsFrom.Before(m.notBefore) {
 		grantsFrom = m.notBefore
 	}
+	fillsFrom := grantsFrom.Add(-o.params.Lifetime())
+	if !m.notBefore.IsZero() {
+		fillsFrom = m.notBefore.Add(-o.params.Lifetime())
+	}
 	switch {
 	case revision < s.revision:
 	case m.Release():
 		s.revision, s.knownAt, s.held = revision, now, false
 	case !m.settles:
-		s.hold(revision, now, grantsFrom)
+		s.hold(revision, now, grantsFrom, fillsFrom)
 	case s.held && s.revision == m.Expect:
 		s.revision, s.knownAt = revision, now
 	}
@@ -243,8 +251,8 @@
 	return moves
 }
 
-// GrantsSince returns since when this VM may grant for a slot, and false if it may not
-// grant now.
+// GrantsSince returns since when the buckets of a slot fill at this VM, and false if it
+// may not grant for the slot now.
 func (o *Ownership) GrantsSince(slot int, now time.Time) (time.Time, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -252,7 +260,7 @@
 	paused := now.Sub(o.updatedAt) > maxPause || !o.resumedAt.IsZero() && o.confirmedAt.Before(o.resumedAt.Add(maxPause))
 	fresh := now.Sub(o.confirmedAt) <= MaxClaimAge
 	held := s.held && !s.leaving && !now.Before(s.grantsFrom)
-	return s.grantsFrom, held && !o.stopping && !paused && fresh
+	return s.fillsFrom, held && !o.stopping && !paused && fresh
 }
 
 // Preferred returns the peer address of the VM that should hold a slot: one of the
