Let the wait for the last granter cover watches that miss changes

A store that is about to drop its history leaves watches without changes for a second, which the keys of accounts already allow for. The copy of the claims then looks a second more recent than it is, and a reply may wait in a buffer for 0.4 s more.

--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -25,9 +25,10 @@
 	// MaxClaimAge is the largest age of the copy of the claims with which a VM grants.
 	// Copies reach 1.6 s on large sites without any fault.
 	MaxClaimAge = 3 * time.Second
-	// claimMargin covers the time between the confirmation of a claim by the store and
-	// the moment at which a VM has taken it for confirmed.
-	claimMargin = time.Second
+	// claimMargin is by how much a copy of the claims may be older than it seems: a store
+	// that is about to drop its history leaves watches without changes for a second, and
+	// a reply may wait in a buffer for maxPause.
+	claimMargin = 1500 * time.Millisecond
 	// slackParts is the number of parts into which the tolerated number of requests
 	// beyond a limit is divided. Each slot may hold one part beyond its burst, and two
 	// further parts when its granter changes within a window.
