--- a/pkg/coordination/quota/granter.go
+++ b/pkg/coordination/quota/granter.go
@@ -10,7 +10,7 @@
 // granter does not know yet.
 const unknownRetry = 200 * time.Millisecond
 
-// bucket holds the requests of one account that a slot may grant.
+// bucket holds the requests of one account that a shard may grant.
 type bucket struct {
 	level float64
 	at    time.Time // when level was computed
@@ -32,32 +32,32 @@
 	return Grant{Count: granted, Next: time.Duration((1 - b.level) / rate * float64(time.Second))}
 }
 
-// slotBuckets holds the buckets of one slot, which are empty at the time since.
-type slotBuckets struct {
+// shardBuckets holds the buckets of one shard, which are empty at the time since.
+type shardBuckets struct {
 	since     time.Time
 	byAccount map[string]*bucket
 }
 
-// Granter grants the requests of the slots that this VM holds. It is safe for
+// Granter grants the requests of the shards that this VM holds. It is safe for
 // concurrent use.
 type Granter struct {
 	params Params
 
-	mu    sync.Mutex
-	slots [Slots]slotBuckets
+	mu     sync.Mutex
+	shards [Shards]shardBuckets
 }
 
-// NewGranter returns a granter without slots.
+// NewGranter returns a granter without shards.
 func NewGranter(p Params) *Granter { return &Granter{params: p} }
 
-// Grant answers the wants for a slot whose buckets at this VM fill since a time. limitOf returns the limit of an account and false for an unknown account; a
+// Grant answers the wants for a shard whose buckets at this VM fill since a time. limitOf returns the limit of an account and false for an unknown account; a
 // rate of 0 means that there is no limit.
-func (g *Granter) Grant(slot int, since time.Time, wants []Want, limitOf func(account string) (Limit, bool), now time.Time) []Grant {
+func (g *Granter) Grant(shard int, since time.Time, wants []Want, limitOf func(account string) (Limit, bool), now time.Time) []Grant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := &g.slots[slot]
+	s := &g.shards[shard]
 	if s.byAccount == nil || !s.since.Equal(since) {
-		*s = slotBuckets{since: since, byAccount: map[string]*bucket{}}
+		*s = shardBuckets{since: since, byAccount: map[string]*bucket{}}
 	}
 	grants := make([]Grant, len(wants))
 	for i, w := range wants {
@@ -75,8 +75,8 @@
 }
 
 // take grants from the bucket of an account. The caller holds the lock.
-func (g *Granter) take(s *slotBuckets, w Want, limit Limit, now time.Time) Grant {
-	rate := limit.RatePerSecond / Slots
+func (g *Granter) take(s *shardBuckets, w Want, limit Limit, now time.Time) Grant {
+	rate := limit.RatePerSecond / Shards
 	extra := g.params.extra()
 	b := s.byAccount[w.Account]
 	if b == nil {
@@ -86,5 +86,5 @@
 		}
 		s.byAccount[w.Account] = b
 	}
-	return b.take(now, rate, math.Max(1, limit.Burst/Slots+extra), w.Count)
+	return b.take(now, rate, math.Max(1, limit.Burst/Shards+extra), w.Count)
 }
--- a/pkg/coordination/quota/holder.go
+++ b/pkg/coordination/quota/holder.go
@@ -9,11 +9,11 @@
 	// callSpacing is the time between two calls to a granter for which no request
 	// waits.
 	callSpacing = 100 * time.Millisecond
-	// maxAskPause limits the time for which a slot without requests of an account is not
+	// maxAskPause limits the time for which a shard without requests of an account is not
 	// asked for it.
 	maxAskPause = time.Second
-	// emptyTime is the time for which such a slot counts as empty at least. It exceeds
-	// the time to ask the granters of all slots one after the other, two of them within
+	// emptyTime is the time for which such a shard counts as empty at least. It exceeds
+	// the time to ask the granters of all shards one after the other, two of them within
 	// the region. With a shorter time the requests of an account beyond its limit waited
 	// until their time was over.
 	emptyTime = 400 * time.Millisecond
@@ -21,15 +21,15 @@
 	// reaches too few granters. After a power loss they grant again within a second.
 	unavailableRetry = 500 * time.Millisecond
 	// notGranterPause is the time for which a VM is not asked after it has said that it
-	// does not grant for the slot.
+	// does not grant for the shard.
 	notGranterPause = 150 * time.Millisecond
 	// minSilentPause and maxSilentPause limit the time for which a granter that has not
 	// replied is not asked. It grows with each call without a reply.
 	minSilentPause = 300 * time.Millisecond
 	maxSilentPause = 2400 * time.Millisecond
-	// minSlotsForBeyond is the number of slots that must have granters for an account
+	// minShardsForBeyond is the number of shards that must have granters for an account
 	// whose requests are refused to count as beyond its limit.
-	minSlotsForBeyond = Slots / 2
+	minShardsForBeyond = Shards / 2
 )
 
 // Decision is the answer to a request of a limited account.
@@ -53,25 +53,25 @@
 	Decision Decision
 	// End is until when a granted request may be given back.
 	End time.Time
-	// RetryAfter is the time until a slot has another request of the account.
+	// RetryAfter is the time until a shard has another request of the account.
 	RetryAfter time.Duration
 }
 
-// Source is the granter of a slot as this VM knows it.
+// Source is the granter of a shard as this VM knows it.
 type Source struct {
-	Slot    int
+	Shard   int
 	Address string
 }
 
-// Call is a call to the granter of a slot.
+// Call is a call to the granter of a shard.
 type Call struct {
 	Source
 	Wants  []Want
 	sentAt time.Time
 }
 
-// holderSlot is the state of the calls for one slot.
-type holderSlot struct {
+// holderShard is the state of the calls for one shard.
+type holderShard struct {
 	address  string
 	inFlight bool
 	calledAt time.Time
@@ -82,7 +82,7 @@
 }
 
 // usable reports whether the granter may be asked.
-func (s *holderSlot) usable(now time.Time) bool {
+func (s *holderShard) usable(now time.Time) bool {
 	return s.address != "" && !now.Before(s.pausedUntil)
 }
 
@@ -92,8 +92,8 @@
 
 	mu        sync.Mutex
 	stocks    map[string]*stock
-	slots     [Slots]holderSlot
-	order     []int         // slots in the order in which they are asked
+	shards    [Shards]holderShard
+	order     []int         // shards in the order in which they are asked
 	changed   chan struct{} // closed when a call has ended
 	updatedAt time.Time     // of the demand
 	stats     Stats
@@ -112,13 +112,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.order = h.order[:0]
-	var addresses [Slots]string
+	var addresses [Shards]string
 	for _, source := range list {
-		h.order = append(h.order, source.Slot)
-		addresses[source.Slot] = source.Address
+		h.order = append(h.order, source.Shard)
+		addresses[source.Shard] = source.Address
 	}
-	for slot, address := range addresses {
-		if s := &h.slots[slot]; s.address != address {
+	for shard, address := range addresses {
+		if s := &h.shards[shard]; s.address != address {
 			s.address, s.pausedUntil, s.failures = address, time.Time{}, 0
 		}
 	}
@@ -153,17 +153,17 @@
 // lock.
 func (h *Holder) decideWithout(s *stock, now time.Time) Result {
 	usable, next := 0, maxAskPause
-	for slot := range h.slots {
-		if !h.slots[slot].usable(now) {
+	for shard := range h.shards {
+		if !h.shards[shard].usable(now) {
 			continue
 		}
 		usable++
-		if !now.Before(s.emptyUntil[slot]) {
+		if !now.Before(s.emptyUntil[shard]) {
 			return Result{Decision: Wait}
 		}
-		next = min(next, s.askAgainAt[slot].Sub(now))
+		next = min(next, s.askAgainAt[shard].Sub(now))
 	}
-	if usable < minSlotsForBeyond {
+	if usable < minShardsForBeyond {
 		return Result{Decision: Unavailable, RetryAfter: unavailableRetry}
 	}
 	s.beyond, s.beyondAt = true, now
@@ -206,40 +206,40 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.updateDemand(now)
-	var wants [Slots][]Want
-	var urgent [Slots]bool
+	var wants [Shards][]Want
+	var urgent [Shards]bool
 	for account, s := range h.stocks {
 		h.stats.Expired += uint64(s.dropExpired(now))
 		count := s.missing(h.params)
 		if count <= 0 {
 			continue
 		}
-		if slot, ok := h.slotFor(s, now); ok {
-			wants[slot] = append(wants[slot], Want{Account: account, Count: count})
-			urgent[slot] = urgent[slot] || s.waiting > 0
+		if shard, ok := h.shardFor(s, now); ok {
+			wants[shard] = append(wants[shard], Want{Account: account, Count: count})
+			urgent[shard] = urgent[shard] || s.waiting > 0
 		}
 	}
 	var calls []Call
-	for slot := range h.slots {
-		s := &h.slots[slot]
-		if len(wants[slot]) == 0 || s.inFlight || !urgent[slot] && now.Sub(s.calledAt) < callSpacing {
+	for shard := range h.shards {
+		s := &h.shards[shard]
+		if len(wants[shard]) == 0 || s.inFlight || !urgent[shard] && now.Sub(s.calledAt) < callSpacing {
 			continue
 		}
 		s.inFlight, s.calledAt = true, now
 		h.stats.Calls++
-		for _, w := range wants[slot] {
+		for _, w := range wants[shard] {
 			h.stocks[w.Account].asked += w.Count
 		}
-		calls = append(calls, Call{Source: Source{slot, s.address}, Wants: wants[slot], sentAt: now})
+		calls = append(calls, Call{Source: Source{shard, s.address}, Wants: wants[shard], sentAt: now})
 	}
 	return calls
 }
 
-// slotFor returns the slot to ask for an account. The caller holds the lock.
-func (h *Holder) slotFor(s *stock, now time.Time) (int, bool) {
-	for _, slot := range h.order {
-		if h.slots[slot].usable(now) && !now.Before(s.askAgainAt[slot]) {
-			return slot, true
+// shardFor returns the shard to ask for an account. The caller holds the lock.
+func (h *Holder) shardFor(s *stock, now time.Time) (int, bool) {
+	for _, shard := range h.order {
+		if h.shards[shard].usable(now) && !now.Before(s.askAgainAt[shard]) {
+			return shard, true
 		}
 	}
 	return 0, false
@@ -267,7 +267,7 @@
 // Ends of a call.
 const (
 	Replied ReplyState = iota + 1
-	// NotGranter means that the VM does not grant for the slot.
+	// NotGranter means that the VM does not grant for the shard.
 	NotGranter
 	// NoReply means that the call failed. What it may have granted is lost.
 	NoReply
@@ -278,7 +278,7 @@
 func (h *Holder) Apply(call Call, state ReplyState, grants []Grant, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := &h.slots[call.Slot]
+	s := &h.shards[call.Shard]
 	s.inFlight = false
 	if s.address == call.Address {
 		s.recordEnd(state, now)
@@ -299,10 +299,10 @@
 		}
 		if grants[i].Count < w.Count {
 			pause := max(callSpacing, min(maxAskPause, grants[i].Next))
-			stock.askAgainAt[call.Slot] = now.Add(pause)
-			stock.emptyUntil[call.Slot] = now.Add(max(emptyTime, pause))
+			stock.askAgainAt[call.Shard] = now.Add(pause)
+			stock.emptyUntil[call.Shard] = now.Add(max(emptyTime, pause))
 		} else {
-			stock.emptyUntil[call.Slot] = time.Time{}
+			stock.emptyUntil[call.Shard] = time.Time{}
 		}
 	}
 	close(h.changed)
@@ -310,7 +310,7 @@
 }
 
 // recordEnd pauses the calls to a granter that does not grant.
-func (s *holderSlot) recordEnd(state ReplyState, now time.Time) {
+func (s *holderShard) recordEnd(state ReplyState, now time.Time) {
 	switch state {
 	case Replied:
 		s.failures = 0
@@ -360,15 +360,15 @@
 	return h.stats
 }
 
-// UsableSlots returns the number of slots whose granters may be asked, and whether they
+// UsableShards returns the number of shards whose granters may be asked, and whether they
 // are enough to tell whether an account is beyond its limit.
-func (h *Holder) UsableSlots(now time.Time) (count int, enough bool) {
+func (h *Holder) UsableShards(now time.Time) (count int, enough bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for slot := range h.slots {
-		if h.slots[slot].usable(now) {
+	for shard := range h.shards {
+		if h.shards[shard].usable(now) {
 			count++
 		}
 	}
-	return count, count >= minSlotsForBeyond
+	return count, count >= minShardsForBeyond
 }
--- a/pkg/coordination/quota/ownership.go
+++ b/pkg/coordination/quota/ownership.go
@@ -14,19 +14,19 @@
 	// waited in a buffer may look recent.
 	maxPause = 400 * time.Millisecond
 	// settleTime is the time after the start of this process in which it claims no
-	// slot of others, because its VM list may still be incomplete.
+	// shard of others, because its VM list may still be incomplete.
 	settleTime = 2500 * time.Millisecond
-	// claimRetry is the time between two attempts to claim a slot.
+	// claimRetry is the time between two attempts to claim a shard.
 	claimRetry = 700 * time.Millisecond
-	// misplacedTime is the time for which a granter keeps a slot that another VM should
-	// hold. Each move costs the slot for a second or less.
+	// misplacedTime is the time for which a granter keeps a shard that another VM should
+	// hold. Each move costs the shard for a second or less.
 	misplacedTime = 15 * time.Second
 	// minStrength is the strength that a granter must have, as a share of the strongest
 	// VM among the candidates.
 	minStrength = 0.5
 )
 
-// View is what a VM knows of the slots.
+// View is what a VM knows of the shards.
 type View struct {
 	VMs    []feed.VM
 	Claims map[string]feed.RoleClaim
@@ -37,9 +37,9 @@
 	ListeningSince time.Time
 }
 
-// Move is a write by which this VM takes, confirms or gives up a slot.
+// Move is a write by which this VM takes, confirms or gives up a shard.
 type Move struct {
-	Slot   int
+	Shard  int
 	Expect int64 // revision of the claim that the write replaces
 	Claim  feed.RoleClaim
 	// settles is true if the write says that the wait of this VM is over.
@@ -50,11 +50,11 @@
 	notBefore time.Time
 }
 
-// Release reports whether the move gives the slot up.
+// Release reports whether the move gives the shard up.
 func (m Move) Release() bool { return m.Claim.VM == "" }
 
-// ownSlot is the state of one slot on this VM.
-type ownSlot struct {
+// ownShard is the state of one shard on this VM.
+type ownShard struct {
 	// revision is that of the newest claim that this VM knows, from a copy or from the
 	// reply to a write, and knownAt is when it became known.
 	revision int64
@@ -71,7 +71,7 @@
 	leaving bool
 }
 
-// Ownership decides which slots this VM claims and whether it may grant for them. Its
+// Ownership decides which shards this VM claims and whether it may grant for them. Its
 // times are those of a clock that counts the time for which the machine was suspended.
 // It is safe for concurrent use.
 type Ownership struct {
@@ -81,7 +81,7 @@
 	started time.Time
 
 	mu          sync.Mutex
-	slots       [Slots]ownSlot
+	shards      [Shards]ownShard
 	updatedAt   time.Time
 	confirmedAt time.Time
 	resumedAt   time.Time // when this process last ran again after a pause
@@ -104,25 +104,25 @@
 	}
 	o.updatedAt, o.confirmedAt = now, now.Add(-v.Age)
 	var moves []Move
-	for slot := range o.slots {
-		claim := v.Claims[Role(slot)]
-		if !o.follow(slot, claim, now) {
+	for shard := range o.shards {
+		claim := v.Claims[Role(shard)]
+		if !o.follow(shard, claim, now) {
 			continue
 		}
-		if move, ok := o.move(slot, claim, v, now); ok {
-			o.slots[slot].triedAt = now
+		if move, ok := o.move(shard, claim, v, now); ok {
+			o.shards[shard].triedAt = now
 			moves = append(moves, move)
 		}
 	}
 	return moves
 }
 
-// follow takes over the claim of a slot. It returns false for a claim from before a write
+// follow takes over the claim of a shard. It returns false for a claim from before a write
 // of this VM. A claim of this VM that appears without a confirmed write counts as one that
 // was just made: the reply to the write was lost, or the store has gone back. If only the
 // reply to the write that settles it was lost, it goes on. The caller holds the lock.
-func (o *Ownership) follow(slot int, claim feed.RoleClaim, now time.Time) (current bool) {
-	s := &o.slots[slot]
+func (o *Ownership) follow(shard int, claim feed.RoleClaim, now time.Time) (current bool) {
+	s := &o.shards[shard]
 	own := claim.VM == o.self.ID
 	switch {
 	case claim.Revision == s.revision && own == s.held:
@@ -140,21 +140,21 @@
 }
 
 // hold records a claim of this VM.
-func (s *ownSlot) hold(revision int64, now, grantsFrom, fillsFrom time.Time) {
+func (s *ownShard) hold(revision int64, now, grantsFrom, fillsFrom time.Time) {
 	s.revision, s.knownAt, s.held, s.grantsFrom, s.fillsFrom = revision, now, true, grantsFrom, fillsFrom
 	s.misplacedSince, s.leaving = time.Time{}, false
 }
 
-// move returns the move that this VM should make for a slot. The caller holds the lock.
-func (o *Ownership) move(slot int, claim feed.RoleClaim, v View, now time.Time) (Move, bool) {
-	s := &o.slots[slot]
+// move returns the move that this VM should make for a shard. The caller holds the lock.
+func (o *Ownership) move(shard int, claim feed.RoleClaim, v View, now time.Time) (Move, bool) {
+	s := &o.shards[shard]
 	if v.Age > MaxClaimAge || now.Sub(s.triedAt) < claimRetry || o.stopping || v.ListeningSince.IsZero() {
 		return Move{}, false
 	}
 	if claim.VM == o.self.ID {
-		return o.ownMove(s, slot, claim, v, now)
+		return o.ownMove(s, shard, claim, v, now)
 	}
-	m := Move{Slot: slot, Expect: claim.Revision, wait: o.params.takeoverWait(), Claim: feed.RoleClaim{VM: o.self.ID, Address: o.self.PeerAddress}}
+	m := Move{Shard: shard, Expect: claim.Revision, wait: o.params.takeoverWait(), Claim: feed.RoleClaim{VM: o.self.ID, Address: o.self.PeerAddress}}
 	restarted := claim.VM != "" && claim.Address == o.self.PeerAddress
 	switch {
 	case claim.Settled && restarted: // whoever granted had ended when this process began to listen
@@ -164,25 +164,25 @@
 	}
 	free := claim.VM == "" || !listed(v.VMs, claim)
 	settled := now.Sub(o.started) >= settleTime
-	return m, restarted || free && settled && Preferred(slot, v.VMs, o.regions) == o.self.PeerAddress
+	return m, restarted || free && settled && Preferred(shard, v.VMs, o.regions) == o.self.PeerAddress
 }
 
-// ownMove returns the move for a slot that this VM has claimed. The caller holds the
+// ownMove returns the move for a shard that this VM has claimed. The caller holds the
 // lock.
-func (o *Ownership) ownMove(s *ownSlot, slot int, claim feed.RoleClaim, v View, now time.Time) (Move, bool) {
+func (o *Ownership) ownMove(s *ownShard, shard int, claim feed.RoleClaim, v View, now time.Time) (Move, bool) {
 	waited := !now.Before(s.grantsFrom)
-	if s.leaving || o.misplaced(s, slot, v, now) {
-		return Move{Slot: slot, Expect: claim.Revision, Claim: feed.RoleClaim{Settled: claim.Settled || waited}}, true
+	if s.leaving || o.misplaced(s, shard, v, now) {
+		return Move{Shard: shard, Expect: claim.Revision, Claim: feed.RoleClaim{Settled: claim.Settled || waited}}, true
 	}
-	m := Move{Slot: slot, Expect: claim.Revision, settles: true, Claim: claim}
+	m := Move{Shard: shard, Expect: claim.Revision, settles: true, Claim: claim}
 	m.Claim.Settled = true
 	return m, waited && !claim.Settled
 }
 
-// misplaced reports whether another VM should have held a slot of this VM for
+// misplaced reports whether another VM should have held a shard of this VM for
 // misplacedTime. The caller holds the lock.
-func (o *Ownership) misplaced(s *ownSlot, slot int, v View, now time.Time) bool {
-	if Preferred(slot, v.VMs, o.regions) == o.self.PeerAddress {
+func (o *Ownership) misplaced(s *ownShard, shard int, v View, now time.Time) bool {
+	if Preferred(shard, v.VMs, o.regions) == o.self.PeerAddress {
 		s.misplacedSince = time.Time{}
 		return false
 	}
@@ -192,7 +192,7 @@
 	return now.Sub(s.misplacedSince) >= misplacedTime
 }
 
-// listed reports whether the VM that has claimed a slot is listed, or a later process
+// listed reports whether the VM that has claimed a shard is listed, or a later process
 // at its address.
 func listed(vms []feed.VM, claim feed.RoleClaim) bool {
 	for _, vm := range vms {
@@ -203,20 +203,20 @@
 	return false
 }
 
-// GiveUp ends the grants for a slot. It is called before the write that gives the slot
+// GiveUp ends the grants for a shard. It is called before the write that gives the shard
 // up is sent: the write may take effect at any time later, also if its reply is lost, and
 // the next granter does not wait for the confirmations of this VM to grow old.
 func (o *Ownership) GiveUp(m Move) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.slots[m.Slot].leaving = true
+	o.shards[m.Shard].leaving = true
 }
 
 // Confirmed records that the store has confirmed a move.
 func (o *Ownership) Confirmed(m Move, revision int64, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := &o.slots[m.Slot]
+	s := &o.shards[m.Shard]
 	grantsFrom := now.Add(m.wait)
 	if grantsFrom.Before(m.notBefore) {
 		grantsFrom = m.notBefore
@@ -236,45 +236,45 @@
 	}
 }
 
-// Stop ends all grants for good and returns the moves that give up the slots.
+// Stop ends all grants for good and returns the moves that give up the shards.
 func (o *Ownership) Stop() []Move {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.stopping = true
 	var moves []Move
-	for slot, s := range o.slots {
+	for shard, s := range o.shards {
 		if s.held {
 			settled := !o.updatedAt.Before(s.grantsFrom)
-			moves = append(moves, Move{Slot: slot, Expect: s.revision, Claim: feed.RoleClaim{Settled: settled}})
+			moves = append(moves, Move{Shard: shard, Expect: s.revision, Claim: feed.RoleClaim{Settled: settled}})
 		}
 	}
 	return moves
 }
 
-// GrantsSince returns since when the buckets of a slot fill at this VM, and false if it
-// may not grant for the slot now.
-func (o *Ownership) GrantsSince(slot int, now time.Time) (time.Time, bool) {
+// GrantsSince returns since when the buckets of a shard fill at this VM, and false if it
+// may not grant for the shard now.
+func (o *Ownership) GrantsSince(shard int, now time.Time) (time.Time, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := &o.slots[slot]
+	s := &o.shards[shard]
 	paused := now.Sub(o.updatedAt) > maxPause || !o.resumedAt.IsZero() && o.confirmedAt.Before(o.resumedAt.Add(maxPause))
 	fresh := now.Sub(o.confirmedAt) <= MaxClaimAge
 	held := s.held && !s.leaving && !now.Before(s.grantsFrom)
 	return s.fillsFrom, held && !o.stopping && !paused && fresh
 }
 
-// Preferred returns the peer address of the VM that should hold a slot: one of the
-// strongest VMs of the region of the slot, or of all VMs if the region has none.
-func Preferred(slot int, vms []feed.VM, regions []string) string {
+// Preferred returns the peer address of the VM that should hold a shard: one of the
+// strongest VMs of the region of the shard, or of all VMs if the region has none.
+func Preferred(shard int, vms []feed.VM, regions []string) string {
 	region := ""
 	if len(regions) > 0 {
-		region = regions[slot%len(regions)]
+		region = regions[shard%len(regions)]
 	}
 	candidates := strongest(vms, region)
 	if len(candidates) == 0 {
 		candidates = strongest(vms, "")
 	}
-	if top := placement.TopRanked(Role(slot), candidates, 1); len(top) > 0 {
+	if top := placement.TopRanked(Role(shard), candidates, 1); len(top) > 0 {
 		return top[0]
 	}
 	return ""
--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -1,5 +1,5 @@
 // Package quota holds the limits of client accounts over all VMs. The limit of each
-// account is divided into slots. One VM at a time grants the requests of a slot to the
+// account is divided into shards. One VM at a time grants the requests of a shard to the
 // VMs that receive them, and what it has granted expires soon. The package makes the
 // decisions; it sends nothing and reads no clock.
 package quota
@@ -10,10 +10,10 @@
 )
 
 const (
-	// Slots is the number of parts into which the limit of an account is divided.
+	// Shards is the number of parts into which the limit of an account is divided.
 	// With six, a lost granter takes a sixth of each limit, and sites of one, two,
 	// three or six regions have as many granters in each region.
-	Slots = 6
+	Shards = 6
 	// minLifetime and maxLifetime limit the time for which granted requests may be spent.
 	// The lower one exceeds two round trips between regions.
 	minLifetime = 100 * time.Millisecond
@@ -30,9 +30,9 @@
 	// a reply may wait in a buffer for maxPause.
 	claimMargin = 1500 * time.Millisecond
 	// slackParts is the number of parts into which the tolerated number of requests
-	// beyond a limit is divided. Each slot may hold one part beyond its burst, and two
+	// beyond a limit is divided. Each shard may hold one part beyond its burst, and two
 	// further parts when its granter changes within a window.
-	slackParts = 3 * Slots
+	slackParts = 3 * Shards
 )
 
 // Params are the tolerances of a deployment.
@@ -50,11 +50,11 @@
 	return max(minLifetime, min(maxLifetime, time.Duration(lifetimeShare*p.Overage*float64(p.Window))))
 }
 
-// extra is the number of requests that the bucket of a slot holds beyond its part of
+// extra is the number of requests that the bucket of a shard holds beyond its part of
 // the burst, so that an account with a small limit finds a whole request in it.
 func (p Params) extra() float64 { return p.Slack / slackParts }
 
-// takeoverWait is the time between the claim of a slot that another VM has held and
+// takeoverWait is the time between the claim of a shard that another VM has held and
 // the first grant.
 func (p Params) takeoverWait() time.Duration { return MaxClaimAge + p.Lifetime() + claimMargin }
 
@@ -70,10 +70,10 @@
 // Grant is the answer to a Want.
 type Grant struct {
 	Count int
-	// Next is the time until the slot has another request if Count is less than what
+	// Next is the time until the shard has another request if Count is less than what
 	// was asked for.
 	Next time.Duration
 }
 
-// Role returns the name under which the granter of a slot is recorded.
-func Role(slot int) string { return fmt.Sprintf("quota-%d", slot) }
+// Role returns the name under which the granter of a shard is recorded.
+func Role(shard int) string { return fmt.Sprintf("quota-%d", shard) }
--- a/pkg/coordination/quota/quota_test.go
+++ b/pkg/coordination/quota/quota_test.go
@@ -15,21 +15,21 @@
 	otherRole = feed.RoleClaim{VM: "vm-1", Address: "10.0.0.1:1", Settled: true, Revision: 7}
 )
 
-// claimedBy returns a view in which all slots have one claim, confirmed just now.
+// claimedBy returns a view in which all shards have one claim, confirmed just now.
 func claimedBy(claim feed.RoleClaim, vms ...feed.VM) View {
 	v := View{VMs: vms, Claims: map[string]feed.RoleClaim{}, ListeningSince: simStart}
-	for slot := range Slots {
-		v.Claims[Role(slot)] = claim
+	for shard := range Shards {
+		v.Claims[Role(shard)] = claim
 	}
 	return v
 }
 
-// grantsFrom takes slot 0 over and returns the time from its claim to the first grant.
+// grantsFrom takes shard 0 over and returns the time from its claim to the first grant.
 func grantsFrom(t *testing.T, v View) time.Duration {
 	t.Helper()
 	o := NewOwnership(simParams, testSelf, []string{"r"}, simStart.Add(-settleTime))
 	moves := o.Update(v, simStart)
-	assert.Equal(t, len(moves), Slots)
+	assert.Equal(t, len(moves), Shards)
 	o.Confirmed(moves[0], 8, simStart)
 	own := moves[0].Claim
 	own.Revision = 8
@@ -44,7 +44,7 @@
 	return 0
 }
 
-// Guards against a slot that stays without a granter for longer than its last one may
+// Guards against a shard that stays without a granter for longer than its last one may
 // still be spent, and against one that is granted by two VMs: the simulation found a
 // process that ended while it still waited, and was replaced at its address at once.
 func TestTakeoverWaitsForTheLastGranter(t *testing.T) {
@@ -63,7 +63,7 @@
 }
 
 // Guards against a granter that takes a copy from before its last write for a change of
-// the claim: in a simulated day all slots were without granters for 4.4 s after they had
+// the claim: in a simulated day all shards were without granters for 4.4 s after they had
 // settled, and claims and releases were written twice.
 func TestCopyFromBeforeAWriteChangesNothing(t *testing.T) {
 	o := NewOwnership(simParams, testSelf, []string{"r"}, simStart.Add(-settleTime))
@@ -73,7 +73,7 @@
 	now := simStart.Add(claimRetry)
 	v.Age = time.Second
 	for _, m := range o.Update(v, now) {
-		assert.Assert(t, m.Slot != 0, "claimed again")
+		assert.Assert(t, m.Shard != 0, "claimed again")
 	}
 	own := moves[0].Claim
 	own.Revision = 8
@@ -81,7 +81,7 @@
 	var settle []Move
 	for len(settle) == 0 {
 		now = now.Add(100 * time.Millisecond)
-		settle = slices.DeleteFunc(o.Update(v, now), func(m Move) bool { return m.Slot != 0 })
+		settle = slices.DeleteFunc(o.Update(v, now), func(m Move) bool { return m.Shard != 0 })
 	}
 	o.Confirmed(settle[0], 9, now)
 	now = now.Add(100 * time.Millisecond)
@@ -91,9 +91,9 @@
 	assert.Assert(t, grants, "does not grant after it has settled")
 }
 
-// Guards against a VM that claims the slot of one that is listed or has restarted, or
+// Guards against a VM that claims the shard of one that is listed or has restarted, or
 // before its own VM list is complete.
-func TestSlotInUseIsNotClaimed(t *testing.T) {
+func TestShardInUseIsNotClaimed(t *testing.T) {
 	listed := feed.VM{ID: "vm-1", PeerAddress: otherRole.Address, Region: "r"}
 	restarted := feed.VM{ID: "vm-3", PeerAddress: otherRole.Address, Region: "r"}
 	for _, other := range []feed.VM{listed, restarted} {
@@ -137,7 +137,7 @@
 	return func(string) (Limit, bool) { return Limit{rate, burst}, true }
 }
 
-// Guards against a burst that each new granter adds, against a slot that has no whole
+// Guards against a burst that each new granter adds, against a shard that has no whole
 // request of an account with a small limit, and against a lowered limit that is granted
 // once more.
 func TestBucketsStartEmptyAndFollowTheLimit(t *testing.T) {
@@ -151,12 +151,12 @@
 	assert.Equal(t, g.Grant(0, simStart.Add(time.Hour), want, limitOf(600, 600), simStart.Add(time.Hour))[0].Count, 0)
 }
 
-// newTestHolder returns a holder with the granters of some slots.
-func newTestHolder(slots int) *Holder {
+// newTestHolder returns a holder with the granters of some shards.
+func newTestHolder(shards int) *Holder {
 	h := NewHolder(simParams)
 	var list []Source
-	for slot := range slots {
-		list = append(list, Source{slot, "10.0.0.1:1"})
+	for shard := range shards {
+		list = append(list, Source{shard, "10.0.0.1:1"})
 	}
 	h.SetSources(list)
 	return h
@@ -165,7 +165,7 @@
 // Guards against requests that are spent later than their granter counts on, because
 // the reply was late.
 func TestGrantsExpireFromWhenTheyWereAsked(t *testing.T) {
-	h := newTestHolder(Slots)
+	h := newTestHolder(Shards)
 	assert.Equal(t, h.Take("school", false, simStart).Decision, Wait)
 	h.StartWaiting("school")
 	call := h.NextCalls(simStart)[0]
@@ -183,17 +183,17 @@
 // Guards against an account that is told to be beyond its limit although granters are
 // missing, and against calls for each request of an account that is beyond it.
 func TestBeyondTheLimitNeedsTheAnswerOfEachGranter(t *testing.T) {
-	h := newTestHolder(Slots)
+	h := newTestHolder(Shards)
 	now := simStart
-	for slot := range Slots {
-		r := h.Take("school", slot > 0, now)
-		assert.Equal(t, r.Decision, Wait, "slot %d", slot)
-		if slot == 0 {
+	for shard := range Shards {
+		r := h.Take("school", shard > 0, now)
+		assert.Equal(t, r.Decision, Wait, "shard %d", shard)
+		if shard == 0 {
 			h.StartWaiting("school")
 		}
 		calls := h.NextCalls(now)
 		assert.Equal(t, len(calls), 1)
-		assert.Equal(t, calls[0].Slot, slot)
+		assert.Equal(t, calls[0].Shard, shard)
 		h.Apply(calls[0], Replied, []Grant{{Next: 300 * time.Millisecond}}, now)
 	}
 	r := h.Take("school", true, now)
@@ -201,13 +201,13 @@
 	assert.Equal(t, r.RetryAfter, 300*time.Millisecond)
 	assert.Equal(t, len(h.NextCalls(now)), 0)
 	now = now.Add(350 * time.Millisecond)
-	assert.Equal(t, h.Take("school", true, now).Decision, Beyond, "the first slot may be asked again")
+	assert.Equal(t, h.Take("school", true, now).Decision, Beyond, "the first shard may be asked again")
 	assert.Equal(t, len(h.LimitChanges(map[string]bool{}, now)), 1)
 
-	few := newTestHolder(minSlotsForBeyond - 1)
+	few := newTestHolder(minShardsForBeyond - 1)
 	few.Take("school", false, now)
 	few.StartWaiting("school")
-	for range minSlotsForBeyond - 1 {
+	for range minShardsForBeyond - 1 {
 		call := few.NextCalls(now)[0]
 		few.Apply(call, Replied, []Grant{{}}, now)
 	}
@@ -216,7 +216,7 @@
 }
 
 func BenchmarkTake(b *testing.B) {
-	h := newTestHolder(Slots)
+	h := newTestHolder(Shards)
 	for i := range 84 {
 		h.Take(string(rune('a'+i)), false, simStart)
 	}
--- a/pkg/coordination/quota/simulation_test.go
+++ b/pkg/coordination/quota/simulation_test.go
@@ -76,9 +76,9 @@
 	spends   []spend
 	revision int64
 	started  int
-	// holderOf and lastGrant are the process that last granted for each slot, and when.
-	holderOf  [Slots]string
-	lastGrant [Slots]time.Time
+	// holderOf and lastGrant are the process that last granted for each shard, and when.
+	holderOf  [Shards]string
+	lastGrant [Shards]time.Time
 	granted   int
 }
 
@@ -179,16 +179,16 @@
 	}
 	s.later(s.upTo(time.Second), func() {
 		s.change(func(next *storeState) {
-			if next.claims[Role(m.Slot)].Revision != m.Expect {
+			if next.claims[Role(m.Shard)].Revision != m.Expect {
 				return
 			}
 			s.revision++
 			s.logf("write %+v of %s", m, id)
 			claim := m.Claim
 			claim.Revision = s.revision
-			claims := map[string]feed.RoleClaim{Role(m.Slot): claim}
+			claims := map[string]feed.RoleClaim{Role(m.Shard): claim}
 			for role, c := range next.claims {
-				if role != Role(m.Slot) {
+				if role != Role(m.Shard) {
 					claims[role] = c
 				}
 			}
@@ -246,9 +246,9 @@
 		s.write(vm, m)
 	}
 	var sources []Source
-	for slot := range Slots {
-		if claim := view.Claims[Role(slot)]; claim.VM != "" {
-			sources = append(sources, Source{slot, claim.Address})
+	for shard := range Shards {
+		if claim := view.Claims[Role(shard)]; claim.VM != "" {
+			sources = append(sources, Source{shard, claim.Address})
 		}
 	}
 	vm.holder.SetSources(sources)
@@ -264,10 +264,10 @@
 	to := s.vms[i]
 	reachable := to.id != "" && !s.now.Before(to.frozenUntil) && !s.now.Before(to.cutUntil) && !s.now.Before(from.cutUntil) || to == from
 	state, grants := NoReply, []Grant(nil)
-	if since, ok := to.ownership.GrantsSince(call.Slot, s.now); reachable && ok {
-		s.checkFence(call.Slot, to.id)
+	if since, ok := to.ownership.GrantsSince(call.Shard, s.now); reachable && ok {
+		s.checkFence(call.Shard, to.id)
 		state = Replied
-		grants = to.granter.Grant(call.Slot, since, call.Wants, func(string) (Limit, bool) { return s.limit, true }, s.now)
+		grants = to.granter.Grant(call.Shard, since, call.Wants, func(string) (Limit, bool) { return s.limit, true }, s.now)
 	}
 	slowest := simStep
 	if s.chance(10) {
@@ -276,12 +276,12 @@
 	s.later(s.upTo(slowest), func() { holder.Apply(call, state, grants, s.now) })
 }
 
-// checkFence fails if what another VM has granted for the slot may still be spent.
-func (s *simulation) checkFence(slot int, id string) {
-	if last := s.holderOf[slot]; last != id && s.now.Sub(s.lastGrant[slot]) < simParams.Lifetime() {
-		s.t.Fatalf("slot %d: %s grants %v after %s has\n%s", slot, id, s.now.Sub(s.lastGrant[slot]), last, strings.Join(s.events, "\n"))
+// checkFence fails if what another VM has granted for the shard may still be spent.
+func (s *simulation) checkFence(shard int, id string) {
+	if last := s.holderOf[shard]; last != id && s.now.Sub(s.lastGrant[shard]) < simParams.Lifetime() {
+		s.t.Fatalf("shard %d: %s grants %v after %s has\n%s", shard, id, s.now.Sub(s.lastGrant[shard]), last, strings.Join(s.events, "\n"))
 	}
-	s.holderOf[slot], s.lastGrant[slot] = id, s.now
+	s.holderOf[shard], s.lastGrant[shard] = id, s.now
 }
 
 // spend sends requests until the VM may send none.
@@ -318,7 +318,7 @@
 	}
 }
 
-// Guards against two VMs that grant for one slot at a time, and against more requests of
+// Guards against two VMs that grant for one shard at a time, and against more requests of
 // an account in any window than its limit allows, whatever happens to the VMs, the store
 // and the messages.
 func TestNoWindowExceedsTheLimit(t *testing.T) {
--- a/pkg/coordination/quota/stock.go
+++ b/pkg/coordination/quota/stock.go
@@ -34,9 +34,9 @@
 	used    int
 	waiting int // requests that wait for a grant
 	asked   int // requests asked for in calls without a reply
-	// askAgainAt is when each slot may be asked again, and emptyUntil until when it
+	// askAgainAt is when each shard may be asked again, and emptyUntil until when it
 	// counts as having no request for the account.
-	askAgainAt, emptyUntil [Slots]time.Time
+	askAgainAt, emptyUntil [Shards]time.Time
 
 	taken  int     // requests since demand was last updated
 	demand float64 // requests a second
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -22,7 +22,7 @@
 	// quotaInterval is the time between two rounds of the loop of quotas. A request that
 	// waits starts a round at once.
 	quotaInterval = 50 * time.Millisecond
-	// ownershipTicks is the number of rounds between two checks of the slots.
+	// ownershipTicks is the number of rounds between two checks of the shards.
 	ownershipTicks = 2
 	// quotaCallTimeout limits one call to a granter. It exceeds three round trips
 	// between regions.
@@ -36,8 +36,8 @@
 
 // Log events of the limits of client accounts.
 var (
-	EventSlotMoved = eventlog.Define(2120, "account_slot_moved", logrus.InfoLevel,
-		"this VM has claimed a slot of the limits of all accounts (claimed), has given it up (released), or grants for it from now on (granting) or no longer; a granter stops when the store has not confirmed its claim for 3 s")
+	EventShardMoved = eventlog.Define(2120, "account_shard_moved", logrus.InfoLevel,
+		"this VM has claimed a shard of the limits of all accounts (claimed), has given it up (released), or grants for it from now on (granting) or no longer; a granter stops when the store has not confirmed its claim for 3 s")
 	EventAccountLimited = eventlog.Define(2121, "account_beyond_limit", logrus.WarnLevel,
 		"requests of the named account are refused with status 429, because all VMs together receive more than its limit, or none has been refused for 5 s; refused counts the requests that this VM has refused. Raise the limit, or ask the owner of the account to send less")
 	EventNoGranter = eventlog.Define(2122, "no_account_granter", logrus.ErrorLevel,
@@ -65,7 +65,7 @@
 	listeningSince atomic.Pointer[time.Time]
 	kicked         chan struct{}
 	limited        limitedConfig // used by run alone
-	granting       [quota.Slots]bool
+	granting       [quota.Shards]bool
 	usable         bool // enough granters could be asked at the last check
 	reported       map[string]bool
 	metrics        quotaMetrics
@@ -107,15 +107,15 @@
 	} {
 		set.NewGauge(name, func() float64 { return float64(value(q.holder.Stats())) })
 	}
-	set.NewGauge("hickory_gateway_account_slots", q.slotsHeld)
+	set.NewGauge("hickory_gateway_account_shards", q.shardsHeld)
 	return q
 }
 
-// slotsHeld returns the number of slots for which this VM grants now.
-func (q *quotas) slotsHeld() float64 {
+// shardsHeld returns the number of shards for which this VM grants now.
+func (q *quotas) shardsHeld() float64 {
 	count := 0.0
-	for slot := range quota.Slots {
-		if _, ok := q.ownership.GrantsSince(slot, q.gateway.suspendAwareNow()); ok {
+	for shard := range quota.Shards {
+		if _, ok := q.ownership.GrantsSince(shard, q.gateway.suspendAwareNow()); ok {
 			count++
 		}
 	}
@@ -198,7 +198,7 @@
 	}
 }
 
-// run keeps the slots of this VM and asks the granters until ctx ends.
+// run keeps the shards of this VM and asks the granters until ctx ends.
 func (q *quotas) run(ctx context.Context) {
 	ticker := time.NewTicker(quotaInterval)
 	defer ticker.Stop()
@@ -212,7 +212,7 @@
 				continue
 			}
 			if tick%ownershipTicks == 0 {
-				q.updateSlots(ctx)
+				q.updateShards(ctx)
 			}
 		case <-q.kicked:
 		}
@@ -234,8 +234,8 @@
 	return q.limited.limited
 }
 
-// updateSlots claims and gives up slots, and takes over who holds them.
-func (q *quotas) updateSlots(ctx context.Context) {
+// updateShards claims and gives up shards, and takes over who holds them.
+func (q *quotas) updateShards(ctx context.Context) {
 	g := q.gateway
 	age, known := g.vmFeed.Age()
 	if !known {
@@ -260,17 +260,17 @@
 	if m.Release() {
 		q.ownership.GiveUp(m)
 	}
-	revision, err := g.vmFeed.ClaimRole(ctx, quota.Role(m.Slot), m.Expect, m.Claim)
-	fields := eventlog.Fields{"slot": m.Slot, "claimed": !m.Release(), "released": m.Release(), "settled": m.Claim.Settled, "revision": revision}
+	revision, err := g.vmFeed.ClaimRole(ctx, quota.Role(m.Shard), m.Expect, m.Claim)
+	fields := eventlog.Fields{"shard": m.Shard, "claimed": !m.Release(), "released": m.Release(), "settled": m.Claim.Settled, "revision": revision}
 	if err != nil {
 		fields["error"] = err.Error()
 	} else {
 		q.ownership.Confirmed(m, revision, g.suspendAwareNow())
 	}
-	g.cfg.Logger.Log(EventSlotMoved, fields)
+	g.cfg.Logger.Log(EventShardMoved, fields)
 }
 
-// release gives up the slots of this VM in a planned stop.
+// release gives up the shards of this VM in a planned stop.
 func (q *quotas) release(ctx context.Context) {
 	moves := q.ownership.Stop()
 	done := make(chan struct{}, len(moves))
@@ -295,30 +295,30 @@
 	}
 	var list []quota.Source
 	distance := map[int]int{}
-	first := int(xxhash.Sum64String(self.ID) % quota.Slots)
-	for i := range quota.Slots {
-		slot := (first + i) % quota.Slots
-		claim := view.Claims[quota.Role(slot)]
+	first := int(xxhash.Sum64String(self.ID) % quota.Shards)
+	for i := range quota.Shards {
+		shard := (first + i) % quota.Shards
+		claim := view.Claims[quota.Role(shard)]
 		if claim.VM == "" {
 			continue
 		}
 		switch vm := vms[claim.VM]; {
 		case vm.Zone == self.Zone:
 		case vm.Region == self.Region:
-			distance[slot] = 1
+			distance[shard] = 1
 		default:
-			distance[slot] = 2
+			distance[shard] = 2
 		}
-		list = append(list, quota.Source{Slot: slot, Address: claim.Address})
+		list = append(list, quota.Source{Shard: shard, Address: claim.Address})
 	}
-	slices.SortStableFunc(list, func(a, b quota.Source) int { return distance[a.Slot] - distance[b.Slot] })
+	slices.SortStableFunc(list, func(a, b quota.Source) int { return distance[a.Shard] - distance[b.Shard] })
 	return list
 }
 
 // ask makes one call to a granter.
 func (q *quotas) ask(ctx context.Context, call quota.Call) {
 	g := q.gateway
-	req := &protocol.QuotaRequest{From: g.cfg.Self.ID, Slot: call.Slot, Newest: g.operatorFeed.NewestRevision()}
+	req := &protocol.QuotaRequest{From: g.cfg.Self.ID, Shard: call.Shard, Newest: g.operatorFeed.NewestRevision()}
 	for _, w := range call.Wants {
 		req.Wants = append(req.Wants, protocol.QuotaWant(w))
 	}
@@ -357,10 +357,10 @@
 	g.operatorFeed.HintRevision(req.Newest)
 	reply.Newest = g.operatorFeed.NewestRevision()
 	now := g.suspendAwareNow()
-	if req.Slot < 0 || req.Slot >= quota.Slots {
+	if req.Shard < 0 || req.Shard >= quota.Shards {
 		return nil // a sender of another version divides limits differently
 	}
-	since, ok := g.quotas.ownership.GrantsSince(req.Slot, now)
+	since, ok := g.quotas.ownership.GrantsSince(req.Shard, now)
 	table := g.routes.Load()
 	if !ok || table == nil || table.Config.Accounts == nil {
 		return nil
@@ -369,7 +369,7 @@
 	for _, w := range req.Wants {
 		wants = append(wants, quota.Want(w))
 	}
-	grants := g.quotas.granter.Grant(req.Slot, since, wants, func(name string) (quota.Limit, bool) {
+	grants := g.quotas.granter.Grant(req.Shard, since, wants, func(name string) (quota.Limit, bool) {
 		a := table.Config.Accounts.ByName(name)
 		if a == nil {
 			return quota.Limit{}, false
@@ -383,21 +383,21 @@
 	return nil
 }
 
-// logChanges logs the slots for which this VM began or ceased to grant, the accounts
+// logChanges logs the shards for which this VM began or ceased to grant, the accounts
 // that went beyond their limits or are within them again, and whether enough granters
 // can be reached.
 func (q *quotas) logChanges(now time.Time) {
 	log := q.gateway.cfg.Logger
-	for slot := range quota.Slots {
-		if _, ok := q.ownership.GrantsSince(slot, now); ok != q.granting[slot] {
-			q.granting[slot] = ok
-			log.Log(EventSlotMoved, eventlog.Fields{"slot": slot, "granting": ok})
+	for shard := range quota.Shards {
+		if _, ok := q.ownership.GrantsSince(shard, now); ok != q.granting[shard] {
+			q.granting[shard] = ok
+			log.Log(EventShardMoved, eventlog.Fields{"shard": shard, "granting": ok})
 		}
 	}
 	for _, change := range q.holder.LimitChanges(q.reported, now) {
 		log.Log(EventAccountLimited, eventlog.Fields{"account": change.Account, "beyond": change.Beyond, "refused": change.Refused})
 	}
-	if usable, enough := q.holder.UsableSlots(now); enough != q.usable {
+	if usable, enough := q.holder.UsableShards(now); enough != q.usable {
 		q.usable = enough
 		log.Log(EventNoGranter, eventlog.Fields{"usable": usable, "enough": enough})
 	}
