--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -8,10 +8,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
-	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/coordination/quota"
 	"hickoryroute/pkg/eventlog"
 	"hickoryroute/pkg/protocol"
@@ -234,87 +232,6 @@
 	return q.limited.limited
 }
 
-// updateShards claims and gives up shards, and takes over who holds them.
-func (q *quotas) updateShards(ctx context.Context) {
-	g := q.gateway
-	age, known := g.vmFeed.Age()
-	if !known {
-		return
-	}
-	view := quota.View{VMs: g.peers.listVMs(), Claims: g.vmFeed.RoleClaims(), Age: age}
-	if since := q.listeningSince.Load(); since != nil {
-		view.ListeningSince = *since
-	}
-	now := g.suspendAwareNow()
-	for _, move := range q.ownership.Update(view, now) {
-		go q.makeMove(ctx, move)
-	}
-	q.holder.SetSources(q.sources(view))
-	q.logChanges(now)
-}
-
-// makeMove writes a move to the store. A write without a reply may still take effect;
-// the claim then comes with the VM list.
-func (q *quotas) makeMove(ctx context.Context, m quota.Move) {
-	g := q.gateway
-	if m.Release() {
-		q.ownership.GiveUp(m)
-	}
-	revision, err := g.vmFeed.ClaimRole(ctx, quota.Role(m.Shard), m.Expect, m.Claim)
-	fields := eventlog.Fields{"shard": m.Shard, "claimed": !m.Release(), "released": m.Release(), "settled": m.Claim.Settled, "revision": revision}
-	if err != nil {
-		fields["error"] = err.Error()
-	} else {
-		q.ownership.Confirmed(m, revision, g.suspendAwareNow())
-	}
-	g.cfg.Logger.Log(EventShardMoved, fields)
-}
-
-// release gives up the shards of this VM in a planned stop.
-func (q *quotas) release(ctx context.Context) {
-	moves := q.ownership.Stop()
-	done := make(chan struct{}, len(moves))
-	for _, m := range moves {
-		go func() {
-			q.makeMove(ctx, m)
-			done <- struct{}{}
-		}()
-	}
-	for range moves {
-		<-done
-	}
-}
-
-// sources returns the granters, those of the own zone first and those of the own region
-// next. The others come in an order that differs between VMs.
-func (q *quotas) sources(view quota.View) []quota.Source {
-	self := q.gateway.cfg.Self
-	vms := make(map[string]feed.VM, len(view.VMs))
-	for _, vm := range view.VMs {
-		vms[vm.ID] = vm
-	}
-	var list []quota.Source
-	distance := map[int]int{}
-	first := int(xxhash.Sum64String(self.ID) % quota.Shards)
-	for i := range quota.Shards {
-		shard := (first + i) % quota.Shards
-		claim := view.Claims[quota.Role(shard)]
-		if claim.VM == "" {
-			continue
-		}
-		switch vm := vms[claim.VM]; {
-		case vm.Zone == self.Zone:
-		case vm.Region == self.Region:
-			distance[shard] = 1
-		default:
-			distance[shard] = 2
-		}
-		list = append(list, quota.Source{Shard: shard, Address: claim.Address})
-	}
-	slices.SortStableFunc(list, func(a, b quota.Source) int { return distance[a.Shard] - distance[b.Shard] })
-	return list
-}
-
 // ask makes one call to a granter.
 func (q *quotas) ask(ctx context.Context, call quota.Call) {
 	g := q.gateway
