--- a/pkg/protocol/quota.go
+++ b/pkg/protocol/quota.go
@@ -2,7 +2,7 @@
 
 // QuotaRequest asks the granter of a shard for requests of limited client accounts.
 type QuotaRequest struct {
-	From string // id of the sending VM
+	From  string // id of the sending VM
 	Shard int
 	// Newest is the revision of the newest operator entry that the sender has.
 	Newest int64
