Let a granter whose claim was replaced say that it has ceased

Shards that another VM should hold move 2 s apart, and event 2122 comes after a second without enough granters, as it was logged ten times a second.

--- a/pkg/coordination/quota/ownership.go
+++ b/pkg/coordination/quota/ownership.go
@@ -21,6 +21,8 @@
 	// misplacedTime is the time for which a granter keeps a shard that another VM should
 	// hold. Each move costs the shard for a second or less.
 	misplacedTime = 15 * time.Second
+	// misplacedSpacing is the time between the moves of two shards.
+	misplacedSpacing = 2 * time.Second
 	// minStrength is the strength that a granter must have, as a share of the strongest
 	// VM among the candidates.
 	minStrength = 0.5
@@ -42,6 +44,8 @@
 	Shard  int
 	Expect int64 // revision of the claim that the write replaces
 	Claim  feed.RoleClaim
+	// Replaced is the claim that a claim replaces.
+	Replaced feed.RoleClaim
 	// settles is true if the write says that the wait of this VM is over.
 	settles bool
 	// wait is the time between the write and the first grant, and notBefore the earliest
@@ -53,6 +57,12 @@
 // Release reports whether the move gives the shard up.
 func (m Move) Release() bool { return m.Claim.VM == "" }
 
+// Takeover reports whether the move replaces the claim of a granter that may still be
+// running, and that can say that it has ceased to grant.
+func (m Move) Takeover() bool {
+	return !m.Release() && m.Replaced.Settled && m.wait > 0 && m.Replaced.VM != ""
+}
+
 // ownShard is the state of one shard on this VM.
 type ownShard struct {
 	// revision is that of the newest claim that this VM knows, from a copy or from the
@@ -69,6 +79,8 @@
 	misplacedSince time.Time
 	// leaving is true if a write that gives up this claim may take effect at any time.
 	leaving bool
+	// yielded is the newest claim under which this VM has promised to grant no more.
+	yielded int64
 }
 
 // Ownership decides which shards this VM claims and whether it may grant for them. Its
@@ -142,7 +154,7 @@
 // hold records a claim of this VM.
 func (s *ownShard) hold(revision int64, now, grantsFrom, fillsFrom time.Time) {
 	s.revision, s.knownAt, s.held, s.grantsFrom, s.fillsFrom = revision, now, true, grantsFrom, fillsFrom
-	s.misplacedSince, s.leaving = time.Time{}, false
+	s.misplacedSince, s.leaving = time.Time{}, revision <= s.yielded
 }
 
 // move returns the move that this VM should make for a shard. The caller holds the lock.
@@ -154,7 +166,7 @@
 	if claim.VM == o.self.ID {
 		return o.ownMove(s, shard, claim, v, now)
 	}
-	m := Move{Shard: shard, Expect: claim.Revision, wait: o.params.takeoverWait(), Claim: feed.RoleClaim{VM: o.self.ID, Address: o.self.PeerAddress}}
+	m := Move{Shard: shard, Expect: claim.Revision, Replaced: claim, wait: o.params.takeoverWait(), Claim: feed.RoleClaim{VM: o.self.ID, Address: o.self.PeerAddress}}
 	restarted := claim.VM != "" && claim.Address == o.self.PeerAddress
 	switch {
 	case claim.Settled && restarted: // whoever granted had ended when this process began to listen
@@ -189,7 +201,7 @@
 	if s.misplacedSince.IsZero() {
 		s.misplacedSince = now
 	}
-	return now.Sub(s.misplacedSince) >= misplacedTime
+	return now.Sub(s.misplacedSince) >= misplacedTime+time.Duration(shard)*misplacedSpacing
 }
 
 // listed reports whether the VM that has claimed a shard is listed, or a later process
@@ -236,6 +248,28 @@
 	}
 }
 
+// Yield ends the grants under a claim that another VM has replaced. The claim may still
+// stand in the copy of this VM.
+func (o *Ownership) Yield(shard int, revision int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := &o.shards[shard]
+	s.yielded = max(s.yielded, revision)
+	s.leaving = s.leaving || s.revision <= s.yielded
+}
+
+// Yielded records that the granter before has ceased to grant, so that this VM need not
+// wait until the claims that the granter knows are old.
+func (o *Ownership) Yielded(m Move, revision int64, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := &o.shards[m.Shard]
+	grantsFrom := now.Add(o.params.Lifetime())
+	if s.held && s.revision == revision && grantsFrom.Before(s.grantsFrom) {
+		s.grantsFrom, s.fillsFrom = grantsFrom, now
+	}
+}
+
 // Stop ends all grants for good and returns the moves that give up the shards.
 func (o *Ownership) Stop() []Move {
 	o.mu.Lock()
--- a/pkg/coordination/quota/quota_test.go
+++ b/pkg/coordination/quota/quota_test.go
@@ -91,6 +91,38 @@
 	assert.Assert(t, grants, "does not grant after it has settled")
 }
 
+// Guards against a shard without a granter for 5 s because the store turned its granter
+// away, which runs: on a played day four of six shards were lost that way. The granter
+// may still have a recent copy that names it.
+func TestGranterThatYieldsIsReplacedSoon(t *testing.T) {
+	old := NewOwnership(simParams, feed.VM{ID: otherRole.VM, PeerAddress: otherRole.Address}, []string{"r"}, simStart.Add(-10*time.Second))
+	now := simStart.Add(-10 * time.Second)
+	for ; now.Before(simStart); now = now.Add(100 * time.Millisecond) {
+		old.Update(claimedBy(otherRole, testSelf), now)
+	}
+	_, grants := old.GrantsSince(0, now)
+	assert.Assert(t, grants)
+
+	next := NewOwnership(simParams, testSelf, []string{"r"}, simStart.Add(-settleTime))
+	m := next.Update(claimedBy(otherRole, testSelf), simStart)[0]
+	next.Confirmed(m, 8, simStart)
+	assert.Assert(t, m.Takeover())
+	old.Yield(0, m.Expect)
+	old.Update(claimedBy(otherRole, testSelf), now)
+	_, grants = old.GrantsSince(0, now)
+	assert.Assert(t, !grants, "grants under a claim that was replaced")
+
+	next.Yielded(m, 8, simStart)
+	own := m.Claim
+	own.Revision = 8
+	for _, after := range []time.Duration{simParams.Lifetime() - time.Millisecond, simParams.Lifetime()} {
+		next.Update(claimedBy(own, testSelf), simStart.Add(after-maxPause/2))
+		next.Update(claimedBy(own, testSelf), simStart.Add(after))
+		_, grants = next.GrantsSince(0, simStart.Add(after))
+		assert.Equal(t, grants, after == simParams.Lifetime())
+	}
+}
+
 // Guards against a VM that claims the shard of one that is listed or has restarted, or
 // before its own VM list is complete.
 func TestShardInUseIsNotClaimed(t *testing.T) {
--- a/pkg/coordination/quota/simulation_test.go
+++ b/pkg/coordination/quota/simulation_test.go
@@ -195,12 +195,31 @@
 			next.claims = claims
 			revision := s.revision
 			if !s.chance(20) {
-				s.later(s.upTo(500*time.Millisecond), func() { ownership.Confirmed(m, revision, s.now) })
+				s.later(s.upTo(500*time.Millisecond), func() {
+					ownership.Confirmed(m, revision, s.now)
+					s.askToYield(ownership, m, revision)
+				})
 			}
 		})
 	})
 }
 
+// askToYield lets a VM ask the granter whose claim it has replaced to grant no more.
+func (s *simulation) askToYield(ownership *Ownership, m Move, revision int64) {
+	i := slices.IndexFunc(s.vms, func(vm *simVM) bool { return vm.address == m.Replaced.Address })
+	if i < 0 || !m.Takeover() || s.chance(30) {
+		return
+	}
+	to := s.vms[i]
+	if to.id == "" || s.now.Before(to.frozenUntil) || s.now.Before(to.cutUntil) {
+		return
+	}
+	if to.id == m.Replaced.VM {
+		to.ownership.Yield(m.Shard, m.Expect)
+	}
+	s.later(s.upTo(300*time.Millisecond), func() { ownership.Yielded(m, revision, s.now) })
+}
+
 // copy gives a VM a copy of the store that may be old.
 func (s *simulation) copy(vm *simVM) {
 	age := s.upTo(1500 * time.Millisecond)
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -22,6 +22,9 @@
 	quotaInterval = 50 * time.Millisecond
 	// ownershipTicks is the number of rounds between two checks of the shards.
 	ownershipTicks = 2
+	// usableChecks is the number of checks, one second in all, after which it is logged
+	// that enough granters can be asked, or too few.
+	usableChecks = 10
 	// quotaCallTimeout limits one call to a granter. It exceeds three round trips
 	// between regions.
 	quotaCallTimeout = 150 * time.Millisecond
@@ -64,9 +67,12 @@
 	kicked         chan struct{}
 	limited        limitedConfig // used by run alone
 	granting       [quota.Shards]bool
-	usable         bool // enough granters could be asked at the last check
-	reported       map[string]bool
-	metrics        quotaMetrics
+	// usable is whether enough granters can be asked, as last logged, and usableChecks the
+	// number of checks in a row that found otherwise.
+	usable       bool
+	usableChecks int
+	reported     map[string]bool
+	metrics      quotaMetrics
 }
 
 // limitedConfig caches whether a configuration limits any account.
@@ -277,6 +283,14 @@
 	if req.Shard < 0 || req.Shard >= quota.Shards {
 		return nil // a sender of another version divides limits differently
 	}
+	if req.Replaced > 0 {
+		// A VM of another ID that had this address has ended.
+		if req.ReplacedVM == g.cfg.Self.ID {
+			g.quotas.ownership.Yield(req.Shard, req.Replaced)
+		}
+		reply.Yielded = true
+		return nil
+	}
 	since, ok := g.quotas.ownership.GrantsSince(req.Shard, now)
 	table := g.routes.Load()
 	if !ok || table == nil || table.Config.Accounts == nil {
@@ -314,8 +328,13 @@
 	for _, change := range q.holder.LimitChanges(q.reported, now) {
 		log.Log(EventAccountLimited, eventlog.Fields{"account": change.Account, "beyond": change.Beyond, "refused": change.Refused})
 	}
-	if usable, enough := q.holder.UsableShards(now); enough != q.usable {
-		q.usable = enough
+	usable, enough := q.holder.UsableShards(now)
+	q.usableChecks++
+	if enough == q.usable {
+		q.usableChecks = 0
+	}
+	if q.usableChecks >= usableChecks {
+		q.usable, q.usableChecks = enough, 0
 		log.Log(EventNoGranter, eventlog.Fields{"usable": usable, "enough": enough})
 	}
 }
--- a/pkg/gateway/quota_shards.go
+++ b/pkg/gateway/quota_shards.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"hickoryroute/internal/wait"
 	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/coordination/quota"
 	"hickoryroute/pkg/eventlog"
+	"hickoryroute/pkg/protocol"
 )
 
 // updateShards claims and gives up shards, and takes over who holds them.
@@ -45,6 +48,33 @@
 		q.ownership.Confirmed(m, revision, g.suspendAwareNow())
 	}
 	g.cfg.Logger.Log(EventShardMoved, fields)
+	if err == nil && m.Takeover() {
+		q.askToYield(ctx, m, revision)
+	}
+}
+
+const (
+	// yieldCalls is the number of calls to a granter whose claim was replaced, and
+	// yieldPause the time between them. After that its claim is old soon.
+	yieldCalls = 4
+	yieldPause = 800 * time.Millisecond
+)
+
+// askToYield asks the VM whose claim was replaced to grant no more. Without a reply this
+// VM waits until that claim is old.
+func (q *quotas) askToYield(ctx context.Context, m quota.Move, revision int64) {
+	g := q.gateway
+	req := &protocol.QuotaRequest{From: g.cfg.Self.ID, Shard: m.Shard, Newest: g.operatorFeed.NewestRevision(), Replaced: m.Expect, ReplacedVM: m.Replaced.VM}
+	for range yieldCalls {
+		var reply protocol.QuotaReply
+		if err := q.send(ctx, m.Replaced.Address, req, &reply); err == nil && reply.Yielded {
+			q.ownership.Yielded(m, revision, g.suspendAwareNow())
+			return
+		}
+		if !wait.For(ctx, yieldPause) {
+			return
+		}
+	}
 }
 
 // release gives up the shards of this VM in a planned stop.
--- a/pkg/protocol/quota.go
+++ b/pkg/protocol/quota.go
@@ -7,6 +7,11 @@
 	// Newest is the revision of the newest operator entry that the sender has.
 	Newest int64
 	Wants  []QuotaWant
+	// Replaced is the revision of the claim of the shard, by the VM ReplacedVM, that the
+	// sender has replaced; 0 if the call asks for grants. The receiver grants no more
+	// under it.
+	Replaced   int64
+	ReplacedVM string
 }
 
 // QuotaWant is a number of requests of one account.
@@ -20,8 +25,10 @@
 type QuotaReply struct {
 	// Granting is false if the VM does not grant for the shard.
 	Granting bool
-	Newest   int64
-	Grants   []QuotaGrant // in the order of QuotaRequest.Wants
+	// Yielded is true if nobody at this address grants any more under the replaced claim.
+	Yielded bool
+	Newest  int64
+	Grants  []QuotaGrant // in the order of QuotaRequest.Wants
 }
 
 // QuotaGrant is the answer to a QuotaWant. NextMs is the time until the shard has
