--- a/pkg/coordination/quota/quota_test.go
+++ b/pkg/coordination/quota/quota_test.go
@@ -107,6 +107,10 @@
 	m := next.Update(claimedBy(otherRole, testSelf), simStart)[0]
 	next.Confirmed(m, 8, simStart)
 	assert.Assert(t, m.Takeover())
+	waiting := otherRole
+	waiting.Settled = false
+	m2 := NewOwnership(simParams, testSelf, []string{"r"}, simStart.Add(-settleTime)).Update(claimedBy(waiting, testSelf), simStart)[0]
+	assert.Assert(t, !m2.Takeover(), "the granter before the one that yields may still grant")
 	old.Yield(0, m.Expect)
 	old.Update(claimedBy(otherRole, testSelf), now)
 	_, grants = old.GrantsSince(0, now)
