--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -40,7 +40,7 @@
 	EventShardMoved = eventlog.Define(2120, "account_shard_moved", logrus.InfoLevel,
 		"this VM has claimed a shard of the limits of all accounts (claimed), has given it up (released), or grants for it from now on (granting) or no longer; a granter stops when the store has not confirmed its claim for 3 s")
 	EventAccountLimited = eventlog.Define(2121, "account_beyond_limit", logrus.WarnLevel,
-		"requests of the named account are refused with status 429, because all VMs together receive more than its limit, or none has been refused for 5 s; refused counts the requests that this VM has refused. Raise the limit, or ask the owner of the account to send less")
+		"requests of the named account are refused with status 429, because all VMs together receive more than its limit, or none has been refused for 5 s; refused counts the requests that this VM has refused, and rate_per_second and burst give the limit in force. Raise the limit, or ask the owner of the account to send less")
 	EventNoGranter = eventlog.Define(2122, "no_account_granter", logrus.ErrorLevel,
 		"this VM reaches too few granters of account limits (usable), so that it refuses requests of limited accounts as not run, or reaches enough again; check the links to the other VMs and to the store")
 )
@@ -274,6 +274,19 @@
 	return q.gateway.peers.client.Call(ctx, address, "Gateway.Quota", req, reply)
 }
 
+// limitOf returns the limit of an account in the version in force.
+func (q *quotas) limitOf(account string) (quota.Limit, bool) {
+	table := q.gateway.routes.Load()
+	if table == nil || table.Config.Accounts == nil {
+		return quota.Limit{}, false
+	}
+	a := table.Config.Accounts.ByName(account)
+	if a == nil {
+		return quota.Limit{}, false
+	}
+	return quota.Limit{RatePerSecond: a.RatePerSecond, Burst: a.Burst}, true
+}
+
 // Quota implements peer.GatewayHandler.
 func (p *peers) Quota(_ context.Context, req *protocol.QuotaRequest, reply *protocol.QuotaReply) error {
 	g := p.gateway
@@ -292,21 +305,14 @@
 		return nil
 	}
 	since, ok := g.quotas.ownership.GrantsSince(req.Shard, now)
-	table := g.routes.Load()
-	if !ok || table == nil || table.Config.Accounts == nil {
+	if !ok {
 		return nil
 	}
 	wants := make([]quota.Want, 0, len(req.Wants))
 	for _, w := range req.Wants {
 		wants = append(wants, quota.Want(w))
 	}
-	grants := g.quotas.granter.Grant(req.Shard, since, wants, func(name string) (quota.Limit, bool) {
-		a := table.Config.Accounts.ByName(name)
-		if a == nil {
-			return quota.Limit{}, false
-		}
-		return quota.Limit{RatePerSecond: a.RatePerSecond, Burst: a.Burst}, true
-	}, now)
+	grants := g.quotas.granter.Grant(req.Shard, since, wants, g.quotas.limitOf, now)
 	reply.Granting = true
 	for _, granted := range grants {
 		reply.Grants = append(reply.Grants, protocol.QuotaGrant{Count: granted.Count, NextMs: granted.Next.Milliseconds() + 1})
@@ -326,7 +332,11 @@
 		}
 	}
 	for _, change := range q.holder.LimitChanges(q.reported, now) {
-		log.Log(EventAccountLimited, eventlog.Fields{"account": change.Account, "beyond": change.Beyond, "refused": change.Refused})
+		fields := eventlog.Fields{"account": change.Account, "beyond": change.Beyond, "refused": change.Refused}
+		if limit, known := q.limitOf(change.Account); known {
+			fields["rate_per_second"], fields["burst"] = limit.RatePerSecond, limit.Burst
+		}
+		log.Log(EventAccountLimited, fields)
 	}
 	usable, enough := q.holder.UsableShards(now)
 	q.usableChecks++
