Grant a burst once in each window to accounts beyond their limits

A limit allows rate x window + burst in any window; a bucket that fills by the rate alone allows its burst only once while the account goes on asking.

--- a/pkg/coordination/quota/quota.go
+++ b/pkg/coordination/quota/quota.go
@@ -29,6 +29,8 @@
 	// that is about to drop its history leaves watches without changes for a second, and
 	// a reply may wait in a buffer for maxPause.
 	claimMargin = 1500 * time.Millisecond
+	// memoryMargin covers the time that requests need to reach their targets.
+	memoryMargin = 300 * time.Millisecond
 	// slackParts is the number of parts into which the tolerated number of requests
 	// beyond a limit is divided. Each shard may hold one part beyond its burst, and two
 	// further parts when its granter changes within a window.
@@ -58,6 +60,10 @@
 // the first grant.
 func (p Params) takeoverWait() time.Duration { return MaxClaimAge + p.Lifetime() + claimMargin }
 
+// memory is the time for which a granter remembers what it has granted: what is spent
+// within a window was granted in it or a lifetime before it.
+func (p Params) memory() time.Duration { return p.Window + p.Lifetime() + memoryMargin }
+
 // Limit is the limit of an account at all VMs together.
 type Limit struct{ RatePerSecond, Burst float64 }
 
--- a/pkg/coordination/quota/quota_test.go
+++ b/pkg/coordination/quota/quota_test.go
@@ -187,6 +187,27 @@
 	assert.Equal(t, g.Grant(0, simStart.Add(time.Hour), want, limitOf(600, 600), simStart.Add(time.Hour))[0].Count, 0)
 }
 
+// Guards against an account beyond its limit all the time that gets less in a window than
+// its rate and its burst together, and against one that gets nothing for a window after
+// its limit was lowered, for what it was granted before.
+func TestAccountBeyondItsLimitGetsAWholeAllowance(t *testing.T) {
+	g := NewGranter(simParams)
+	now := simStart
+	grantFor := func(d time.Duration, limit Limit) (count int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			count += g.Grant(0, simStart, []Want{{"school", 1000}}, limitOf(limit.RatePerSecond, limit.Burst), now)[0].Count
+		}
+		return count
+	}
+	grantFor(20*time.Second, Limit{600, 600})
+	got := float64(grantFor(57*time.Second, Limit{600, 600}))
+	perMemory := (600*simParams.memory().Seconds() + 600) / Shards
+	want := 57 / simParams.memory().Seconds() * perMemory
+	assert.Assert(t, got > 0.97*want && got <= 1.03*want, "%v granted, %v wanted", got, want)
+	got = float64(grantFor(2*time.Second, Limit{60, 60}))
+	assert.Assert(t, got >= 18 && got <= 40, "%v granted after the limit was lowered", got)
+}
+
 // newTestHolder returns a holder with the granters of some shards.
 func newTestHolder(shards int) *Holder {
 	h := NewHolder(simParams)
