--- a/pkg/gateway/era_test.go
+++ b/pkg/gateway/era_test.go
@@ -18,6 +18,11 @@
 // carryingPeer is a VM that has routes in force which the store has lost.
 type carryingPeer struct{ version uint64 }
 
+// Quota implements peer.GatewayHandler.
+func (*carryingPeer) Quota(context.Context, *protocol.QuotaRequest, *protocol.QuotaReply) error {
+	return nil
+}
+
 func (c *carryingPeer) Loads(_ context.Context, _ *protocol.LoadsRequest, reply *protocol.LoadsReply) error {
 	reply.From, reply.Version = "carrier", c.version
 	return nil
