--- a/pkg/emulator/admission_test.go
+++ b/pkg/emulator/admission_test.go
@@ -71,7 +71,7 @@
 }
 
 // seeds is the number of runs that are compared; one run decides by chance.
-const seeds = 3
+const seeds = 8
 
 // compare plays a scenario with the bound on waits alone and with admission.
 func compare(t *testing.T, s Scenario) (c comparison) {
--- a/pkg/steering/admission/use.go
+++ b/pkg/steering/admission/use.go
@@ -45,8 +45,11 @@
 	// requests of the service, below which it does not give way.
 	minServedRatio = 0.5
 	// maxOrderGap is how much smaller the served share of a more urgent priority may
-	// be before the less urgent one gives way wholly.
-	maxOrderGap = 0.03
+	// be before the less urgent one gives way for that reason. It gives way wholly when
+	// the share is smaller by orderGapRange more: the urgent ones may be turned away for
+	// lack of targets in one region, where the others hardly take their room.
+	maxOrderGap   = 0.03
+	orderGapRange = 0.2
 
 	// These parts of the accepted wait are what requests give up at level 1.
 	givesWayLate      = 0.3 // the caller loses the least
@@ -191,15 +194,16 @@
 func (u *serviceUse) givesWay(r *Request) (behind, rest float64) {
 	own := priorityIndex(r)
 	for urgent := range own {
-		if u.byPriority[urgent].servedShare() < u.byPriority[own].servedShare()-maxOrderGap {
-			return 1, 1
-		}
+		gap := u.byPriority[own].servedShare() - u.byPriority[urgent].servedShare() - maxOrderGap
+		behind = max(behind, min(1, gap/orderGapRange))
 	}
+	rest = behind
 	if isLate(r) {
 		rest += givesWayLate
 	}
 	if u.accounts.overShare(r) {
 		rest += givesWayOverShare
 	}
-	return min(1, givesWayPerStep*float64(u.moreUrgent(own))), min(1, rest)
+	behind = min(1, max(behind, givesWayPerStep*float64(u.moreUrgent(own))))
+	return behind, min(1, rest)
 }
