--- a/cmd/hickoryfront/main.go
+++ b/cmd/hickoryfront/main.go
@@ -127,9 +127,11 @@
 	if err != nil {
 		return err
 	}
-	callerListener := netconn.NewGracefulListener(listener, 0)
+	callerListener := netconn.NewGracefulListener(listener, 0, nil)
+	callerListener.RegisterMetrics(g.Metrics())
 	callerServer := newServer(&platform.CallerHandler{Gateway: g})
 	callerServer.ConnState = callerListener.TrackState
+	callerServer.ConnContext = netconn.WithConn
 	systemHandler := platform.NewSystemHandler(g, s.MaxLookupTTL)
 	serveErrors := make(chan error, 1)
 	for _, endpoint := range []struct {
--- a/pkg/coordination/feed/follower.go
+++ b/pkg/coordination/feed/follower.go
@@ -31,11 +31,22 @@
 	// readsForOthers reports whether other VMs use the copy of this one; nil
 	// means that none does.
 	readsForOthers func() bool
+	// onNewEra is called under the lock when the entries come from a new era of the
+	// store for the first time, before onChange. The time of the last confirmation is
+	// still the previous one. It may be nil.
+	onNewEra func()
+	// onCarried is called under the lock with what another VM carries over from an
+	// earlier era, before its entries are merged; it may be nil.
+	onCarried func(*Carried)
 	// onChange is called under the lock after entries changed.
 	onChange func()
 	// onUnchanged is called under the lock when the store has confirmed that
 	// nothing changed; it may be nil.
 	onUnchanged func()
+	// isAhead reports, under the lock, whether what is in force may be newer than the
+	// copy, because the store has come back from an older copy; nil means that it
+	// never is.
+	isAhead func() bool
 	// onRegained is called when the store answers again after a failure; it may
 	// be nil.
 	onRegained func()
@@ -57,13 +68,15 @@
 	// cancelWatch cancels the running watch; nil if none runs.
 	cancelWatch context.CancelFunc
 	hintPending bool // another VM has a newer entry, which the watch may still deliver
-	// missing is the revision of an entry that the watch has not delivered in time;
-	// 0 if there is none.
-	missing int64
+	// missing is the position of an entry that the watch has not delivered in time; it is
+	// zero if there is none.
+	missing platform.Position
 	// missedByReader is true if the last copy of a reader lacked it as well.
 	missedByReader bool
 	reread         bool // all entries must be read
-	recheck        bool // this process did not run for a time
+	// hintedEra is the latest era that this follower was told of.
+	hintedEra uint64
+	recheck   bool // this process did not run for a time
 
 	// verifiedAt is cache.verifiedAt once onChange has returned, so that what is in
 	// force is at least as new.
@@ -95,36 +108,37 @@
 	return now
 }
 
-// DeltaSince returns the changes after a revision.
-func (f *follower) DeltaSince(after int64) Delta {
+// DeltaSince returns the changes after a state of the store.
+func (f *follower) DeltaSince(after platform.Position) Delta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.cache.deltaSince(after, f.cfg.now())
 }
 
-// Revision returns the store revision of the copy.
-func (f *follower) Revision() int64 {
+// Position returns the state of the store that the copy shows.
+func (f *follower) Position() platform.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cache.revision
+	return f.cache.position()
 }
 
 // Age returns the time since the store last confirmed the copy, to this VM or to
 // the VM that the copy came from. It returns false before the first confirmation.
-func (f *follower) Age() (time.Duration, bool) {
+func (f *follower) Age() (time.Duration, bool) { return f.CopyAge() }
+
+// CopyAge is Age. A follower whose Age means something else keeps it.
+func (f *follower) CopyAge() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cache.confirmedAt.IsZero() {
-		return 0, false
-	}
-	return f.cfg.now().Sub(f.cache.confirmedAt), true
+	return f.ageOf(f.cache.confirmedAt)
 }
 
-// NewestRevision returns the revision of the newest entry.
-func (f *follower) NewestRevision() int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cache.newestRevision()
+// ageOf returns the time since t, and false if t is zero.
+func (f *follower) ageOf(t time.Time) (time.Duration, bool) {
+	if t.IsZero() {
+		return 0, false
+	}
+	return f.cfg.now().Sub(t), true
 }
 
 // Recheck lets the follower ask for changes now, because this process did not run
@@ -157,8 +171,8 @@
 func (f *follower) resetInterrupts() (reread, recheck bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reread, recheck = f.reread || f.missing > f.cache.newestRevision(), f.recheck
-	f.missing, f.reread, f.recheck = 0, false, false
+	reread, recheck = f.reread || f.lacks(f.missing), f.recheck
+	f.missing, f.reread, f.recheck = platform.Position{}, false, false
 	return reread, recheck
 }
 
@@ -173,7 +187,7 @@
 func (f *follower) Run(ctx context.Context) {
 	next := callReadAll
 	for ctx.Err() == nil {
-		if d, ok := fetchFromReader(ctx, f.cfg.fetchFromReader, f.Revision(), f.cfg.timing.MaxCopyAge); ok {
+		if d, ok := fetchFromReader(ctx, f.cfg.fetchFromReader, f.Position(), f.cfg.timing.MaxCopyAge); ok && !f.isOutdated(d) {
 			f.recordResult(nil)
 			f.merge(d, SourceReader)
 			next = callPoll
@@ -198,8 +212,13 @@
 	case callWatch:
 		err = f.readChanges(ctx, f.watchWait())
 	}
+	if f.storeIsInNewEra(err) {
+		sleepJittered(ctx, newEraPause)
+	}
 	reread, recheck := f.resetInterrupts()
 	switch {
+	case errors.Is(err, errOtherEra):
+		return callReadAll
 	case ctx.Err() != nil || reread || errors.Is(err, platform.ErrCompacted):
 		return callReadAll
 	case recheck && call != callReadAll, errors.Is(err, context.Canceled):
@@ -249,9 +268,13 @@
 func (f *follower) applySnapshot(snapshot platform.Snapshot, begun time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cache.advanceConfirmedAt(begun)
+	if f.isFromEarlierEra(snapshot.Position()) {
+		return // a reply that was under way when the store went back
+	}
 	f.source = SourceStore
-	if f.cache.replace(snapshot.Entries, snapshot.Revision) {
+	changed := f.update(func() bool { return f.cache.replace(snapshot.Entries, snapshot.Position()) })
+	f.cache.advanceConfirmedAt(begun)
+	if changed {
 		f.cfg.onChange()
 	}
 	f.advanceVerifiedAt(begun)
@@ -261,7 +284,7 @@
 // did not, Confirm reads the entries and waits for the result at most for the
 // duration wait.
 func (f *follower) Confirm(ctx context.Context, maxAge, wait time.Duration) bool {
-	if age, known := f.Age(); known && age <= maxAge {
+	if age, known := f.CopyAge(); known && age <= maxAge {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -297,10 +320,14 @@
 	f.setCancelWatch(cancel)
 	defer f.setCancelWatch(nil)
 	begun := f.cfg.now()
-	changes, err := f.cfg.feed.Changes(ctx, f.cfg.prefix, f.Revision(), wait)
+	after := f.Position()
+	changes, err := f.cfg.feed.Changes(ctx, f.cfg.prefix, after.Revision, wait)
 	if err != nil {
 		return err
 	}
+	if !changes.Position().SameEra(after) {
+		return errOtherEra
+	}
 	if changes.CalledAt.IsZero() {
 		changes.CalledAt = begun
 	}
@@ -316,6 +343,9 @@
 func (f *follower) applyChanges(changes platform.Changes, confirmedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !changes.Position().SameEra(f.cache.position()) {
+		return // the copy has come to another era meanwhile
+	}
 	f.cache.advanceConfirmedAt(confirmedAt)
 	f.source = SourceStore
 	f.cache.apply(changes)
@@ -334,13 +364,23 @@
 	}
 }
 
+// Merge adds the delta of another VM to the copy. The delta was requested with the
+// position of the copy.
+func (f *follower) Merge(d Delta, source Source) { f.merge(d, source) }
+
 // merge adds the delta of another VM to the copy.
 func (f *follower) merge(d Delta, source Source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.cfg.onCarried != nil && d.Carried != nil {
+		f.cfg.onCarried(d.Carried)
+	}
+	if f.isFromEarlierEra(d.position()) || !d.Full && !d.position().SameEra(f.cache.position()) {
+		return
+	}
 	f.source = source
+	newer := f.update(func() bool { return f.cache.merge(d) })
 	f.cache.advanceConfirmedAt(f.cfg.now().Add(-d.Age))
-	newer := f.cache.merge(d)
 	f.notify(newer && (d.Full || len(d.Entries)+len(d.Deleted) > 0))
 	if d.Verified {
 		f.advanceVerifiedAt(f.cfg.now().Add(-d.VerifiedAge))
@@ -352,7 +392,7 @@
 	if f.cfg.fetchFromPeers == nil {
 		return
 	}
-	for _, d := range f.cfg.fetchFromPeers(ctx, f.Revision()) {
+	for _, d := range f.cfg.fetchFromPeers(ctx, f.Position()) {
 		f.merge(d, SourcePeer)
 	}
 }
--- a/pkg/coordination/feed/verified_age_test.go
+++ b/pkg/coordination/feed/verified_age_test.go
@@ -99,7 +99,7 @@
 		f.merge(Delta{Revision: 2, Verified: true, VerifiedAge: 2 * time.Second}, SourceReader)
 		age, _ := f.VerifiedAge()
 		assert.Equal(t, age, 2*time.Second)
-		assert.Equal(t, f.DeltaSince(0).VerifiedAge, 2*time.Second)
+		assert.Equal(t, f.DeltaSince(platform.Position{}).VerifiedAge, 2*time.Second)
 		f.merge(Delta{Revision: 1, Verified: true, VerifiedAge: 3 * time.Second}, SourcePeer)
 		age, _ = f.VerifiedAge()
 		assert.Equal(t, age, 2*time.Second)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"hickoryroute/internal/suspend"
@@ -131,9 +132,16 @@
 	peers        *peers
 	crashes      *crash.Table
 	stopping     stopState
-	exhausted    exhaustion
-	keys         keyService
 	quotas       *quotas
+	// checkingVersion is true after the start until other VMs have been asked for a
+	// newer version of the routes.
+	checkingVersion atomic.Bool
+	// latestEra is the latest era of the store that this VM knows of, or 0.
+	latestEra atomic.Uint64
+	// responseMemory is what responses take until their callers have read them.
+	responseMemory responseMemory
+	exhausted      exhaustion
+	keys           keyService
 }
 
 // New returns a Gateway without routes and targets. Run reads them from the
@@ -145,6 +153,9 @@
 	if cfg.Suspended == nil {
 		cfg.Suspended = suspend.Total
 	}
+	if cfg.RevokeWithin > 0 {
+		cfg.Timing.WatchWait = min(cfg.Timing.WatchWait, cfg.RevokeWithin/watchesPerRevocation)
+	}
 	g := &Gateway{cfg: cfg, coldLimits: limit.NewColdLimiter(), targetLimits: limit.NewTargetLimiter(), metrics: newRequestMetrics(), crashes: crash.NewTable()}
 	g.admission, g.returns = admission.New(), admission.NewReturns()
 	g.peers = newPeers(g)
@@ -157,7 +168,7 @@
 	cfg.Resends.VMs = func() int { return len(g.vmFeed.List()) }
 	g.resendBudget = limit.NewResendLimiter(cfg.Resends)
 	g.picker = placement.New(placement.Config{
-		Region: cfg.Self.Region, DemandShare: g.demandShare, AllowCold: g.allowColdTarget, AllowLimited: g.allowLimitedTarget, MaxSpillChange: cfg.MaxSpillChange,
+		Region: cfg.Self.Region, Zone: cfg.Self.Zone, DemandShare: g.demandShare, AllowCold: g.allowColdTarget, AllowLimited: g.allowLimitedTarget, MaxSpillChange: cfg.MaxSpillChange,
 	})
 	dialer := netconn.Dialer{Timeout: dialTimeout}
 	g.targetClient = target.New(target.Config{
@@ -182,6 +193,14 @@
 		return float64(g.cfg.DroppedLogLines())
 	})
 	set.NewGauge("hickory_gateway_overload_level", g.admission.HighestLevel)
+	set.NewGauge("hickory_gateway_store_era", func() float64 { return float64(g.latestEra.Load()) })
+	set.NewGauge("hickory_gateway_routes_unconfirmed", func() float64 {
+		if g.operatorFeed.Unconfirmed() {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("hickory_gateway_response_memory_bytes", func() float64 { return float64(g.responseMemory.reserved.Load()) })
 	set.NewGauge("hickory_gateway_requests_in_flight", func() float64 { return float64(g.stopping.inFlight.Load()) })
 	set.NewGauge("hickory_gateway_keys_verified_age_seconds", func() float64 { return ageSeconds(g.operatorFeed.VerifiedAge()) })
 	set.NewGauge(`hickory_gateway_target_connections{state="in_use"}`, func() float64 { return float64(g.targetClient.Usage().InUse) })
@@ -215,6 +234,10 @@
 
 // Run follows the store and exchanges state with the other VMs until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
+	if !g.cfg.FirstStart { // nothing was written before
+		g.checkingVersion.Store(true)
+		go g.peers.checkVersion(ctx)
+	}
 	go g.operatorFeed.Run(ctx)
 	go g.targetFeed.Run(ctx)
 	go g.vmFeed.Run(ctx)
@@ -330,8 +353,11 @@
 	return 0
 }
 
-// HasSynced reports whether this VM has read the routes and the targets.
-func (g *Gateway) HasSynced() bool { return g.routes.Load() != nil && g.targetSet.View() != nil }
+// HasSynced reports whether this VM has read the routes and the targets, and has asked
+// other VMs whether newer routes are in force.
+func (g *Gateway) HasSynced() bool {
+	return g.routes.Load() != nil && g.targetSet.View() != nil && !g.checkingVersion.Load()
+}
 
 // TargetCount returns the number of listed targets.
 func (g *Gateway) TargetCount() int { return g.targetSet.View().Len() }
--- a/pkg/gateway/quota.go
+++ b/pkg/gateway/quota.go
@@ -241,7 +241,8 @@
 // ask makes one call to a granter.
 func (q *quotas) ask(ctx context.Context, call quota.Call) {
 	g := q.gateway
-	req := &protocol.QuotaRequest{From: g.cfg.Self.ID, Shard: call.Shard, Newest: g.operatorFeed.NewestRevision()}
+	req := &protocol.QuotaRequest{From: g.cfg.Self.ID, Shard: call.Shard, Era: g.latestEra.Load()}
+	req.Newest, req.NewestEra = g.peers.newestEntry()
 	for _, w := range call.Wants {
 		req.Wants = append(req.Wants, protocol.QuotaWant(w))
 	}
@@ -259,7 +260,7 @@
 	for _, granted := range reply.Grants {
 		grants = append(grants, quota.Grant{Count: granted.Count, Next: time.Duration(granted.NextMs) * time.Millisecond})
 	}
-	g.operatorFeed.HintRevision(reply.Newest)
+	g.peers.takeHints(reply.Newest, reply.NewestEra, reply.Era)
 	q.holder.Apply(call, state, grants, g.suspendAwareNow())
 	q.kick()
 }
@@ -290,8 +291,9 @@
 // Quota implements peer.GatewayHandler.
 func (p *peers) Quota(_ context.Context, req *protocol.QuotaRequest, reply *protocol.QuotaReply) error {
 	g := p.gateway
-	g.operatorFeed.HintRevision(req.Newest)
-	reply.Newest = g.operatorFeed.NewestRevision()
+	p.takeHints(req.Newest, req.NewestEra, req.Era)
+	reply.Newest, reply.NewestEra = p.newestEntry()
+	reply.Era = g.latestEra.Load()
 	now := g.suspendAwareNow()
 	if req.Shard < 0 || req.Shard >= quota.Shards {
 		return nil // a sender of another version divides limits differently
--- a/pkg/gateway/quota_shards.go
+++ b/pkg/gateway/quota_shards.go
@@ -64,7 +64,8 @@
 // VM waits until that claim is old.
 func (q *quotas) askToYield(ctx context.Context, m quota.Move, revision int64) {
 	g := q.gateway
-	req := &protocol.QuotaRequest{From: g.cfg.Self.ID, Shard: m.Shard, Newest: g.operatorFeed.NewestRevision(), Replaced: m.Expect, ReplacedVM: m.Replaced.VM}
+	req := &protocol.QuotaRequest{From: g.cfg.Self.ID, Shard: m.Shard, Era: g.latestEra.Load(), Replaced: m.Expect, ReplacedVM: m.Replaced.VM}
+	req.Newest, req.NewestEra = g.peers.newestEntry()
 	for range yieldCalls {
 		var reply protocol.QuotaReply
 		if err := q.send(ctx, m.Replaced.Address, req, &reply); err == nil && reply.Yielded {
--- a/pkg/protocol/quota.go
+++ b/pkg/protocol/quota.go
@@ -4,9 +4,10 @@
 type QuotaRequest struct {
 	From  string // id of the sending VM
 	Shard int
-	// Newest is the revision of the newest operator entry that the sender has.
-	Newest int64
-	Wants  []QuotaWant
+	// Newest, NewestEra and Era are as in LoadsRequest.
+	Newest         int64
+	NewestEra, Era uint64
+	Wants          []QuotaWant
 	// Replaced is the revision of the claim of the shard, by the VM ReplacedVM, that the
 	// sender has replaced; 0 if the call asks for grants. The receiver grants no more
 	// under it.
@@ -27,8 +28,10 @@
 	Granting bool
 	// Yielded is true if nobody at this address grants any more under the replaced claim.
 	Yielded bool
-	Newest  int64
-	Grants  []QuotaGrant // in the order of QuotaRequest.Wants
+	// Newest, NewestEra and Era are as in LoadsRequest.
+	Newest         int64
+	NewestEra, Era uint64
+	Grants         []QuotaGrant // in the order of QuotaRequest.Wants
 }
 
 // QuotaGrant is the answer to a QuotaWant. NextMs is the time until the shard has
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -84,12 +85,14 @@
 func runSeed(t *testing.T, binary string, seed uint64) {
 	b := newTestbed(t, binary)
 	faults := newPlan(seed, *faultPeriod)
+	b.uploads = slices.ContainsFunc(faults, func(f fault) bool { return f.kind == targetTrouble })
 	stop := make(chan struct{})
 	var load sync.WaitGroup
 	for n := range workerCount {
 		load.Go(func() { b.runWorker(n, seed, stop) })
 	}
 	load.Go(func() { b.runVersionProber(seed, stop) })
+	load.Go(func() { b.runLeavers(seed, stop) })
 	load.Go(func() { b.recordStalls(stop) })
 	load.Go(func() { b.checkRefusalsPeriodically(stop) })
 	b.injectAll(faults)
