--- a/pkg/gateway/quota_shards.go
+++ b/pkg/gateway/quota_shards.go
@@ -66,7 +66,7 @@
 // VM waits until that claim is old.
 func (q *quotas) askToYield(ctx context.Context, m quota.Move, revision int64) {
 	g := q.gateway
-	req := &protocol.QuotaRequest{From: g.cfg.Self.ID, Shard: m.Shard, Replaced: m.Expect, ReplacedVM: m.Replaced.VM}
+	req := &protocol.QuotaRequest{From: g.cfg.Self.ID, Shard: m.Shard, Era: g.latestEra.Load(), Replaced: m.Expect, ReplacedVM: m.Replaced.VM}
 	req.Newest, req.NewestEra = g.peers.newestEntry()
 	for range yieldCalls {
 		var reply protocol.QuotaReply
