--- a/cmd/hickoryroute/platform_config_test.go
+++ b/cmd/hickoryroute/platform_config_test.go
@@ -71,7 +71,7 @@
 // would use.
 func TestCheckConfigComparesWithTheVersionInForce(t *testing.T) {
 	store := standin.NewStore()
-	store.Put("op/config", strings.Replace(configText, "secret-1", "secret-2", 1))
+	store.PutConfiguration(strings.Replace(configText, "secret-1", "secret-2", 1))
 	server := httptest.NewServer(store.Handler())
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
--- a/test/soak/leavers_test.go
+++ b/test/soak/leavers_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -52,13 +51,12 @@
 	var sent []*attempt
 	for range count {
 		a := &attempt{
-			Request: standin.Request{Method: http.MethodGet, Host: callerHost, Path: "/" + deskService + "/safe/long", Object: "long"},
+			Request: standin.Request{Method: http.MethodGet, Host: callerHost, Path: "/" + deskService + "/safe/long", Object: "long", Key: lastingKey, Deadline: routeTimeout},
 			vm:      v, service: deskService, idempotent: true,
 		}
 		b.attempts.begin(a)
 		sent = append(sent, a)
-		_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nHickoryroute-Request-Id: %s\r\nHickoryroute-Deadline-Ms: %d\r\n"+
-			"Cookie: Hickoryroute-Affinity-Key=long\r\n\r\n", a.Path, callerHost, a.ID, routeTimeout.Milliseconds()) // fails if the VM has ended
+		_ = a.Request.Write(conn) // fails if the VM has ended
 		time.Sleep(behindPause)
 	}
 	_ = conn.Close()
