--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -151,7 +151,7 @@
 		return
 	}
 	fields["class"], fields["cause"] = string(a.decision.Class), string(a.decision.Cause)
-	fields["level"] = math.Round(a.decision.Level*100) / 100
+	fields["overload"] = math.Round(a.decision.Level*100) / 100
 	fields["accepted_ms"] = a.decision.Accepted.Milliseconds()
 	fields["held_ms"] = a.held.Milliseconds()
 }
--- a/pkg/gateway/admission_test.go
+++ b/pkg/gateway/admission_test.go
@@ -43,6 +43,10 @@
 	fields := map[string]any{}
 	addAdmissionFields(fields, &c.admission)
 	assert.Equal(t, fields["cause"], "wait")
+	for _, reserved := range []string{"level", "msg", "time", "event"} {
+		assert.Assert(t, fields[reserved] == nil, "the log writes %s under another name", reserved)
+	}
+	assert.Equal(t, fields["overload"], 0.0)
 	assert.Equal(t, fields["class"], "in_goal")
 	assert.Equal(t, fields["accepted_ms"], int64(900), "two steps of urgency")
 	var out bytes.Buffer
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -13,9 +13,9 @@
 // Log events of this package.
 var (
 	EventRequestServed = eventlog.Define(2100, "request_served", logrus.InfoLevel,
-		"a target responded; the fields give the target, the estimates behind its choice and the attempts; class, cause, level and held_ms are set if room was short")
+		"a target responded; the fields give the target, the estimates behind its choice and the attempts; class, cause, overload and held_ms are set if room was short")
 	EventRequestRefused = eventlog.Define(2101, "request_refused", logrus.WarnLevel,
-		"the request got no response from a target; not_run says what its status promises, and attempts gives the evidence: the end of each attempt, the status of the response, the bytes that the connection accepted, the number of the connection, whether it had carried an earlier request, and whether the response carried the id of the request; class, cause, level, wait_ms and accepted_ms say what decided if room was short")
+		"the request got no response from a target; not_run says what its status promises, and attempts gives the evidence: the end of each attempt, the status of the response, the bytes that the connection accepted, the number of the connection, whether it had carried an earlier request, and whether the response carried the id of the request; class, cause, overload, wait_ms and accepted_ms say what decided if room was short")
 	EventStarted          = eventlog.Define(2102, "vm_started", logrus.InfoLevel, "the process listens")
 	EventSettingsReloaded = eventlog.Define(2103, "settings_read_again", logrus.InfoLevel,
 		"the settings file was read again after a signal; changed fields take effect at the next start")
