--- a/pkg/coordination/feed/vm_registry.go
+++ b/pkg/coordination/feed/vm_registry.go
@@ -105,6 +105,8 @@
 //     VMs that have ended and may lack VMs that have registered since. The continuous
 //     presence of a VM counts from the change on.
 type VMView struct {
+	// Roles holds the claims by the names of the roles.
+	Roles map[string]RoleClaim
 	// List is ordered as by VMRegistry.List. Callers must not modify it.
 	List []VM
 	// Era counts how often the store has come back from an older copy of itself; 0 if
@@ -121,7 +123,7 @@
 func (v *VMRegistry) View() VMView {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return VMView{List: v.List(), Era: v.cache.era, ConfirmedAt: v.cache.confirmedAt}
+	return VMView{List: v.List(), Roles: v.RoleClaims(), Era: v.cache.era, ConfirmedAt: v.cache.confirmedAt}
 }
 
 func (v *VMRegistry) recordKey() string { return v.cfg.Layout.WritablePrefix + "vm/" + v.cfg.Self.ID }
--- a/pkg/gateway/era.go
+++ b/pkg/gateway/era.go
@@ -74,7 +74,8 @@
 
 // fetchNewerVersion gets a newer version of the routes from another VM if the store does
 // not deliver it: it may have come back from an older copy, which lacks it. A VM
-// that knows that it has, or that has just started, asks at once. The exchange does not wait for it.
+// that knows that it has, or that has just started, asks at once. The exchange does not
+// wait for it.
 func (p *peers) fetchNewerVersion(ctx context.Context, vm feed.VM, version uint64) {
 	if version <= p.gateway.versionInForce() || !p.fetchingVersion.CompareAndSwap(false, true) {
 		return
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"hickoryroute/internal/suspend"
-	"hickoryroute/internal/wait"
 	"hickoryroute/pkg/coordination/feed"
 	"hickoryroute/pkg/coordination/quota"
 	"hickoryroute/pkg/eventlog"
@@ -273,10 +272,8 @@
 // logReady logs when this VM has read the routes and the targets.
 func (g *Gateway) logReady(ctx context.Context) {
 	began := g.cfg.Now()
-	for !g.HasSynced() {
-		if !wait.For(ctx, readyCheckInterval) {
-			return
-		}
+	if !waitUntil(ctx, g.HasSynced) {
+		return
 	}
 	g.cfg.Logger.Log(EventReady, eventlog.Fields{
 		"after_ms": g.cfg.Now().Sub(began).Milliseconds(), "targets": g.TargetCount(),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -32,7 +32,7 @@
 	// other zones of the region are called at a tick, in turn: bytes to these zones are
 	// dear, and the VMs of each zone mostly use the targets of their own. Their loads
 	// stay in use for five ticks. With two named VMs in each zone, all are called at
-	// each tick: calls at each third tick cost 0.003 of the worth of a day.
+	// each tick.
 	farZoneRoundTrip = 4 * time.Millisecond
 	maxFarPeers      = 2
 	// peerTimeout limits one call to a peer. It exceeds a round trip between
--- a/pkg/gateway/quota_shards.go
+++ b/pkg/gateway/quota_shards.go
@@ -17,17 +17,15 @@
 // updateShards claims and gives up shards, and takes over who holds them.
 func (q *quotas) updateShards(ctx context.Context) {
 	g := q.gateway
-	// The era is read ahead of the claims, which are then of this era or a later one.
-	era := g.vmFeed.Era()
-	age, known := g.vmFeed.Age()
-	if !known {
+	listed := g.vmFeed.View()
+	if listed.ConfirmedAt.IsZero() {
 		return
 	}
-	view := quota.View{VMs: g.peers.listVMs(), Claims: g.vmFeed.RoleClaims(), Era: era, Age: age}
+	now := g.suspendAwareNow()
+	view := quota.View{VMs: listed.List, Claims: listed.Roles, Era: listed.Era, Age: now.Sub(listed.ConfirmedAt)}
 	if since := q.listeningSince.Load(); since != nil {
 		view.ListeningSince = *since
 	}
-	now := g.suspendAwareNow()
 	for _, move := range q.ownership.Update(view, now) {
 		go q.makeMove(ctx, move)
 	}
--- a/pkg/state/account/directory.go
+++ b/pkg/state/account/directory.go
@@ -78,9 +78,6 @@
 // ByName returns the account of a name, or nil.
 func (d *Directory) ByName(name string) *Account { return d.byName[name] }
 
-// Len returns the number of accounts.
-func (d *Directory) Len() int { return len(d.byName) }
-
 // All returns the accounts, ordered by name. A nil directory has none.
 func (d *Directory) All() []*Account {
 	if d == nil {
--- a/pkg/steering/placement/zones.go
+++ b/pkg/steering/placement/zones.go
@@ -113,8 +113,7 @@
 // bestByZone returns the best target of the own region for an object of which each zone
 // caches one replica: the one in the own zone, or the first one of the other zones if
 // the time that this saves outweighs the crossing cost. A second replica in the own
-// zone took more than the targets could keep cached: with 62 targets in a zone and a
-// day of trouble the share of worth served fell from .67 to .62, against .66 now.
+// zone took more than the targets of a zone could keep cached.
 func (p *Picker) bestByZone(s *serviceState, object string, q Query, crossing float64) *Choice {
 	near := p.bestInGroup(s, s.split.ownZone, object, q, 1, bySlots)
 	if near != nil && near.ExpectedWait.Seconds() > maxZoneWait*q.Route.LatencyGoal.Seconds() {
