--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the build line of deploy/system.toml and review/build-2.sh" >&2
   exit 2
 fi
-exec target/review-bed-2 -case crash-same-id -out review/7
+exec target/review-bed-2 -case crash-in-answer -out review/7
--- a/review/bed-2/crash.go
+++ b/review/bed-2/crash.go
@@ -17,6 +17,7 @@
 	scripts["crash-restart"] = playCrashRestart
 	scripts["crash-same-id"] = playCrashSameID
 	scripts["crash-at-once"] = playCrashAtOnce
+	scripts["crash-in-answer"] = playCrashInAnswer
 }
 
 const (
@@ -44,6 +45,8 @@
 	keepsID bool
 	// harmless is true if the request crashes nothing.
 	harmless bool
+	// answersFirst is true if an instance crashes while it sends its answer.
+	answersFirst bool
 
 	mu       sync.Mutex
 	starts   int
@@ -120,6 +123,12 @@
 		return
 	}
 	if r.URL.Path == crashPath && !i.desk.harmless {
+		if i.desk.answersFirst {
+			w.Header().Set("Hickoryroute-Server-Stamp", "stamp."+i.id+"."+id)
+			w.Header().Set("Content-Length", "600")
+			_, _ = io.WriteString(w, "done "+id)
+			_ = http.NewResponseController(w).Flush() // fails only if the connection is closed
+		}
 		i.crash(id, running-1)
 		panic(http.ErrAbortHandler)
 	}
@@ -391,3 +400,26 @@
 		{crashHost, otherPrefix, "unsafe", crashService, 4000, 600, 1},
 	}, []string{crashService}))
 }
+
+// playCrashInAnswer repeats a request whose instances crash while they send the answer.
+func playCrashInAnswer(b *bed) (bool, error) {
+	d := &desk{bed: b, answersFirst: b.trouble}
+	b.publishCrashRoutes("unsafe")
+	for n := range instanceCount {
+		if err := d.start(zoneRegions[n%len(zoneRegions)].zone, "", false); err != nil {
+			return false, err
+		}
+	}
+	if err := b.addVMs(3, ""); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second)
+	attempts := map[string]attempt{}
+	others := b.startOthers(crashHost, otherPrefix)
+	b.record("the client sends the request that crashes its instances each 3 s")
+	for n := range 15 {
+		b.attemptCrash(attempts, b.vms[n%len(b.vms)], http.MethodPost)
+		time.Sleep(3 * time.Second)
+	}
+	return d.judge(attempts, others.stop()), nil
+}
