--- a/review/bed-2/crash.go
+++ b/review/bed-2/crash.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -222,9 +223,14 @@
 	}
 }
 
-// send sends one client attempt on a new connection and returns its outcome.
+// send sends one client attempt with a time budget of 4 s.
 func (b *bed) send(v *vm, method, host, path, body, id string) string {
-	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	return b.sendWithin(v, method, host, path, body, id, 4000)
+}
+
+// sendWithin sends one client attempt on a new connection and returns its outcome.
+func (b *bed) sendWithin(v *vm, method, host, path, body, id string, budgetMs int) string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(budgetMs)*time.Millisecond)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.callerAddress+path, strings.NewReader(body))
 	if err != nil {
@@ -232,7 +238,7 @@
 	}
 	req.Host = host
 	req.Header.Set("Hickoryroute-Request-Id", id)
-	req.Header.Set("Hickoryroute-Deadline-Ms", "4000")
+	req.Header.Set("Hickoryroute-Deadline-Ms", strconv.Itoa(budgetMs))
 	if path == crashPath {
 		req.Header.Set("Cookie", "Hickoryroute-Affinity-Key=17")
 	}
