Count crashes of attempts that follow each other as events

Cause: crashes within 50 ms were one event, also if each attempt was sent after the one before it had broken its connection, and a record kept its first eight crashes and took no more. Two bursts of four filled it with two events, and three are needed.

Change: a crash has the time at which its attempt was sent. Attempts in a row are events; attempts that were under way together are one. Within 50 ms they stay one event only if a target ended that the request did not run on, which is the end of a zone. A full record keeps one crash of each event. VMs of earlier versions still get and send notices without the times.

The test of targets that end together states when its attempts were sent; its bound is the same.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -10,9 +10,15 @@
 	"hickoryroute/pkg/steering/placement"
 )
 
-// unknownCrashSpacing is the time assumed between the crashes in a notice that
-// does not tell their ages, so that each counts.
-const unknownCrashSpacing = time.Second
+const (
+	// unknownCrashSpacing is the time assumed between the crashes in a notice that
+	// does not tell their ages, so that each counts.
+	unknownCrashSpacing = time.Second
+	// unknownAttemptTime is the time assumed for the attempts of a notice that does not
+	// tell when they were sent. VMs that send such notices take crashes within it for
+	// one event.
+	unknownAttemptTime = 50 * time.Millisecond
+)
 
 // crashBlocked reports whether a request has crashed too many targets to be
 // sent. One VM of all may send it as a trial from time to time.
@@ -44,6 +50,9 @@
 	age := func(at time.Time) int64 { return now.Sub(at).Milliseconds() }
 	n := protocol.CrashNotice{Fingerprint: uint64(r.Fingerprint), AgeMs: age(r.LastCrash), Trials: r.Trials}
 	for _, c := range r.Crashes {
+		n.Crashes = append(n.Crashes, protocol.TargetCrash{
+			Target: c.Target, SentAgeUs: now.Sub(c.Sent).Microseconds(), AgeUs: now.Sub(c.At).Microseconds(),
+		})
 		n.Targets = append(n.Targets, c.Target)
 		n.TargetAgesMs = append(n.TargetAgesMs, age(c.At))
 	}
@@ -66,13 +75,7 @@
 func crashRecord(n protocol.CrashNotice, now time.Time) crash.Record {
 	at := func(ageMs int64) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
 	r := crash.Record{Fingerprint: crash.Fingerprint(n.Fingerprint), LastCrash: at(n.AgeMs), Trials: n.Trials}
-	for i, target := range n.Targets {
-		c := crash.Crash{Target: target, At: r.LastCrash.Add(-time.Duration(i) * unknownCrashSpacing)}
-		if len(n.TargetAgesMs) == len(n.Targets) {
-			c.At = at(n.TargetAgesMs[i])
-		}
-		r.Crashes = append(r.Crashes, c)
-	}
+	r.Crashes = crashesOfNotice(n, now)
 	if n.Answered {
 		r.Answered = at(n.AnsweredAgeMs)
 	}
@@ -81,3 +84,25 @@
 	}
 	return r
 }
+
+// crashesOfNotice returns the crashes of a notice, also of one from an earlier version.
+func crashesOfNotice(n protocol.CrashNotice, now time.Time) []crash.Crash {
+	var crashes []crash.Crash
+	for _, c := range n.Crashes {
+		crashes = append(crashes, crash.Crash{
+			Target: c.Target, Sent: now.Add(-time.Duration(c.SentAgeUs) * time.Microsecond), At: now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
+		})
+	}
+	if len(crashes) > 0 {
+		return crashes
+	}
+	for i, target := range n.Targets {
+		age := time.Duration(n.AgeMs)*time.Millisecond + time.Duration(i)*unknownCrashSpacing
+		if len(n.TargetAgesMs) == len(n.Targets) {
+			age = time.Duration(n.TargetAgesMs[i]) * time.Millisecond
+		}
+		at := now.Add(-age)
+		crashes = append(crashes, crash.Crash{Target: target, Sent: at.Add(-unknownAttemptTime), At: at})
+	}
+	return crashes
+}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -51,6 +51,7 @@
 	attempts    attempts
 	lastErr     error
 	choice      *placement.Choice // of the last attempt
+	sentAt      time.Time         // of the last attempt
 	fingerprint crash.Fingerprint
 	admission   admissionState
 }
@@ -139,6 +140,7 @@
 			g.coldLimits.Take(choice.Target.ID, now)
 		}
 		g.targetLimits.Take(choice.Target.ID, now)
+		c.sentAt = now
 		response, err := g.attempt(ctx, c, choice)
 		if err == nil {
 			return response, nil
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -94,9 +94,10 @@
 // responded to it. Ages are times before the message was sent.
 type CrashNotice struct {
 	Fingerprint uint64
-	Targets     []string
-	// TargetAgesMs holds the age of the crash of each target; VMs of older
-	// versions send none.
+	Crashes     []TargetCrash
+	// Targets and TargetAgesMs hold the same for VMs of earlier versions, which do not
+	// send Crashes. The oldest of them send no ages.
+	Targets       []string
 	TargetAgesMs  []int64
 	AgeMs         int64 // age of the last crash
 	Answered      bool  // a target has responded to the request
@@ -105,6 +106,13 @@
 	TrialAgeMs    int64
 }
 
+// TargetCrash is the end of a target's connection while it ran a request. The ages are
+// those of the attempt and of its end, in microseconds.
+type TargetCrash struct {
+	Target           string
+	SentAgeUs, AgeUs int64
+}
+
 // CopyKind is a kind of entries that a VM has copied from the store.
 type CopyKind int
 
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -11,14 +11,6 @@
 )
 
 const (
-	// maxCrashEvents is the number of crash events from which a request is
-	// quarantined. Two targets may fail one after the other for another reason.
-	maxCrashEvents = 3
-	// togetherTime is the time within which crashes are one event. The targets of
-	// a zone that ends break their connections at once, whatever they run.
-	togetherTime = 50 * time.Millisecond
-	// maxCrashes bounds the crashes of one record.
-	maxCrashes = 8
 	// recordTTL is the time for which the record of a request that is not
 	// quarantined is kept.
 	recordTTL = time.Minute
@@ -68,10 +60,10 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{records: map[Fingerprint]Record{}} }
 
-// RecordCrash records that a target broke its connection while it ran a
+// RecordCrash records that a target has just broken its connection while it ran a
 // request.
-func (t *Table) RecordCrash(f Fingerprint, target string, now time.Time) {
-	t.Merge(Record{Fingerprint: f, Crashes: []Crash{{Target: target, At: now}}, LastCrash: now}, now)
+func (t *Table) RecordCrash(f Fingerprint, c Crash) {
+	t.Merge(Record{Fingerprint: f, Crashes: []Crash{c}, LastCrash: c.At}, c.At)
 }
 
 // RecordResponse records that a target has responded to a request. A record of
@@ -104,7 +96,30 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[f]
-	return ok && r.quarantined()
+	return ok && t.quarantined(r)
+}
+
+// quarantined reports whether the crashes of a record are enough events. The caller holds
+// the lock.
+func (t *Table) quarantined(r Record) bool {
+	if r.events(noOtherEnded) < maxCrashEvents {
+		return false
+	}
+	return r.events(func(from, to time.Time) bool { return t.otherEnded(r, from, to) }) >= maxCrashEvents
+}
+
+// otherEnded reports whether a target on which the request did not run ended within
+// togetherTime of a time. The caller holds the lock.
+func (t *Table) otherEnded(r Record, from, to time.Time) bool {
+	for _, other := range t.records {
+		for _, c := range other.Crashes {
+			near := !c.At.Before(from.Add(-togetherTime)) && !c.At.After(to.Add(togetherTime))
+			if near && !r.ran(c.Target) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Blocked reports whether a request must not be sent to a target. A quarantined
@@ -115,7 +130,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[f]
-	if !ok || !r.quarantined() {
+	if !ok || !t.quarantined(r) {
 		return false
 	}
 	r.lastSeen = now
@@ -147,7 +162,7 @@
 func (t *Table) removeExpired(now time.Time) {
 	for f, r := range t.records {
 		ttl := recordTTL
-		if r.quarantined() {
+		if t.quarantined(r) {
 			ttl = quarantineTTL
 		}
 		if now.Sub(latest(r.changed(), r.lastSeen)) > ttl {
--- a/pkg/steering/crash/crash_test.go
+++ b/pkg/steering/crash/crash_test.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,6 +13,14 @@
 // apart is a time between crashes that are not one event.
 const apart = 2 * togetherTime
 
+// shortly is the time for which the attempts of the tests are under way.
+const shortly = time.Millisecond
+
+// crashAt is a crash by an attempt that was sent shortly before.
+func crashAt(target string, at time.Time) Crash {
+	return Crash{Target: target, Sent: at.Add(-shortly), At: at}
+}
+
 func firstVM() int { return 0 }
 
 // newQuarantine returns a table with a request that has crashed three targets,
@@ -19,7 +28,7 @@
 func newQuarantine(f Fingerprint) *Table {
 	table := NewTable()
 	for n, target := range []string{"a", "b", "c"} {
-		table.RecordCrash(f, target, start.Add(time.Duration(n-2)*apart))
+		table.RecordCrash(f, crashAt(target, start.Add(time.Duration(n-2)*apart)))
 	}
 	return table
 }
@@ -35,10 +44,10 @@
 func TestRequestIsQuarantinedAfterThreeTargetsOfSeveralVMs(t *testing.T) {
 	f := NewFingerprint("h", "POST", "/x", []byte("body"))
 	first, second := NewTable(), NewTable()
-	first.RecordCrash(f, "a", start)
-	first.RecordCrash(f, "b", start.Add(apart))
-	second.RecordCrash(f, "b", start.Add(apart))
-	second.RecordCrash(f, "c", start.Add(2*apart))
+	first.RecordCrash(f, crashAt("a", start))
+	first.RecordCrash(f, crashAt("b", start.Add(apart)))
+	second.RecordCrash(f, crashAt("b", start.Add(apart)))
+	second.RecordCrash(f, crashAt("c", start.Add(2*apart)))
 	assert.Assert(t, !first.Quarantined(f) && !second.Quarantined(f))
 	share(second, first, start.Add(2*apart))
 	assert.Assert(t, first.Quarantined(f))
@@ -56,7 +65,7 @@
 	for after := time.Duration(0); after < 10*time.Hour; after += 100 * time.Millisecond {
 		if now := start.Add(after); !table.Blocked(f, now, firstVM) {
 			trials = append(trials, after)
-			table.RecordCrash(f, "a", now)
+			table.RecordCrash(f, crashAt("a", now))
 		}
 	}
 	assert.DeepEqual(t, trials[:3], []time.Duration{10 * time.Second, 50 * time.Second, 210 * time.Second})
@@ -106,19 +115,60 @@
 // that end together while they run the same harmless request are one event.
 func TestTargetsThatEndTogetherAreOneEvent(t *testing.T) {
 	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	sent := start.Add(-shortly)
 	for n, target := range []string{"a", "b", "c", "d"} {
-		table.RecordCrash(f, target, start.Add(time.Duration(n)*time.Millisecond))
+		table.RecordCrash(f, Crash{Target: target, Sent: sent, At: start.Add(time.Duration(n) * time.Millisecond)})
 	}
 	assert.Assert(t, !table.Quarantined(f))
 	assert.Assert(t, !table.Blocked(f, start, firstVM))
 }
 
+// Guards against a harmless request that is quarantined because it was resent, while a
+// zone ended, from one target of the zone to the next: targets that did not run it ended
+// as well.
+func TestResendsWhileAZoneEndsAreOneEvent(t *testing.T) {
+	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	for n, target := range []string{"a", "b", "c", "d"} {
+		table.RecordCrash(f, crashAt(target, start.Add(time.Duration(n)*2*shortly)))
+	}
+	assert.Assert(t, table.Quarantined(f), "no other target ended")
+	table.RecordCrash(NewFingerprint("h", "GET", "/y", nil), crashAt("e", start))
+	assert.Assert(t, !table.Quarantined(f))
+}
+
+// Guards against a request that crashes several targets within milliseconds each time it
+// comes, and is never quarantined (review/6): each attempt that was sent after the one
+// before it had broken its connection is an event.
+func TestResendsThatCrashOneTargetAfterTheOtherAreEvents(t *testing.T) {
+	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	for n, target := range []string{"a", "b", "c"} {
+		assert.Assert(t, !table.Quarantined(f), "after %d crashes", n)
+		table.RecordCrash(f, crashAt(target, start.Add(time.Duration(n)*2*shortly)))
+	}
+	assert.Assert(t, table.Quarantined(f))
+}
+
+// Guards against a record that is filled by copies of a request that were under way
+// together, so that no later event is recorded (review/6).
+func TestFullRecordTakesFurtherEvents(t *testing.T) {
+	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	for burst := range maxCrashEvents {
+		assert.Assert(t, !table.Quarantined(f), "after %d bursts", burst)
+		at := start.Add(time.Duration(burst) * 7 * time.Second)
+		for n := range 2 * maxCrashes {
+			table.RecordCrash(f, Crash{Target: fmt.Sprint(burst, "-", n), Sent: at.Add(-shortly), At: at.Add(time.Duration(n) * time.Microsecond)})
+		}
+	}
+	assert.Assert(t, table.Quarantined(f))
+	assert.Equal(t, len(table.records[f].Crashes), maxCrashes)
+}
+
 // Repeated crashes of the same target for another reason must not quarantine a
 // request.
 func TestRepeatedCrashOfOneTargetCountsOnce(t *testing.T) {
 	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
 	for n := range 5 {
-		table.RecordCrash(f, "a", start.Add(time.Duration(n)*apart))
+		table.RecordCrash(f, crashAt("a", start.Add(time.Duration(n)*apart)))
 	}
 	assert.Assert(t, !table.Quarantined(f))
 }
@@ -127,10 +177,10 @@
 // clear their records.
 func TestResponseClearsARequest(t *testing.T) {
 	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
-	table.RecordCrash(f, "a", start)
-	table.RecordCrash(f, "b", start.Add(apart))
+	table.RecordCrash(f, crashAt("a", start))
+	table.RecordCrash(f, crashAt("b", start.Add(apart)))
 	table.RecordResponse(f, start.Add(apart))
-	table.RecordCrash(f, "c", start.Add(2*apart))
+	table.RecordCrash(f, crashAt("c", start.Add(2*apart)))
 	assert.Assert(t, !table.Quarantined(f))
 }
 
@@ -145,10 +195,10 @@
 func TestTableIsBounded(t *testing.T) {
 	table := NewTable()
 	for n := range maxRecords + 100 {
-		table.RecordCrash(Fingerprint(n), "a", start)
+		table.RecordCrash(Fingerprint(n), crashAt("a", start))
 	}
 	assert.Equal(t, len(table.records), maxRecords)
 	assert.Equal(t, len(table.Recent(start)), maxRecent)
-	table.RecordCrash(Fingerprint(1<<40), "a", start.Add(2*recordTTL))
+	table.RecordCrash(Fingerprint(1<<40), crashAt("a", start.Add(2*recordTTL)))
 	assert.Equal(t, len(table.records), 1)
 }
--- /dev/null
+++ b/pkg/steering/crash/events.go
@@ -0,0 +1,91 @@
+package crash
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxCrashEvents is the number of crash events from which a request is
+	// quarantined. Two targets may fail one after the other for another reason.
+	maxCrashEvents = 3
+	// togetherTime is the time within which crashes may be one event although their
+	// attempts followed each other. It exceeds a round trip between regions: while the
+	// targets of a zone end, an attempt may still be sent to one of them.
+	togetherTime = 50 * time.Millisecond
+	// maxCrashes bounds the crashes of one record.
+	maxCrashes = 8
+)
+
+// Crash is the end of a target's connection while it ran a request.
+type Crash struct {
+	Target string
+	// Sent is when the attempt was sent, and At when its connection broke.
+	Sent, At time.Time
+}
+
+// endedFunc reports whether a target that did not run the request ended within a time.
+type endedFunc func(from, to time.Time) bool
+
+func noOtherEnded(time.Time, time.Time) bool { return false }
+
+// chain returns a longest series of crashes, in order of time, in which each attempt was
+// sent after the one before it had broken its connection. Each of them is an event of its
+// own. Attempts that were under way together may have met one cause, such as the end of a
+// zone, so they count once. Crashes within togetherTime are one event as well if another
+// target ended then.
+func chain(crashes []Crash, otherEnded endedFunc) []Crash {
+	var events []Crash
+	var began, end time.Time
+	for _, c := range crashes {
+		together := c.At.Sub(began) <= togetherTime && otherEnded(began, c.At)
+		if len(events) > 0 && (c.Sent.Before(end) || together) {
+			continue
+		}
+		events = append(events, c)
+		began, end = c.At, c.At
+	}
+	return events
+}
+
+// addCrash adds a crash, unless one of the same target is listed. Of these the earlier
+// one is kept: each message between VMs makes it appear later by its delay.
+func addCrash(crashes []Crash, c Crash) []Crash {
+	i := slices.IndexFunc(crashes, func(m Crash) bool { return m.Target == c.Target })
+	if i < 0 {
+		return append(crashes, c)
+	}
+	if c.At.Before(crashes[i].At) {
+		crashes[i] = c
+	}
+	return crashes
+}
+
+// sortCrashes orders crashes by time, and by target where the times are the same.
+func sortCrashes(crashes []Crash) {
+	slices.SortFunc(crashes, func(a, b Crash) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Target, b.Target))
+	})
+}
+
+// limitCrashes returns at most maxCrashes of some sorted crashes: the latest events, and
+// then the latest others. Without that preference, attempts that were under way together
+// would fill the record, and no further event could be recorded.
+func limitCrashes(crashes []Crash) []Crash {
+	if len(crashes) <= maxCrashes {
+		return crashes
+	}
+	events := chain(crashes, noOtherEnded)
+	kept := slices.Clone(events[max(0, len(events)-maxCrashes):])
+	for _, c := range slices.Backward(crashes) {
+		if len(kept) == maxCrashes {
+			break
+		}
+		if !slices.Contains(kept, c) {
+			kept = append(kept, c)
+		}
+	}
+	sortCrashes(kept)
+	return kept
+}
--- a/pkg/steering/crash/record.go
+++ b/pkg/steering/crash/record.go
@@ -5,12 +5,6 @@
 	"time"
 )
 
-// Crash is the end of a target's connection while it ran a request.
-type Crash struct {
-	Target string
-	At     time.Time
-}
-
 // Record lists the targets that a request has crashed since a target last
 // responded to it.
 type Record struct {
@@ -37,29 +31,30 @@
 		lastSeen:    r.lastSeen,
 	}
 	for _, c := range slices.Concat(r.Crashes, other.Crashes) {
-		listed := slices.ContainsFunc(merged.Crashes, func(m Crash) bool { return m.Target == c.Target })
-		if !listed && c.At.After(merged.Answered) && len(merged.Crashes) < maxCrashes {
-			merged.Crashes = append(merged.Crashes, c)
+		if c.At.After(merged.Answered) {
+			merged.Crashes = addCrash(merged.Crashes, c)
 		}
 	}
-	slices.SortStableFunc(merged.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
-	if merged.quarantined() {
-		merged.Trials = max(r.Trials, other.Trials)
-	}
+	sortCrashes(merged.Crashes)
+	merged.Crashes = limitCrashes(merged.Crashes)
+	merged.Trials = max(r.trialsAfter(merged.Answered), other.trialsAfter(merged.Answered))
 	return merged
 }
 
-// quarantined reports whether the crashes are enough events.
-func (r Record) quarantined() bool {
-	events := 0
-	var began time.Time
-	for _, c := range r.Crashes {
-		if events == 0 || c.At.Sub(began) > togetherTime {
-			events++
-			began = c.At
-		}
+// trialsAfter returns the number of trials, or 0 if all were made before a response.
+func (r Record) trialsAfter(answered time.Time) int {
+	if !r.LastTrial.After(answered) {
+		return 0
 	}
-	return events >= maxCrashEvents
+	return r.Trials
+}
+
+// events returns the number of crash events, given the other targets that ended.
+func (r Record) events(otherEnded endedFunc) int { return len(chain(r.Crashes, otherEnded)) }
+
+// ran reports whether the request ran on a target that crashed.
+func (r Record) ran(target string) bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Target == target })
 }
 
 // nextTrial returns when the next trial of a quarantined request is due.
