--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/state/targets"
 	"hickoryroute/pkg/steering/crash"
 	"hickoryroute/pkg/steering/placement"
 )
@@ -51,9 +52,9 @@
 	n := protocol.CrashNotice{Fingerprint: uint64(r.Fingerprint), AgeMs: age(r.LastCrash), Trials: r.Trials}
 	for _, c := range r.Crashes {
 		n.Crashes = append(n.Crashes, protocol.TargetCrash{
-			Target: c.Target, SentAgeUs: now.Sub(c.Sent).Microseconds(), AgeUs: now.Sub(c.At).Microseconds(),
+			Target: c.Target.ID, StartID: c.Target.StartID, SentAgeUs: now.Sub(c.Sent).Microseconds(), AgeUs: now.Sub(c.At).Microseconds(),
 		})
-		n.Targets = append(n.Targets, c.Target)
+		n.Targets = append(n.Targets, c.Target.ID)
 		n.TargetAgesMs = append(n.TargetAgesMs, age(c.At))
 	}
 	if !r.Answered.IsZero() {
@@ -90,7 +91,7 @@
 	var crashes []crash.Crash
 	for _, c := range n.Crashes {
 		crashes = append(crashes, crash.Crash{
-			Target: c.Target, Sent: now.Add(-time.Duration(c.SentAgeUs) * time.Microsecond), At: now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
+			Target: targets.Key{ID: c.Target, StartID: c.StartID}, Sent: now.Add(-time.Duration(c.SentAgeUs) * time.Microsecond), At: now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
 		})
 	}
 	if len(crashes) > 0 {
@@ -102,7 +103,7 @@
 			age = time.Duration(n.TargetAgesMs[i]) * time.Millisecond
 		}
 		at := now.Add(-age)
-		crashes = append(crashes, crash.Crash{Target: target, Sent: at.Add(-unknownAttemptTime), At: at})
+		crashes = append(crashes, crash.Crash{Target: targets.Key{ID: target}, Sent: at.Add(-unknownAttemptTime), At: at})
 	}
 	return crashes
 }
--- a/pkg/gateway/failures.go
+++ b/pkg/gateway/failures.go
@@ -139,7 +139,7 @@
 		})
 	}
 	if result.ConnectionFailed && f.Kind == target.KindReset && !f.NotRun {
-		g.crashes.RecordCrash(c.fingerprint, crash.Crash{Target: choice.Target.ID, Sent: c.sentAt, At: now})
+		g.crashes.RecordCrash(c.fingerprint, crash.Crash{Target: choice.Target.Key(), Sent: c.sentAt, At: now})
 		g.cfg.Logger.Log(EventCrashingRequest, eventlog.Fields{
 			"request": c.ID, "target": choice.Target.ID, "fingerprint": fmt.Sprintf("%016x", uint64(c.fingerprint)),
 			"blocked": g.crashes.Quarantined(c.fingerprint),
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -106,10 +106,11 @@
 	TrialAgeMs    int64
 }
 
-// TargetCrash is the end of a target's connection while it ran a request. The ages are
-// those of the attempt and of its end, in microseconds.
+// TargetCrash is the end of the connection of one start of a target while it ran a
+// request. The ages are those of the attempt and of its end, in microseconds.
 type TargetCrash struct {
 	Target           string
+	StartID          int64
 	SentAgeUs, AgeUs int64
 }
 
--- a/pkg/steering/crash/crash_test.go
+++ b/pkg/steering/crash/crash_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/state/targets"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -18,7 +20,7 @@
 
 // crashAt is a crash by an attempt that was sent shortly before.
 func crashAt(target string, at time.Time) Crash {
-	return Crash{Target: target, Sent: at.Add(-shortly), At: at}
+	return Crash{Target: targets.Key{ID: target, StartID: 1}, Sent: at.Add(-shortly), At: at}
 }
 
 func firstVM() int { return 0 }
@@ -117,7 +119,7 @@
 	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
 	sent := start.Add(-shortly)
 	for n, target := range []string{"a", "b", "c", "d"} {
-		table.RecordCrash(f, Crash{Target: target, Sent: sent, At: start.Add(time.Duration(n) * time.Millisecond)})
+		table.RecordCrash(f, Crash{Target: targets.Key{ID: target}, Sent: sent, At: start.Add(time.Duration(n) * time.Millisecond)})
 	}
 	assert.Assert(t, !table.Quarantined(f))
 	assert.Assert(t, !table.Blocked(f, start, firstVM))
@@ -156,7 +158,7 @@
 		assert.Assert(t, !table.Quarantined(f), "after %d bursts", burst)
 		at := start.Add(time.Duration(burst) * 7 * time.Second)
 		for n := range 2 * maxCrashes {
-			table.RecordCrash(f, Crash{Target: fmt.Sprint(burst, "-", n), Sent: at.Add(-shortly), At: at.Add(time.Duration(n) * time.Microsecond)})
+			table.RecordCrash(f, Crash{Target: targets.Key{ID: fmt.Sprint(burst, "-", n)}, Sent: at.Add(-shortly), At: at.Add(time.Duration(n) * time.Microsecond)})
 		}
 	}
 	assert.Assert(t, table.Quarantined(f))
@@ -173,6 +175,18 @@
 	assert.Assert(t, !table.Quarantined(f))
 }
 
+// Guards against a request that goes on crashing targets which start again under the ids
+// that they had (review/8): each start counts.
+func TestEachStartOfATargetCounts(t *testing.T) {
+	table, f := NewTable(), NewFingerprint("h", "POST", "/x", nil)
+	for n := range maxCrashEvents {
+		assert.Assert(t, !table.Quarantined(f), "after %d crashes", n)
+		at := start.Add(time.Duration(n) * 7 * time.Second)
+		table.RecordCrash(f, Crash{Target: targets.Key{ID: "a", StartID: at.UnixMilli()}, Sent: at.Add(-shortly), At: at})
+	}
+	assert.Assert(t, table.Quarantined(f))
+}
+
 // The loss of a zone's power breaks many harmless requests. A response must
 // clear their records.
 func TestResponseClearsARequest(t *testing.T) {
--- a/pkg/steering/crash/events.go
+++ b/pkg/steering/crash/events.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"hickoryroute/pkg/state/targets"
 )
 
 const (
@@ -20,7 +22,9 @@
 
 // Crash is the end of a target's connection while it ran a request.
 type Crash struct {
-	Target string
+	// Target is one start of a target. A request that crashes it again after it has
+	// started anew, under the same id, has crashed another one.
+	Target targets.Key
 	// Sent is when the attempt was sent, and At when its connection broke.
 	Sent, At time.Time
 }
@@ -52,7 +56,7 @@
 // addCrash adds a crash, unless one of the same target is listed. Of these the earlier
 // one is kept: each message between VMs makes it appear later by its delay.
 func addCrash(crashes []Crash, c Crash) []Crash {
-	i := slices.IndexFunc(crashes, func(m Crash) bool { return m.Target == c.Target })
+	i := slices.IndexFunc(crashes, func(m Crash) bool { return sameTarget(m.Target, c.Target) })
 	if i < 0 {
 		return append(crashes, c)
 	}
@@ -62,10 +66,16 @@
 	return crashes
 }
 
+// sameTarget reports whether two keys are the same start of a target. VMs of earlier
+// versions do not tell which start has crashed.
+func sameTarget(a, b targets.Key) bool {
+	return a.ID == b.ID && (a.StartID == b.StartID || a.StartID == 0 || b.StartID == 0)
+}
+
 // sortCrashes orders crashes by time, and by target where the times are the same.
 func sortCrashes(crashes []Crash) {
 	slices.SortFunc(crashes, func(a, b Crash) int {
-		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Target, b.Target))
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Target.ID, b.Target.ID), cmp.Compare(a.Target.StartID, b.Target.StartID))
 	})
 }
 
--- a/pkg/steering/crash/record.go
+++ b/pkg/steering/crash/record.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"hickoryroute/pkg/state/targets"
 )
 
 // Record lists the targets that a request has crashed since a target last
@@ -53,8 +55,8 @@
 func (r Record) events(otherEnded endedFunc) int { return len(chain(r.Crashes, otherEnded)) }
 
 // ran reports whether the request ran on a target that crashed.
-func (r Record) ran(target string) bool {
-	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Target == target })
+func (r Record) ran(target targets.Key) bool {
+	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return sameTarget(c.Target, target) })
 }
 
 // nextTrial returns when the next trial of a quarantined request is due.
