--- /dev/null
+++ b/pkg/gateway/crash_sharing_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hickoryroute/pkg/coordination/feed"
+	"hickoryroute/pkg/state/targets"
+	"hickoryroute/pkg/steering/crash"
+	"hickoryroute/pkg/transport/peer"
+)
+
+// servePeer serves the calls of other VMs to a gateway and returns its record.
+func servePeer(t *testing.T, g *Gateway, id string) feed.VM {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() { _ = peer.NewServer(peer.ServerConfig{}).ServeGateway(listener, g.peers) }()
+	g.cfg.Self.ID, g.cfg.Self.PeerAddress = id, listener.Addr().String()
+	return g.cfg.Self
+}
+
+// quarantine records three crashes by a request.
+func quarantine(g *Gateway, f crash.Fingerprint, now time.Time) {
+	for n, id := range []string{"a", "b", "c"} {
+		at := now.Add(time.Duration(n-3) * time.Second)
+		g.crashes.RecordCrash(f, crash.Crash{Target: targets.Key{ID: id}, Sent: at.Add(-time.Millisecond), At: at})
+	}
+}
+
+// Guards against a quarantine that ends when the VMs are restarted in turn (review/10): a
+// VM that starts learns of it in its first exchange, whichever side calls, also long
+// after the last crash.
+func TestStartedVMLearnsOfQuarantines(t *testing.T) {
+	const f = crash.Fingerprint(7)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	old := newTestGateway(&now)
+	oldVM := servePeer(t, old, "old")
+	quarantine(old, f, now)
+	now = now.Add(20 * time.Minute)
+
+	calling := newTestGateway(&now)
+	servePeer(t, calling, "calling")
+	assert.Assert(t, calling.peers.exchange(t.Context(), oldVM, true))
+	assert.Assert(t, calling.crashes.Quarantined(f), "the VM that started calls")
+
+	called := newTestGateway(&now)
+	calledVM := servePeer(t, called, "called")
+	assert.Assert(t, old.peers.exchange(t.Context(), calledVM, true))
+	assert.Assert(t, old.peers.exchange(t.Context(), calledVM, true))
+	assert.Assert(t, called.crashes.Quarantined(f), "the VM that started is called")
+	assert.Equal(t, len(old.peers.crashesFor("called", false)), 0, "nothing is sent while the digests are the same")
+}
+
+// Guards against VMs that send each other all records in each exchange while their digests
+// differ, as that of a VM of an earlier version does for good.
+func TestAllRecordsAreSentOnceASecondAtMost(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	quarantine(g, 7, now.Add(-time.Minute))
+	assert.Equal(t, len(g.peers.crashesFor("vm-2", true)), 1)
+	assert.Equal(t, len(g.peers.crashesFor("vm-3", true)), 1)
+	now = now.Add(exchangeInterval)
+	assert.Equal(t, len(g.peers.crashesFor("vm-2", true)), 0)
+	now = now.Add(crashShareInterval)
+	assert.Equal(t, len(g.peers.crashesFor("vm-2", true)), 1)
+}
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -38,15 +38,6 @@
 	return max(0, slices.Index(ranked, g.cfg.Self.ID)) // a VM that is not listed yet may be the only one
 }
 
-func (p *peers) recentCrashes() []protocol.CrashNotice {
-	now := p.gateway.cfg.Now()
-	var notices []protocol.CrashNotice
-	for _, r := range p.gateway.crashes.Recent(now) {
-		notices = append(notices, crashNotice(r, now))
-	}
-	return notices
-}
-
 func crashNotice(r crash.Record, now time.Time) protocol.CrashNotice {
 	age := func(at time.Time) int64 { return now.Sub(at).Milliseconds() }
 	n := protocol.CrashNotice{Fingerprint: uint64(r.Fingerprint), AgeMs: age(r.LastCrash), Trials: r.Trials}
@@ -63,18 +54,14 @@
 	if r.Trials > 0 {
 		n.TrialAgeMs = age(r.LastTrial)
 	}
-	return n
-}
-
-func (p *peers) mergeCrashes(notices []protocol.CrashNotice) {
-	now := p.gateway.cfg.Now()
-	for _, n := range notices {
-		p.gateway.crashes.Merge(crashRecord(n, now), now)
+	if !r.LastSeen.IsZero() {
+		n.Seen, n.SeenAgeMs = true, age(r.LastSeen)
 	}
+	return n
 }
 
 func crashRecord(n protocol.CrashNotice, now time.Time) crash.Record {
-	at := func(ageMs int64) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
+	at := func(ageMs int64) time.Time { return now.Add(-time.Duration(max(0, ageMs)) * time.Millisecond) }
 	r := crash.Record{Fingerprint: crash.Fingerprint(n.Fingerprint), LastCrash: at(n.AgeMs), Trials: n.Trials}
 	r.Crashes = crashesOfNotice(n, now)
 	if n.Answered {
@@ -83,6 +70,9 @@
 	if n.Trials > 0 {
 		r.LastTrial = at(n.TrialAgeMs)
 	}
+	if n.Seen {
+		r.LastSeen = at(n.SeenAgeMs)
+	}
 	return r
 }
 
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -78,6 +78,7 @@
 	demandMu sync.Mutex
 	demand   demandState // guarded by demandMu
 
+	crashSharing crashSharing
 	targetNames  targetNames
 	readerCopies *readerCopies
 	// packed caches the compressed form of the newest large entry, and packedCopies
@@ -178,7 +179,8 @@
 	defer cancel()
 	self := p.gateway.cfg.Self
 	req := protocol.LoadsRequest{
-		From: self.ID, Region: self.Region, Zone: self.Zone, Brief: brief, Crashes: p.recentCrashes(), Limits: p.ownLimits(),
+		From: self.ID, Region: self.Region, Zone: self.Zone, Brief: brief, Limits: p.ownLimits(),
+		Crashes: p.crashesFor(vm.ID, p.crashSharing.differs(vm.ID)), CrashDigest: p.gateway.crashes.Digest(),
 		Era: p.gateway.latestEra.Load(), AcceptsPacked: true, RoundTripUs: p.gateway.picker.ZoneRoundTrip(vm.Zone).Microseconds(),
 	}
 	req.Newest, req.NewestEra = p.newestEntry()
@@ -199,6 +201,7 @@
 	p.recordAcceptsPacked(reply.From, reply.AcceptsPacked)
 	p.applyPeerState(reply.From, reply.Region, brief, p.receivedLoads(reply.Loads, reply.Packed), reply.Uses)
 	p.mergeCrashes(reply.Crashes)
+	p.crashSharing.setDiffers(reply.From, reply.CrashDigest != p.gateway.crashes.Digest())
 	p.mergeRefusals(reply.Refusals)
 	p.mergeLimits(reply.Limits)
 	p.takeHints(reply.Newest, reply.NewestEra, reply.Era)
@@ -263,7 +266,9 @@
 	self := p.gateway.cfg.Self
 	reply.From, reply.Region, reply.AcceptsPacked = self.ID, self.Region, true
 	reply.Limits = p.ownLimits()
-	reply.Crashes, reply.Era, reply.Version = p.recentCrashes(), p.gateway.latestEra.Load(), p.gateway.versionInForce()
+	reply.Era, reply.Version = p.gateway.latestEra.Load(), p.gateway.versionInForce()
+	reply.CrashDigest = p.gateway.crashes.Digest()
+	reply.Crashes = p.crashesFor(req.From, req.CrashDigest != reply.CrashDigest)
 	reply.Newest, reply.NewestEra = p.newestEntry()
 	reply.Unconfirmed = p.gateway.operatorFeed.Unconfirmed()
 	switch {
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -54,8 +54,12 @@
 	Newest    int64
 	NewestEra uint64
 	Era       uint64
-	// Crashes lists requests that have recently crashed targets.
+	// Crashes lists requests that have recently crashed targets, or all if CrashDigest
+	// differed from that in the last reply of the receiver.
 	Crashes []CrashNotice
+	// CrashDigest is a digest of the quarantined requests that the sender knows; 0 if
+	// it knows none, and from VMs of earlier versions.
+	CrashDigest uint64
 	// Refusals lists requests whose callers may come back to another VM.
 	Refusals []RefusalNotice
 }
@@ -79,6 +83,8 @@
 	Version     uint64
 	Unconfirmed bool
 	Crashes     []CrashNotice
+	// CrashDigest is as in LoadsRequest, after the sender has taken over its Crashes.
+	CrashDigest uint64
 	Refusals    []RefusalNotice
 }
 
@@ -104,6 +110,8 @@
 	AnsweredAgeMs int64
 	Trials        int // trials since the quarantine began
 	TrialAgeMs    int64
+	Seen          bool // the request has come while it was quarantined
+	SeenAgeMs     int64
 }
 
 // TargetCrash is the end of the connection of one start of a target while it ran a
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -4,6 +4,8 @@
 package crash
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,8 +14,8 @@
 
 const (
 	// recordTTL is the time for which the record of a request that is not
-	// quarantined is kept.
-	recordTTL = time.Minute
+	// quarantined is kept. The request may come again only once in some minutes.
+	recordTTL = time.Hour
 	// quarantineTTL is the time after which a quarantined request is forgotten if
 	// it does not come again.
 	quarantineTTL = time.Hour
@@ -29,10 +31,15 @@
 	trialStagger = 3 * time.Second
 	// recentTime is the time for which news of a record is reported to other VMs.
 	recentTime = 10 * time.Second
-	// maxRecords bounds the table. Crashes are rare.
-	maxRecords = 4096
-	// maxRecent bounds the records in one message to another VM.
+	// expiryInterval is the time between two removals of old records.
+	expiryInterval = time.Minute
+	// maxRecords bounds the table. A full table drops one evictedShare-th of its records.
+	maxRecords   = 4096
+	evictedShare = 4
+	// maxRecent bounds the news in one message to another VM, and maxShared the records
+	// in a message to a VM whose digest differs.
 	maxRecent = 64
+	maxShared = 256
 )
 
 // Fingerprint identifies requests that are the same to a target.
@@ -53,8 +60,12 @@
 
 // Table holds the crash records by fingerprint. It is safe for concurrent use.
 type Table struct {
-	mu      sync.Mutex
-	records map[Fingerprint]Record
+	mu          sync.Mutex
+	records     map[Fingerprint]Record
+	changedAt   time.Time // of the record that changed last
+	expiryAt    time.Time // of the last removal of old records
+	digest      uint64    // of the records, if digestKnown is true
+	digestKnown bool
 }
 
 // NewTable returns an empty table.
@@ -72,7 +83,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.records[f]; ok {
-		t.records[f] = Record{Fingerprint: f, LastCrash: r.LastCrash, Answered: now}
+		t.set(Record{Fingerprint: f, LastCrash: r.LastCrash, Answered: now})
 	}
 }
 
@@ -80,14 +91,32 @@
 func (t *Table) Merge(r Record, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(t.expiryAt) >= expiryInterval {
+		t.removeExpired(now)
+	}
 	existing, ok := t.records[r.Fingerprint]
 	if !ok && len(t.records) >= maxRecords {
-		t.removeExpired(now)
-		if len(t.records) >= maxRecords {
-			return
-		}
+		t.evict()
 	}
-	t.records[r.Fingerprint] = existing.merge(r)
+	t.set(existing.merge(r))
+}
+
+// set replaces a record. The caller holds the lock.
+func (t *Table) set(r Record) {
+	t.records[r.Fingerprint] = r
+	t.changedAt = latest(t.changedAt, r.changed())
+	t.digestKnown = false
+}
+
+// evict makes room in a full table. The records with the fewest events go first, and of
+// these the oldest, so that a burst of crashes does not displace a quarantine. The caller
+// holds the lock.
+func (t *Table) evict() {
+	ordered := mostEventsFirst(slices.Collect(maps.Values(t.records)))
+	for _, r := range ordered[len(ordered)-len(ordered)/evictedShare:] {
+		delete(t.records, r.Fingerprint)
+	}
+	t.digestKnown = false
 }
 
 // Quarantined reports whether a request has crashed so many targets that it is
@@ -133,40 +162,81 @@
 	if !ok || !t.quarantined(r) {
 		return false
 	}
-	r.lastSeen = now
+	r.LastSeen = now
 	due := r.nextTrial()
 	trial := !now.Before(due) && !now.Before(due.Add(time.Duration(rank())*trialStagger))
 	if trial {
 		r.Trials++
 		r.LastTrial = now
 	}
-	t.records[f] = r
+	t.set(r)
 	return !trial
 }
 
-// Recent returns the records to be reported to other VMs.
+// Recent returns the news to be reported to other VMs.
 func (t *Table) Recent(now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.removeExpired(now)
+	if now.Sub(t.expiryAt) >= expiryInterval {
+		t.removeExpired(now)
+	}
+	if now.Sub(t.changedAt) >= recentTime {
+		return nil
+	}
 	var recent []Record
 	for _, r := range t.records {
-		if now.Sub(r.changed()) < recentTime && len(recent) < maxRecent {
+		if now.Sub(r.changed()) < recentTime {
 			recent = append(recent, r)
 		}
 	}
-	return recent
+	recent = mostEventsFirst(recent)
+	return recent[:min(len(recent), maxRecent)]
+}
+
+// All returns the records for a VM whose digest differs. If there are too many for one
+// message, it returns some of them, others at each call.
+func (t *Table) All(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeExpired(now)
+	var all []Record
+	for _, r := range t.records {
+		if len(all) == maxShared {
+			break
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
+// Digest returns a digest of the records with enough events for a quarantine, and of
+// their trials. It is 0 if there are none, and the same on VMs that know the same.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.digestKnown {
+		return t.digest
+	}
+	t.digest, t.digestKnown = 0, true
+	for _, r := range t.records {
+		if r.events(noOtherEnded) >= maxCrashEvents {
+			t.digest ^= r.digest()
+		}
+	}
+	return t.digest
 }
 
-// removeExpired removes the records that no longer matter.
+// removeExpired removes the records that no longer matter. The caller holds the lock.
 func (t *Table) removeExpired(now time.Time) {
+	t.expiryAt = now
 	for f, r := range t.records {
 		ttl := recordTTL
 		if t.quarantined(r) {
 			ttl = quarantineTTL
 		}
-		if now.Sub(latest(r.changed(), r.lastSeen)) > ttl {
+		if now.Sub(latest(r.changed(), r.LastSeen)) > ttl {
 			delete(t.records, f)
+			t.digestKnown = false
 		}
 	}
 }
--- a/pkg/steering/crash/record.go
+++ b/pkg/steering/crash/record.go
@@ -1,9 +1,13 @@
 package crash
 
 import (
+	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hickoryroute/pkg/state/targets"
 )
 
@@ -19,8 +23,8 @@
 	// the last one was made.
 	Trials    int
 	LastTrial time.Time
-
-	lastSeen time.Time // when the request last came at this VM while quarantined
+	// LastSeen is when the request last came while it was quarantined.
+	LastSeen time.Time
 }
 
 // merge returns what two VMs know together.
@@ -30,7 +34,7 @@
 		LastCrash:   latest(r.LastCrash, other.LastCrash),
 		Answered:    latest(r.Answered, other.Answered),
 		LastTrial:   latest(r.LastTrial, other.LastTrial),
-		lastSeen:    r.lastSeen,
+		LastSeen:    latest(r.LastSeen, other.LastSeen),
 	}
 	for _, c := range slices.Concat(r.Crashes, other.Crashes) {
 		if c.At.After(merged.Answered) {
@@ -54,6 +58,24 @@
 // events returns the number of crash events, given the other targets that ended.
 func (r Record) events(otherEnded endedFunc) int { return len(chain(r.Crashes, otherEnded)) }
 
+// digest returns a number that differs between records of different requests, and when a
+// trial has been made.
+func (r Record) digest() uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], uint64(r.Fingerprint))
+	binary.LittleEndian.PutUint64(b[8:], uint64(r.Trials))
+	return xxhash.Sum64(b[:])
+}
+
+// mostEventsFirst orders records by their number of events, and of equal ones the latest
+// first.
+func mostEventsFirst(records []Record) []Record {
+	slices.SortFunc(records, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(b.events(noOtherEnded), a.events(noOtherEnded)), b.changed().Compare(a.changed()))
+	})
+	return records
+}
+
 // ran reports whether the request ran on a target that crashed.
 func (r Record) ran(target targets.Key) bool {
 	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return sameTarget(c.Target, target) })
