--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -44,9 +44,12 @@
 	for _, c := range r.Crashes {
 		n.Crashes = append(n.Crashes, protocol.TargetCrash{
 			Target: c.Target.ID, StartID: c.Target.StartID, SentAgeUs: now.Sub(c.Sent).Microseconds(), AgeUs: now.Sub(c.At).Microseconds(),
+			Disproved: c.Disproved,
 		})
-		n.Targets = append(n.Targets, c.Target.ID)
-		n.TargetAgesMs = append(n.TargetAgesMs, age(c.At))
+		if !c.Disproved {
+			n.Targets = append(n.Targets, c.Target.ID)
+			n.TargetAgesMs = append(n.TargetAgesMs, age(c.At))
+		}
 	}
 	if !r.Answered.IsZero() {
 		n.Answered, n.AnsweredAgeMs = true, age(r.Answered)
@@ -82,6 +85,7 @@
 	for _, c := range n.Crashes {
 		crashes = append(crashes, crash.Crash{
 			Target: targets.Key{ID: c.Target, StartID: c.StartID}, Sent: now.Add(-time.Duration(c.SentAgeUs) * time.Microsecond), At: now.Add(-time.Duration(c.AgeUs) * time.Microsecond),
+			Disproved: c.Disproved,
 		})
 	}
 	if len(crashes) > 0 {
--- a/pkg/gateway/failures.go
+++ b/pkg/gateway/failures.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -138,12 +139,28 @@
 			"request": c.ID, "target": choice.Target.ID, "zone": choice.Target.Zone, "error": f.Error(),
 		})
 	}
-	if result.ConnectionFailed && f.Kind == target.KindReset && !f.NotRun {
-		g.crashes.RecordCrash(c.fingerprint, crash.Crash{Target: choice.Target.Key(), Sent: c.sentAt, At: now})
-		g.cfg.Logger.Log(EventCrashingRequest, eventlog.Fields{
-			"request": c.ID, "target": choice.Target.ID, "fingerprint": fmt.Sprintf("%016x", uint64(c.fingerprint)),
-			"blocked": g.crashes.Quarantined(c.fingerprint),
-		})
+	if ctx.Err() == nil && !result.Refused && f.MayHaveCrashed() {
+		g.recordCrash(c, choice, now)
 	}
 	g.picker.Done(choice, result)
 }
+
+// recordCrash records that a target may have crashed while it ran the request.
+func (g *Gateway) recordCrash(c *call, choice *placement.Choice, now time.Time) {
+	g.crashes.RecordCrash(c.fingerprint, crash.Crash{Target: choice.Target.Key(), Sent: c.sentAt, At: now})
+	g.cfg.Logger.Log(EventCrashingRequest, eventlog.Fields{
+		"request": c.ID, "target": choice.Target.ID, "fingerprint": fmt.Sprintf("%016x", uint64(c.fingerprint)),
+		"blocked": g.crashes.Quarantined(c.fingerprint),
+	})
+}
+
+// recordResponse records that a target has responded as a whole to the request. A server
+// error and a statement that the request has not run say nothing about whether it
+// crashes its targets.
+func (g *Gateway) recordResponse(c *call, choice *placement.Choice, resp *target.Response, info ResponseInfo) {
+	now := g.cfg.Now()
+	g.crashes.RecordAlive(choice.Target.Key(), resp.Opened, c.sentAt, now)
+	if info.Authentic && !info.PromisesNotRun && resp.Status < http.StatusInternalServerError {
+		g.crashes.RecordResponse(c.fingerprint, now)
+	}
+}
--- a/pkg/gateway/long_body.go
+++ b/pkg/gateway/long_body.go
@@ -21,31 +21,48 @@
 	gateway  *Gateway
 	call     *call
 	choice   *placement.Choice
-	hasEnd   bool // the response states its length
+	response *target.Response
+	info     ResponseInfo
 	reported bool
 }
 
 // Read implements io.Reader.
 func (b *longBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && err != io.EOF && !b.reported {
+	if err != nil && !b.reported {
 		b.reported = true
 		b.report(err)
 	}
 	return n, err
 }
 
-// report logs the end of a broken body. The target is not blamed if the caller
+// hasEnd reports whether the response states its length.
+func (b *longBody) hasEnd() bool { return b.response.ContentLength >= 0 }
+
+// report records the end of the body.
+func (b *longBody) report(err error) {
+	if err == io.EOF {
+		b.gateway.recordResponse(b.call, b.choice, b.response, b.info)
+		return
+	}
+	b.reportBroken(err)
+}
+
+// reportBroken logs the end of a broken body. The target is not blamed if the caller
 // has left, or if a body of known length was not passed on in time, since a slow
 // caller can delay it.
-func (b *longBody) report(err error) {
+func (b *longBody) reportBroken(err error) {
 	var f *target.Failure
-	timedOut := errors.As(err, &f) && f.Kind == target.KindTimeout
-	blamed := b.ctx.Err() == nil && (!timedOut || !b.hasEnd)
+	failed := errors.As(err, &f)
+	timedOut := failed && f.Kind == target.KindTimeout
+	blamed := b.ctx.Err() == nil && (!timedOut || !b.hasEnd())
 	if blamed {
 		b.gateway.picker.RecordBrokenBody(b.choice)
 	}
+	if failed && b.ctx.Err() == nil && f.MayHaveCrashed() {
+		b.gateway.recordCrash(b.call, b.choice, b.gateway.cfg.Now())
+	}
 	b.gateway.cfg.Logger.Log(EventResponseCut, eventlog.Fields{
-		"request": b.call.ID, "target": b.choice.Target.ID, "length_known": b.hasEnd, "target_failed": blamed, "error": err.Error(),
+		"request": b.call.ID, "target": b.choice.Target.ID, "length_known": b.hasEnd(), "target_failed": blamed, "error": err.Error(),
 	})
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -243,7 +243,10 @@
 		return nil, err
 	}
 	now := g.cfg.Now()
-	g.crashes.RecordResponse(c.fingerprint, now)
+	whole := int64(len(buffered)) <= memory
+	if whole {
+		g.recordResponse(c, choice, resp, info)
+	}
 	failed := resp.Status >= http.StatusInternalServerError
 	size := c.exchangedBytes(resp.ContentLength, len(buffered))
 	g.countBytes(choice.Target, size)
@@ -257,8 +260,8 @@
 		return nil, &failedResponseError{status: resp.Status, trace: resp.Trace, cause: errUnprovenStatus}
 	}
 	response := &Response{Trace: resp.Trace, Authentic: info.Authentic, Status: resp.Status, Header: resp.Header, Buffered: buffered, Length: resp.ContentLength, memory: memory}
-	if int64(len(buffered)) > memory {
-		response.Rest = &longBody{ReadCloser: resp.Body, ctx: ctx, gateway: g, call: c, choice: choice, hasEnd: resp.ContentLength >= 0}
+	if !whole {
+		response.Rest = &longBody{ReadCloser: resp.Body, ctx: ctx, gateway: g, call: c, choice: choice, response: resp, info: info}
 		return response, nil
 	}
 	response.Length = int64(len(buffered))
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -120,6 +120,7 @@
 	Target           string
 	StartID          int64
 	SentAgeUs, AgeUs int64
+	Disproved        bool // the target has not ended
 }
 
 // CopyKind is a kind of entries that a VM has copied from the store.
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hickoryroute/pkg/state/targets"
 )
 
 const (
@@ -66,10 +68,13 @@
 	expiryAt    time.Time // of the last removal of old records
 	digest      uint64    // of the records, if digestKnown is true
 	digestKnown bool
+	crashedAt   map[targets.Key]time.Time // of the latest crash, by target
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{records: map[Fingerprint]Record{}} }
+func NewTable() *Table {
+	return &Table{records: map[Fingerprint]Record{}, crashedAt: map[targets.Key]time.Time{}}
+}
 
 // RecordCrash records that a target has just broken its connection while it ran a
 // request.
@@ -98,7 +103,29 @@
 	if !ok && len(t.records) >= maxRecords {
 		t.evict()
 	}
-	t.set(existing.merge(r))
+	merged := existing.merge(r)
+	if merged.disprovedCount() > existing.disprovedCount() {
+		merged.disprovedAt = now
+	}
+	t.set(merged)
+}
+
+// RecordAlive records that a target has responded to a request that was sent at a time,
+// on a connection that was opened at another time. Crashes of the target that lie between
+// them no longer count: a target that has ended closes all its connections.
+func (t *Table) RecordAlive(target targets.Key, opened, sent, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.crashedAt[target]
+	if !ok || !sent.After(at) || !opened.Before(at.Add(-minConnectionAge)) {
+		return
+	}
+	delete(t.crashedAt, target)
+	for _, r := range t.records {
+		if slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.disprovedBy(target, opened, sent) }) {
+			t.set(r.disprove(target, opened, sent, now))
+		}
+	}
 }
 
 // set replaces a record. The caller holds the lock.
@@ -106,6 +133,11 @@
 	t.records[r.Fingerprint] = r
 	t.changedAt = latest(t.changedAt, r.changed())
 	t.digestKnown = false
+	for _, c := range r.Crashes {
+		if !c.Disproved {
+			t.crashedAt[c.Target] = latest(t.crashedAt[c.Target], c.At)
+		}
+	}
 }
 
 // evict makes room in a full table. The records with the fewest events go first, and of
@@ -143,7 +175,7 @@
 	for _, other := range t.records {
 		for _, c := range other.Crashes {
 			near := !c.At.Before(from.Add(-togetherTime)) && !c.At.After(to.Add(togetherTime))
-			if near && !r.ran(c.Target) {
+			if near && !c.Disproved && !r.ran(c.Target) {
 				return true
 			}
 		}
@@ -239,4 +271,5 @@
 			t.digestKnown = false
 		}
 	}
+	maps.DeleteFunc(t.crashedAt, func(_ targets.Key, at time.Time) bool { return now.Sub(at) > recordTTL })
 }
--- a/pkg/steering/crash/events.go
+++ b/pkg/steering/crash/events.go
@@ -18,6 +18,13 @@
 	togetherTime = 50 * time.Millisecond
 	// maxCrashes bounds the crashes of one record.
 	maxCrashes = 8
+	// sameCrashTime is the time within which two reports of a target are the same crash. It
+	// exceeds the delay of messages between VMs.
+	sameCrashTime = 5 * time.Second
+	// minConnectionAge is the least age that a connection had at a crash if its later use
+	// shows that the target has not ended. It exceeds the delay with which other VMs
+	// report a crash, after which a new start may already accept connections.
+	minConnectionAge = time.Second
 )
 
 // Crash is the end of a target's connection while it ran a request.
@@ -27,6 +34,9 @@
 	Target targets.Key
 	// Sent is when the attempt was sent, and At when its connection broke.
 	Sent, At time.Time
+	// Disproved is true if the target has responded since on a connection that was open
+	// before, so that it has not ended.
+	Disproved bool
 }
 
 // endedFunc reports whether a target that did not run the request ended within a time.
@@ -43,6 +53,9 @@
 	var events []Crash
 	var began, end time.Time
 	for _, c := range crashes {
+		if c.Disproved {
+			continue
+		}
 		together := c.At.Sub(began) <= togetherTime && otherEnded(began, c.At)
 		if len(events) > 0 && (c.Sent.Before(end) || together) {
 			continue
@@ -53,19 +66,36 @@
 	return events
 }
 
-// addCrash adds a crash, unless one of the same target is listed. Of these the earlier
-// one is kept: each message between VMs makes it appear later by its delay.
+// addCrash adds a crash, or merges it with one of the same target that is listed.
 func addCrash(crashes []Crash, c Crash) []Crash {
 	i := slices.IndexFunc(crashes, func(m Crash) bool { return sameTarget(m.Target, c.Target) })
 	if i < 0 {
 		return append(crashes, c)
 	}
-	if c.At.Before(crashes[i].At) {
-		crashes[i] = c
-	}
+	crashes[i] = mergeCrashes(crashes[i], c)
 	return crashes
 }
 
+// mergeCrashes returns the crash that counts of two reports of one target. Of reports of
+// the same crash the earlier one is kept: each message between VMs makes it appear later
+// by its delay. A later crash counts in place of a disproved one.
+func mergeCrashes(a, b Crash) Crash {
+	if b.At.Before(a.At) {
+		a, b = b, a
+	}
+	if a.Disproved && !b.Disproved && b.Sent.After(a.At.Add(sameCrashTime)) {
+		return b
+	}
+	a.Disproved = a.Disproved || b.Disproved && b.At.Sub(a.At) <= sameCrashTime
+	return a
+}
+
+// disprovedBy reports whether a response to a request that was sent at a time, on a
+// connection that was opened at another time, shows that the target has not ended.
+func (c Crash) disprovedBy(target targets.Key, opened, sent time.Time) bool {
+	return !c.Disproved && sameTarget(c.Target, target) && sent.After(c.At) && opened.Before(c.At.Add(-minConnectionAge))
+}
+
 // sameTarget reports whether two keys are the same start of a target. VMs of earlier
 // versions do not tell which start has crashed.
 func sameTarget(a, b targets.Key) bool {
--- a/pkg/steering/crash/record.go
+++ b/pkg/steering/crash/record.go
@@ -25,6 +25,8 @@
 	LastTrial time.Time
 	// LastSeen is when the request last came while it was quarantined.
 	LastSeen time.Time
+
+	disprovedAt time.Time // when this VM learned that a crash is disproved
 }
 
 // merge returns what two VMs know together.
@@ -43,10 +45,21 @@
 	}
 	sortCrashes(merged.Crashes)
 	merged.Crashes = limitCrashes(merged.Crashes)
+	merged.disprovedAt = r.disprovedAt
 	merged.Trials = max(r.trialsAfter(merged.Answered), other.trialsAfter(merged.Answered))
 	return merged
 }
 
+// disprove returns the record without the crashes that a response disproves.
+func (r Record) disprove(target targets.Key, opened, sent, now time.Time) Record {
+	r.Crashes = slices.Clone(r.Crashes)
+	for i, c := range r.Crashes {
+		r.Crashes[i].Disproved = c.Disproved || c.disprovedBy(target, opened, sent)
+	}
+	r.disprovedAt = now
+	return r
+}
+
 // trialsAfter returns the number of trials, or 0 if all were made before a response.
 func (r Record) trialsAfter(answered time.Time) int {
 	if !r.LastTrial.After(answered) {
@@ -92,7 +105,18 @@
 
 // changed returns when the record last changed.
 func (r Record) changed() time.Time {
-	return latest(latest(r.LastCrash, r.LastTrial), r.Answered)
+	return latest(latest(r.LastCrash, r.LastTrial), latest(r.Answered, r.disprovedAt))
+}
+
+// disprovedCount returns the number of crashes that are disproved.
+func (r Record) disprovedCount() int {
+	n := 0
+	for _, c := range r.Crashes {
+		if c.Disproved {
+			n++
+		}
+	}
+	return n
 }
 
 func latest(a, b time.Time) time.Time {
--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -88,6 +88,7 @@
 	net.Conn
 	address  string
 	number   uint64 // see Trace.Connection
+	opened   time.Time
 	reader   *bufio.Reader
 	reused   bool
 	charge   *linkCharge // nil for targets in the region of this VM
@@ -113,7 +114,7 @@
 }
 
 func newConn(nc net.Conn, address string, number uint64) *conn {
-	c := &conn{Conn: nc, address: address, number: number, headLeft: -1}
+	c := &conn{Conn: nc, address: address, number: number, opened: time.Now(), headLeft: -1}
 	c.reader = bufio.NewReaderSize(responseReader{c}, readBufferBytes)
 	return c
 }
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -284,6 +284,7 @@
 	x.abort()
 	written, _ := x.conn.sent()
 	f := &Failure{Kind: classify(x.ctx, err, kind), Trace: x.trace(), Written: written, Err: err}
+	f.ConnectionEnded = x.conn.readErr != nil
 	if errors.Is(err, errNoResponse) && f.Kind == KindTruncated {
 		f.Kind = KindReset
 	}
@@ -305,7 +306,7 @@
 
 // trace must be called before the connection returns to the pool.
 func (x *exchange) trace() Trace {
-	return Trace{Connection: x.conn.number, Reused: x.conn.reused, Echoed: x.echoed}
+	return Trace{Connection: x.conn.number, Opened: x.conn.opened, Reused: x.conn.reused, Echoed: x.echoed}
 }
 
 // reusable reports whether the connection can serve another request after the
--- a/pkg/transport/target/failure.go
+++ b/pkg/transport/target/failure.go
@@ -54,9 +54,11 @@
 	// NotRun is true only if no connection accepted a byte of the request, or if
 	// the target reported that it did not run the request. Bytes in a socket
 	// buffer count as accepted.
-	NotRun   bool
-	Draining bool // the target announced that it drains
-	Status   int  // status of the response, if there was one
+	NotRun bool
+	// ConnectionEnded is true if the connection failed while the response was read.
+	ConnectionEnded bool
+	Draining        bool // the target announced that it drains
+	Status          int  // status of the response, if there was one
 	// Header is the head of the response. It is nil if there was none or if it has
 	// the id of another request: a late response states nothing about the target now.
 	Header http.Header
@@ -79,6 +81,12 @@
 	return f.Kind == KindTruncated || f.Kind == KindMismatched || f.Kind == KindMalformed
 }
 
+// MayHaveCrashed reports whether the connection ended before the response or within it
+// while the target may have run the request, as it does if the target crashes.
+func (f *Failure) MayHaveCrashed() bool {
+	return !f.NotRun && (f.Kind == KindReset || f.Kind == KindTruncated && f.ConnectionEnded)
+}
+
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -191,8 +191,9 @@
 	// Connection is the number of the connection, counted from 1 over all targets
 	// of a Client, or 0 if none was opened.
 	Connection uint64
-	Reused     bool // the connection had carried an earlier request
-	Echoed     bool // the response carried the id of the request
+	Opened     time.Time // when the connection was opened
+	Reused     bool      // the connection had carried an earlier request
+	Echoed     bool      // the response carried the id of the request
 }
 
 // Response is a response from a target.
