--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hickoryroute/pkg/transport/operatorhttp"
+	"hickoryroute/pkg/transport/peer"
 	"hickoryroute/pkg/transport/platform"
 	"hickoryroute/pkg/transport/tlsfiles"
 )
@@ -103,10 +104,7 @@
 	}
 	dial := c.DialPeer
 	if dial == nil {
-		dial = func(ctx context.Context, address string) (net.Conn, error) {
-			var d net.Dialer
-			return d.DialContext(ctx, "tcp", address)
-		}
+		dial = peer.Dial
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		return c.PeerTLS.Dial(ctx, address, dial)
--- a/pkg/transport/checkedhttp/transport.go
+++ b/pkg/transport/checkedhttp/transport.go
@@ -17,6 +17,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"hickoryroute/pkg/transport/netconn"
 )
 
 // handshakeTimeout bounds a TLS handshake, which a call that has ended does not end.
@@ -34,7 +36,7 @@
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
+		dial = dialWithReset
 	}
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := dial(ctx, network, address)
@@ -53,6 +55,17 @@
 	return &Transport{base: base}
 }
 
+// dialWithReset opens a connection that is reset when it is closed, so that a write that
+// has timed out is not delivered later.
+func dialWithReset(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	netconn.ResetOnClose(raw)
+	return raw, nil
+}
+
 func handshake(ctx context.Context, raw net.Conn, config *tls.Config, address string) (net.Conn, error) {
 	if config == nil {
 		config = &tls.Config{MinVersion: tls.VersionTLS12}
--- a/pkg/transport/netconn/abort.go
+++ b/pkg/transport/netconn/abort.go
@@ -28,6 +28,12 @@
 	_ = conn.Close()
 }
 
+// ResetOnClose lets the close of a connection, also by the end of the process, send RST
+// and discard what has not been delivered. Without it the system delivers bytes that a
+// partition holds up after the connection has been closed, and so requests that have
+// ended run when the partition is over.
+func ResetOnClose(conn net.Conn) { setReset(conn) }
+
 // setReset lets the close of a connection discard what is unsent and send RST.
 func setReset(conn net.Conn) {
 	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
--- a/pkg/transport/netconn/netconn.go
+++ b/pkg/transport/netconn/netconn.go
@@ -21,7 +21,7 @@
 	keepAliveProbes   = 2
 )
 
-// Dialer opens connections.
+// Dialer opens connections that are reset when they are closed (ResetOnClose).
 type Dialer struct {
 	// Timeout bounds the time to open a connection.
 	Timeout time.Duration
@@ -38,6 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
+	ResetOnClose(c)
 	return watch(c), nil
 }
 
--- a/pkg/transport/peer/client.go
+++ b/pkg/transport/peer/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"hickoryroute/pkg/transport/netconn"
 )
 
 const (
@@ -68,6 +70,18 @@
 	Rand func() float64
 }
 
+// Dial opens a TCP connection that is reset when it is closed, so that calls which have
+// ended are not delivered later.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{KeepAlive: keepAlivePeriod}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	netconn.ResetOnClose(conn)
+	return conn, nil
+}
+
 // Client calls methods of peers. It is safe for concurrent use.
 type Client struct {
 	cfg ClientConfig
@@ -101,10 +115,7 @@
 		cfg.MaxPending = DefaultMaxPending
 	}
 	if cfg.Dial == nil {
-		dialer := &net.Dialer{KeepAlive: keepAlivePeriod}
-		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}
+		cfg.Dial = Dial
 	}
 	if cfg.Rand == nil {
 		cfg.Rand = rand.Float64
--- a/pkg/transport/peer/connection.go
+++ b/pkg/transport/peer/connection.go
@@ -155,7 +155,7 @@
 	maxSilence time.Duration
 
 	mu      sync.Mutex
-	pending int
+	waiting int // callers that wait for a reply
 	// unansweredSince is the start of the first call without a reply since the last
 	// byte was received.
 	unansweredSince time.Time
@@ -178,13 +178,13 @@
 		return &callError{err: errors.New("too many pending calls to this peer")}
 	}
 	c.callStarted()
+	defer c.callEnded()
 	started := time.Now()
 	done := make(chan *rpc.Call, 1)
 	go func() {
 		call := <-c.rpc.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
 		done <- call
 		<-c.pendingSlots
-		c.callEnded()
 	}()
 	select {
 	case call := <-done:
@@ -222,20 +222,21 @@
 func (c *connection) callStarted() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending++
+	c.waiting++
 }
 
 func (c *connection) callEnded() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending--
-	if c.retired && c.pending == 0 {
+	c.waiting--
+	if c.retired && c.waiting == 0 {
 		_ = c.rpc.Close()
 	}
 }
 
-// retire makes the connection unusable for new calls and closes it when its last
-// call has ended, but no later than after retireTimeout.
+// retire makes the connection unusable for new calls and closes it when no caller waits
+// for a reply any more, but no later than after retireTimeout. What a partition holds up
+// in it is dropped then: state that arrives seconds late would be taken for new.
 func (c *connection) retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -244,7 +245,7 @@
 	}
 	c.retired = true
 	time.AfterFunc(retireTimeout, c.closeNow)
-	if c.pending == 0 || c.conn.broken.Load() {
+	if c.waiting == 0 || c.conn.broken.Load() {
 		_ = c.rpc.Close()
 	}
 }
--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -99,6 +99,7 @@
 	headBegan   time.Time // zero between two heads
 	headLimited bool      // the read deadline is that of the head
 	interrupted atomic.Bool
+	received    atomic.Bool // a byte was read since the current request began
 	deadline    time.Time
 	readErr     error // last read error of the socket or the limiter
 	idle        *idleWatch
@@ -110,6 +111,7 @@
 
 	writeMu  sync.Mutex // held during each write
 	written  int64      // bytes of the current request accepted by the socket
+	wroteAt  time.Time  // when the socket last accepted bytes
 	writeErr error      // first write error of the socket or the limiter
 }
 
@@ -129,6 +131,7 @@
 	c.headLeft, c.headTimeout = int64(cfg.MaxHeaderBytes), cfg.HeadTimeout
 	c.headBegan, c.headLimited = time.Time{}, false
 	c.deadline = time.Time{}
+	c.received.Store(false)
 }
 
 // hasCarried reports whether c has carried a request with this id. Such a
@@ -195,6 +198,7 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
+	c.wroteAt = time.Now()
 	if err != nil && c.writeErr == nil {
 		c.writeErr = err
 	}
@@ -209,6 +213,13 @@
 	}
 }
 
+// sinceLastWrite returns the time since the socket last accepted bytes.
+func (c *conn) sinceLastWrite() time.Duration {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return time.Since(c.wroteAt)
+}
+
 // sent returns the number of bytes accepted so far and the first write error.
 // The number is final once the connection is closed, because later writes fail.
 func (c *conn) sent() (int64, error) {
@@ -265,6 +276,9 @@
 		c.limitHead()
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received.Store(true)
+	}
 	if c.headLimited && isTimeout(err) && !c.interrupted.Load() {
 		err = errHeadTooSlow
 	} else if err != nil {
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hickoryroute/pkg/transport/responsehead"
@@ -108,15 +109,19 @@
 	conn   *conn
 	body   *stoppableBody
 
-	stopCancel  func() bool
-	writeDone   chan struct{} // closed when the request writer has returned
-	writeMu     sync.Mutex
-	writeErr    error // why the request was not written completely
-	echoed      bool
-	readSurplus bool // a response to an earlier request was read on the connection
-	resp        *http.Response
-	interrupted sync.Once
-	finished    sync.Once
+	stopCancel    func() bool
+	deliveryMu    sync.Mutex
+	delivery      *time.Timer // runs checkDelivery
+	deliveryEnded bool
+	undelivered   atomic.Bool   // checkDelivery has reset the connection
+	writeDone     chan struct{} // closed when the request writer has returned
+	writeMu       sync.Mutex
+	writeErr      error // why the request was not written completely
+	echoed        bool
+	readSurplus   bool // a response to an earlier request was read on the connection
+	resp          *http.Response
+	interrupted   sync.Once
+	finished      sync.Once
 }
 
 // run writes the request and reads the head of the response.
@@ -129,6 +134,8 @@
 	if x.ctx.Err() != nil {
 		return nil, x.fail(KindTimeout, errDeadlinePassed)
 	}
+	x.delivery = time.AfterFunc(deliveryTimeout, x.checkDelivery)
+	x.delivery.Reset(deliveryTimeout) // checkDelivery uses the field
 	x.startWrite(httpReq)
 	for surplus := 0; ; surplus++ {
 		resp, err := x.readHead(httpReq)
@@ -259,6 +266,9 @@
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
 		err = errors.Join(errNoResponse, err)
 	}
+	if x.undelivered.Load() {
+		err = errUndelivered
+	}
 	return x.fail(kind, err)
 }
 
@@ -343,6 +353,7 @@
 func (x *exchange) finish(reusable bool) {
 	x.finished.Do(func() {
 		x.body.stop()
+		x.endDeliveryCheck()
 		stopped := x.stopCancel()
 		x.client.pool.release(x.conn.address, x.conn, reusable && stopped)
 		if x.cancel != nil && x.resp != nil {
--- a/pkg/transport/target/linkdial.go
+++ b/pkg/transport/target/linkdial.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"hickoryroute/pkg/transport/netconn"
 )
 
 // linkReadBufferBytes is the receive buffer of a connection to another region.
@@ -18,12 +20,23 @@
 // 64 KiB that are acquired from the limiter before a request to another region
 // is sent.
 func DialLink(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+	dialer := &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
 		err := raw.Control(func(fd uintptr) {
 			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, linkReadBufferBytes)
 		})
 		return errors.Join(err, optionErr)
 	}}
-	return dialer.DialContext(ctx, "tcp", address)
+	return dialWithReset(ctx, dialer, address)
+}
+
+// dialWithReset opens a connection that is reset when it is closed, so that a request
+// that has ended is not delivered later.
+func dialWithReset(ctx context.Context, dialer *net.Dialer, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	netconn.ResetOnClose(conn)
+	return conn, nil
 }
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -130,9 +130,8 @@
 		c.LinkDial = DialLink
 	}
 	if c.Dial == nil {
-		var dialer net.Dialer
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
+			return dialWithReset(ctx, &net.Dialer{}, address)
 		}
 	}
 	if c.MaxIdlePerTarget <= 0 {
