--- a/pkg/transport/netconn/ending.go
+++ b/pkg/transport/netconn/ending.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 )
 
 // Ending is what the system knows of a connection whose stream has ended. The zero
@@ -17,15 +18,19 @@
 	Undelivered bool
 }
 
-// Undelivered reports whether bytes that were sent are not acknowledged, and the peer is
-// not one that reads late. It returns false if the system does not tell.
-func Undelivered(conn net.Conn) bool {
+// Undelivered reports whether bytes that were sent are not acknowledged, and the peer has
+// acknowledged nothing else within a time and does not read late. It returns false if the
+// system does not tell. More bytes than the peer has room for may wait for it to read.
+func Undelivered(conn net.Conn, silence time.Duration) bool {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
 	d, err := readDelivery(socket)
-	return err == nil && d.inFlight && !d.readsLate()
+	if err != nil || !d.inFlight || d.readsLate() {
+		return false
+	}
+	return !d.tellsAges() || d.lastAck >= silence
 }
 
 // ReadEnding asks the system for the state of conn. It consumes a reset that has not
--- a/pkg/transport/netconn/window_watch.go
+++ b/pkg/transport/netconn/window_watch.go
@@ -41,6 +41,9 @@
 	return d.unsent && !d.inFlight || d.retransmitting && d.lastAck <= d.lastSent
 }
 
+// tellsAges reports whether the system states the ages, which a simulated socket may not.
+func (d delivery) tellsAges() bool { return d.lastSent > 0 || d.lastAck > 0 }
+
 // settled reports whether the timeout for silent peers applies: all bytes are
 // delivered, or the peer has not acknowledged the last transmission in time.
 func (d delivery) settled() bool {
--- a/pkg/transport/target/conn.go
+++ b/pkg/transport/target/conn.go
@@ -128,6 +128,7 @@
 	}
 	c.charge = ch
 	c.written, c.writeErr, c.readErr = 0, nil, nil
+	c.wroteAt = time.Now()
 	c.headLeft, c.headTimeout = int64(cfg.MaxHeaderBytes), cfg.HeadTimeout
 	c.headBegan, c.headLimited = time.Time{}, false
 	c.deadline = time.Time{}
@@ -213,11 +214,11 @@
 	}
 }
 
-// sinceLastWrite returns the time since the socket last accepted bytes.
-func (c *conn) sinceLastWrite() time.Duration {
+// lastWrite returns the number of bytes accepted so far, and when the last of them were.
+func (c *conn) lastWrite() (written int64, at time.Time) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	return time.Since(c.wroteAt)
+	return c.written, c.wroteAt
 }
 
 // sent returns the number of bytes accepted so far and the first write error.
--- a/pkg/transport/target/undelivered.go
+++ b/pkg/transport/target/undelivered.go
@@ -7,10 +7,19 @@
 	"hickoryroute/pkg/transport/netconn"
 )
 
-// deliveryTimeout is the time after which a request that the target has not acknowledged
-// is taken back. It is shorter than the timeout of the system (netconn), which ends the
-// connection without a reset: the network may then still deliver what it holds up.
-const deliveryTimeout = time.Second
+const (
+	// deliveryTimeout is the time after which a request that the target has not
+	// acknowledged is taken back. It is shorter than the timeout of the system (netconn),
+	// which ends the connection without a reset: the network may then still deliver what
+	// it holds up.
+	deliveryTimeout = time.Second
+	// minSilence is the time for which a target that has not acknowledged a request has
+	// acknowledged nothing else either. On a busy machine the check may come late.
+	minSilence = deliveryTimeout / 2
+	// maxCheckedBytes is the size up to which a request fits into the window of a target.
+	// A longer one may wait for a target that reads late, or slowly.
+	maxCheckedBytes = 16 << 10
+)
 
 var errUndelivered = errors.New("the target has not acknowledged the request in time; check its machine and the network")
 
@@ -21,11 +30,15 @@
 	if x.deliveryEnded || x.conn.received.Load() || x.ctx.Err() != nil {
 		return
 	}
-	if left := deliveryTimeout - x.conn.sinceLastWrite(); left > 0 {
+	written, wroteAt := x.conn.lastWrite()
+	if written > maxCheckedBytes {
+		return
+	}
+	if left := deliveryTimeout - time.Since(wroteAt); left > 0 {
 		x.delivery.Reset(left)
 		return
 	}
-	if netconn.Undelivered(x.conn.Conn) {
+	if netconn.Undelivered(x.conn.Conn, minSilence) {
 		x.undelivered.Store(true)
 		_ = x.conn.Close()
 	}
