--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -63,7 +63,7 @@
 	c := &call{
 		Request: r, service: r.Route.ChooseService(rand.Float64()), excluded: map[string]bool{},
 		deadline: earlier(r.Deadline, r.Received.Add(r.Route.Timeout)), suspended: r.Suspended,
-		fingerprint: crash.NewFingerprint(r.Host, r.Method, r.Path, r.Body.buffered),
+		fingerprint: crash.NewFingerprint(accountName(r.Account), r.Host, r.Method, r.Path, r.Body.buffered),
 	}
 	c.admission.spent = g.returns.Spent(uint64(c.fingerprint), r.Deadline, r.Received)
 	g.resendBudget.CountRequest(c.service, g.cfg.Now())
--- a/pkg/steering/crash/alive_test.go
+++ b/pkg/steering/crash/alive_test.go
@@ -15,7 +15,7 @@
 // response: the target responds later on a connection that was open before, and all VMs
 // take that over, in whichever order they hear of it.
 func TestTargetThatGoesOnRespondingHasNotCrashed(t *testing.T) {
-	f := NewFingerprint("h", "GET", "/x", nil)
+	f := NewFingerprint("", "h", "GET", "/x", nil)
 	first, second := newQuarantine(f), newQuarantine(f)
 	now := start.Add(time.Second)
 	first.RecordAlive(targetB, start.Add(-time.Minute), now, now)
@@ -31,7 +31,7 @@
 // does not show that its target went on: the connection was opened after the crash, or
 // the response belongs to a request that was sent before.
 func TestOnlyAnOlderConnectionShowsThatATargetGoesOn(t *testing.T) {
-	f := NewFingerprint("h", "GET", "/x", nil)
+	f := NewFingerprint("", "h", "GET", "/x", nil)
 	table := newQuarantine(f)
 	crashed := start.Add(-apart) // when target b crashed
 	later := start.Add(time.Minute)
@@ -48,7 +48,7 @@
 // Guards against a target that crashes after an earlier report of it was disproved, and
 // is never counted.
 func TestCrashAfterADisprovedOneCounts(t *testing.T) {
-	f := NewFingerprint("h", "GET", "/x", nil)
+	f := NewFingerprint("", "h", "GET", "/x", nil)
 	table := newQuarantine(f)
 	now := start.Add(time.Second)
 	table.RecordAlive(targetB, start.Add(-time.Minute), now, now)
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -15,18 +15,19 @@
 )
 
 const (
-	// recordTTL is the time for which the record of a request that is not
-	// quarantined is kept. The request may come again only once in some minutes.
+	// recordTTL is the time after which a request is forgotten if it does not come
+	// again. It may come again only once in some minutes.
 	recordTTL = time.Hour
-	// quarantineTTL is the time after which a quarantined request is forgotten if
-	// it does not come again.
-	quarantineTTL = time.Hour
 	// firstTrialDelay is the time from the last crash to the first trial of a
 	// quarantined request. Each further trial comes trialDelayFactor times later
 	// after the one before, at most maxTrialDelay.
 	firstTrialDelay  = 10 * time.Second
 	trialDelayFactor = 4
 	maxTrialDelay    = time.Hour
+	// tiedTrialSpacing is the time from the last crash to the first trial, and between
+	// the trials, of requests that have crashed the same targets: a harmless one among
+	// them is not held back for firstTrialDelay.
+	tiedTrialSpacing = time.Second
 	// trialStagger is the time after which the next VM may make a trial that is
 	// due, because the request may not come at the VMs before it. VMs tell each
 	// other of trials within less.
@@ -47,12 +48,12 @@
 // Fingerprint identifies requests that are the same to a target.
 type Fingerprint uint64
 
-// NewFingerprint returns the fingerprint of a request. body is the first part
-// of the request body.
-func NewFingerprint(host, method, path string, body []byte) Fingerprint {
+// NewFingerprint returns the fingerprint of a request. account is the name of the client
+// account, or empty; body is the first part of the request body.
+func NewFingerprint(account, host, method, path string, body []byte) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range []string{host, method, path} {
+	for _, part := range []string{account, host, method, path} {
 		_, _ = d.WriteString(part)
 		_, _ = d.WriteString("\x00")
 	}
@@ -160,13 +161,48 @@
 	return ok && t.quarantined(r)
 }
 
-// quarantined reports whether the crashes of a record are enough events. The caller holds
-// the lock.
+// quarantined reports whether the crashes of a record are enough events that no other
+// request explains. The caller holds the lock.
 func (t *Table) quarantined(r Record) bool {
 	if r.events(noOtherEnded) < maxCrashEvents {
 		return false
 	}
-	return r.events(func(from, to time.Time) bool { return t.otherEnded(r, from, to) }) >= maxCrashEvents
+	unexplained := t.withoutExplained(r)
+	return unexplained.events(func(from, to time.Time) bool { return t.otherEnded(r, from, to) }) >= maxCrashEvents
+}
+
+// withoutExplained returns a record without the crashes of targets that a request with
+// more events has also crashed: r only ran beside that request there. The caller holds the
+// lock.
+func (t *Table) withoutExplained(r Record) Record {
+	own := r.events(noOtherEnded)
+	for _, other := range t.records {
+		if events := other.events(noOtherEnded); events >= maxCrashEvents && events > own {
+			r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return other.ran(c.Target) })
+		}
+	}
+	return r
+}
+
+// tiedTrialDelay returns the time from the last crash to the first trial of a request
+// that ran beside another one in all its crashes, so that either may have crashed the
+// targets. Their trials come one after the other, in the order of their fingerprints. It
+// returns firstTrialDelay if there is no such request. The caller holds the lock.
+func (t *Table) tiedTrialDelay(r Record) time.Duration {
+	own, tied, before := r.events(noOtherEnded), false, 0
+	for _, other := range t.records {
+		if other.Fingerprint == r.Fingerprint || other.events(noOtherEnded) != own || !other.ranBeside(r) {
+			continue
+		}
+		tied = true
+		if other.Fingerprint < r.Fingerprint {
+			before++
+		}
+	}
+	if !tied {
+		return firstTrialDelay
+	}
+	return min(time.Duration(before+1)*tiedTrialSpacing, firstTrialDelay)
 }
 
 // otherEnded reports whether a target on which the request did not run ended within
@@ -195,7 +231,7 @@
 		return false
 	}
 	r.LastSeen = now
-	due := r.nextTrial()
+	due := r.nextTrial(t.tiedTrialDelay(r))
 	trial := !now.Before(due) && !now.Before(due.Add(time.Duration(rank())*trialStagger))
 	if trial {
 		r.Trials++
@@ -262,11 +298,7 @@
 func (t *Table) removeExpired(now time.Time) {
 	t.expiryAt = now
 	for f, r := range t.records {
-		ttl := recordTTL
-		if t.quarantined(r) {
-			ttl = quarantineTTL
-		}
-		if now.Sub(latest(r.changed(), r.LastSeen)) > ttl {
+		if now.Sub(latest(r.changed(), r.LastSeen)) > recordTTL {
 			delete(t.records, f)
 			t.digestKnown = false
 		}
--- a/pkg/steering/crash/crash_test.go
+++ b/pkg/steering/crash/crash_test.go
@@ -44,7 +44,7 @@
 // A request that crashes every target must be quarantined on all VMs after three
 // targets, whichever VM recorded which crash.
 func TestRequestIsQuarantinedAfterThreeTargetsOfSeveralVMs(t *testing.T) {
-	f := NewFingerprint("h", "POST", "/x", []byte("body"))
+	f := NewFingerprint("", "h", "POST", "/x", []byte("body"))
 	first, second := NewTable(), NewTable()
 	first.RecordCrash(f, crashAt("a", start))
 	first.RecordCrash(f, crashAt("b", start.Add(apart)))
@@ -53,7 +53,7 @@
 	assert.Assert(t, !first.Quarantined(f) && !second.Quarantined(f))
 	share(second, first, start.Add(2*apart))
 	assert.Assert(t, first.Quarantined(f))
-	first.Recent(start.Add(2 * quarantineTTL))
+	first.Recent(start.Add(2 * recordTTL))
 	assert.Assert(t, !first.Quarantined(f), "a request that does not come again is forgotten")
 }
 
@@ -61,7 +61,7 @@
 // targets: it must reach targets in three trials at most during the first three
 // minutes, with growing delays, and in one each hour in the end.
 func TestQuarantineLastsAsLongAsTheRequestComes(t *testing.T) {
-	f := NewFingerprint("h", "POST", "/x", nil)
+	f := NewFingerprint("", "h", "POST", "/x", nil)
 	table := newQuarantine(f)
 	var trials []time.Duration
 	for after := time.Duration(0); after < 10*time.Hour; after += 100 * time.Millisecond {
@@ -77,7 +77,7 @@
 // Guards against trials by several VMs: one of three at which the request comes
 // all the time makes the trial, and another one if it does not come there.
 func TestOneVMMakesTheTrial(t *testing.T) {
-	f := NewFingerprint("h", "POST", "/x", nil)
+	f := NewFingerprint("", "h", "POST", "/x", nil)
 	for _, receiving := range [][]int{{0, 1, 2}, {1, 2}, {2}} {
 		tables := []*Table{newQuarantine(f), newQuarantine(f), newQuarantine(f)}
 		trials := 0
@@ -102,7 +102,7 @@
 // target ends its quarantine on all VMs, also on those whose news of the crashes
 // arrives later.
 func TestResponseEndsQuarantineOnAllVMs(t *testing.T) {
-	f := NewFingerprint("h", "GET", "/x", nil)
+	f := NewFingerprint("", "h", "GET", "/x", nil)
 	first, second := newQuarantine(f), newQuarantine(f)
 	now := start.Add(firstTrialDelay)
 	assert.Assert(t, !first.Blocked(f, now, firstVM))
@@ -116,7 +116,7 @@
 // Guards against a zone's restart that is taken for a crashing request: targets
 // that end together while they run the same harmless request are one event.
 func TestTargetsThatEndTogetherAreOneEvent(t *testing.T) {
-	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	table, f := NewTable(), NewFingerprint("", "h", "GET", "/x", nil)
 	sent := start.Add(-shortly)
 	for n, target := range []string{"a", "b", "c", "d"} {
 		table.RecordCrash(f, Crash{Target: targets.Key{ID: target}, Sent: sent, At: start.Add(time.Duration(n) * time.Millisecond)})
@@ -129,12 +129,12 @@
 // zone ended, from one target of the zone to the next: targets that did not run it ended
 // as well.
 func TestResendsWhileAZoneEndsAreOneEvent(t *testing.T) {
-	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	table, f := NewTable(), NewFingerprint("", "h", "GET", "/x", nil)
 	for n, target := range []string{"a", "b", "c", "d"} {
 		table.RecordCrash(f, crashAt(target, start.Add(time.Duration(n)*2*shortly)))
 	}
 	assert.Assert(t, table.Quarantined(f), "no other target ended")
-	table.RecordCrash(NewFingerprint("h", "GET", "/y", nil), crashAt("e", start))
+	table.RecordCrash(NewFingerprint("", "h", "GET", "/y", nil), crashAt("e", start))
 	assert.Assert(t, !table.Quarantined(f))
 }
 
@@ -142,7 +142,7 @@
 // comes, and is never quarantined (review/6): each attempt that was sent after the one
 // before it had broken its connection is an event.
 func TestResendsThatCrashOneTargetAfterTheOtherAreEvents(t *testing.T) {
-	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	table, f := NewTable(), NewFingerprint("", "h", "GET", "/x", nil)
 	for n, target := range []string{"a", "b", "c"} {
 		assert.Assert(t, !table.Quarantined(f), "after %d crashes", n)
 		table.RecordCrash(f, crashAt(target, start.Add(time.Duration(n)*2*shortly)))
@@ -153,7 +153,7 @@
 // Guards against a record that is filled by copies of a request that were under way
 // together, so that no later event is recorded (review/6).
 func TestFullRecordTakesFurtherEvents(t *testing.T) {
-	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	table, f := NewTable(), NewFingerprint("", "h", "GET", "/x", nil)
 	for burst := range maxCrashEvents {
 		assert.Assert(t, !table.Quarantined(f), "after %d bursts", burst)
 		at := start.Add(time.Duration(burst) * 7 * time.Second)
@@ -168,7 +168,7 @@
 // Repeated crashes of the same target for another reason must not quarantine a
 // request.
 func TestRepeatedCrashOfOneTargetCountsOnce(t *testing.T) {
-	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	table, f := NewTable(), NewFingerprint("", "h", "GET", "/x", nil)
 	for n := range 5 {
 		table.RecordCrash(f, crashAt("a", start.Add(time.Duration(n)*apart)))
 	}
@@ -178,7 +178,7 @@
 // Guards against a request that goes on crashing targets which start again under the ids
 // that they had (review/8): each start counts.
 func TestEachStartOfATargetCounts(t *testing.T) {
-	table, f := NewTable(), NewFingerprint("h", "POST", "/x", nil)
+	table, f := NewTable(), NewFingerprint("", "h", "POST", "/x", nil)
 	for n := range maxCrashEvents {
 		assert.Assert(t, !table.Quarantined(f), "after %d crashes", n)
 		at := start.Add(time.Duration(n) * 7 * time.Second)
@@ -190,7 +190,7 @@
 // The loss of a zone's power breaks many harmless requests. A response must
 // clear their records.
 func TestResponseClearsARequest(t *testing.T) {
-	table, f := NewTable(), NewFingerprint("h", "GET", "/x", nil)
+	table, f := NewTable(), NewFingerprint("", "h", "GET", "/x", nil)
 	table.RecordCrash(f, crashAt("a", start))
 	table.RecordCrash(f, crashAt("b", start.Add(apart)))
 	table.RecordResponse(f, start.Add(apart))
@@ -201,8 +201,9 @@
 // Guards against different requests that share a fingerprint and are quarantined
 // together.
 func TestFingerprintSeparatesRequests(t *testing.T) {
-	assert.Assert(t, NewFingerprint("a", "bc", "d", nil) != NewFingerprint("ab", "c", "d", nil))
-	assert.Assert(t, NewFingerprint("h", "GET", "/x", []byte("1")) != NewFingerprint("h", "GET", "/x", []byte("2")))
+	assert.Assert(t, NewFingerprint("", "a", "bc", "d", nil) != NewFingerprint("", "ab", "c", "d", nil))
+	assert.Assert(t, NewFingerprint("a", "h", "GET", "/x", nil) != NewFingerprint("b", "h", "GET", "/x", nil), "accounts")
+	assert.Assert(t, NewFingerprint("", "h", "GET", "/x", []byte("1")) != NewFingerprint("", "h", "GET", "/x", []byte("2")))
 }
 
 // The table and the messages to other VMs must stay bounded.
@@ -237,7 +238,7 @@
 // Guards against a request that comes once in some minutes and is never quarantined: its
 // record must outlast the time between two crashes.
 func TestRareRequestIsQuarantined(t *testing.T) {
-	table, f := NewTable(), NewFingerprint("h", "POST", "/x", nil)
+	table, f := NewTable(), NewFingerprint("", "h", "POST", "/x", nil)
 	for n := range maxCrashEvents {
 		at := start.Add(time.Duration(n) * 2 * time.Minute)
 		table.Recent(at)
@@ -249,7 +250,7 @@
 // Guards against a VM that starts after the news of a quarantine, or hears nothing for a
 // while, and never learns of it (review/10): its digest differs until it has all records.
 func TestDigestTellsWhoLacksAQuarantine(t *testing.T) {
-	f := NewFingerprint("h", "POST", "/x", nil)
+	f := NewFingerprint("", "h", "POST", "/x", nil)
 	old, started := newQuarantine(f), NewTable()
 	now := start.Add(10 * recentTime)
 	assert.Assert(t, !old.Blocked(f, now, firstVM), "a trial is due")
@@ -270,13 +271,13 @@
 // Guards against VMs that forget a quarantine at which the request does not come, while
 // it comes at another VM.
 func TestRequestThatComesElsewhereStaysQuarantined(t *testing.T) {
-	f := NewFingerprint("h", "POST", "/x", nil)
+	f := NewFingerprint("", "h", "POST", "/x", nil)
 	first, second := newQuarantine(f), newQuarantine(f)
-	now := start.Add(quarantineTTL - time.Second)
+	now := start.Add(recordTTL - time.Second)
 	first.Blocked(f, now, func() int { return 1 << 20 })
 	for _, r := range first.All(now) {
 		second.Merge(r, now)
 	}
-	second.Recent(now.Add(quarantineTTL / 2))
+	second.Recent(now.Add(recordTTL / 2))
 	assert.Assert(t, second.Quarantined(f))
 }
--- a/pkg/steering/crash/record.go
+++ b/pkg/steering/crash/record.go
@@ -94,9 +94,18 @@
 	return slices.ContainsFunc(r.Crashes, func(c Crash) bool { return sameTarget(c.Target, target) })
 }
 
-// nextTrial returns when the next trial of a quarantined request is due.
-func (r Record) nextTrial() time.Time {
-	delay := firstTrialDelay
+// ranBeside reports whether the request ran on all targets that another one crashed.
+func (r Record) ranBeside(other Record) bool {
+	return len(other.Crashes) > 0 && !slices.ContainsFunc(other.Crashes, func(c Crash) bool { return !r.ran(c.Target) })
+}
+
+// nextTrial returns when the next trial of a quarantined request is due. first is the time
+// from the last crash to the first trial.
+func (r Record) nextTrial(first time.Duration) time.Time {
+	delay := first
+	if r.Trials > 0 {
+		delay = firstTrialDelay
+	}
 	for range r.Trials {
 		delay = min(delay*trialDelayFactor, maxTrialDelay)
 	}
