Soak: excuse a long response that its instance cut

Cause: in the check. The response to an upload, 160 KB, is longer than the 64 KiB that a VM buffers, so its head had been passed on when the instance (fault "truncated") cut it.

Change: such an end is excused only if a head had arrived and the instance that ran the request last recorded that it cuts the response. A response without a head, or from an instance without that fault, is still reported.

--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -43,8 +43,9 @@
 
 	mu            sync.Mutex
 	runsByID      map[string]int
-	lastEndpoints map[string]*endpoint      // endpoint of the target that ran a request last
-	arrivalsRead  map[*standin.Instance]int // number of arrivals already checked
+	lastFaults    map[string]standin.InstanceFault // of the instance that ran a request last
+	lastEndpoints map[string]*endpoint             // endpoint of the target that ran a request last
+	arrivalsRead  map[*standin.Instance]int        // number of arrivals already checked
 	reported      map[string]bool
 	overdue       int // requests without a response at the timeout of the route
 	late          int // requests without a response responseSlack after the timeout
@@ -96,8 +97,23 @@
 	}
 }
 
+// cutByInstance reports whether an instance broke off the response after its head had
+// been passed on, which a VM does with a long response before it knows its end.
+func (c *checker) cutByInstance(sent *attempt) bool {
+	if sent.outcome.Status == 0 {
+		return false
+	}
+	c.checkArrivals()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastFaults[sent.ID] == standin.FaultTruncated
+}
+
 // checkNoResponse checks an attempt that ended without a response.
 func (c *checker) checkNoResponse(sent *attempt) {
+	if c.cutByInstance(sent) {
+		return
+	}
 	faults := c.testbed.faults
 	from := sent.began.Add(-staleConnectionTime)
 	if !faults.faultFree(from, sent.ended, numberedScope(scopePrefixVM, sent.vm.index), numberedScope(scopePrefixCallerLink, sent.vm.index), scopeStalled) {
@@ -130,6 +146,7 @@
 	defer c.mu.Unlock()
 	if c.runsByID == nil {
 		c.runsByID, c.lastEndpoints, c.arrivalsRead = map[string]int{}, map[string]*endpoint{}, map[*standin.Instance]int{}
+		c.lastFaults = map[string]standin.InstanceFault{}
 	}
 	for _, instance := range instances {
 		newArrivals := instance.Arrivals(c.arrivalsRead[instance])
@@ -137,6 +154,7 @@
 		for _, a := range newArrivals {
 			c.runsByID[a.ID]++
 			c.lastEndpoints[a.ID] = endpoints[instance]
+			c.lastFaults[a.ID] = a.Fault
 			c.checkArrival(instance, a)
 		}
 	}
