--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -180,7 +180,7 @@
 	self := p.gateway.cfg.Self
 	req := protocol.LoadsRequest{
 		From: self.ID, Region: self.Region, Zone: self.Zone, Brief: brief, Limits: p.ownLimits(),
-		Crashes: p.crashesFor(vm.ID, p.crashSharing.differs(vm.ID)), CrashDigest: p.gateway.crashes.Digest(),
+		Crashes: p.crashesFor(vm.ID, p.crashSharing.lastDigest(vm.ID, p.gateway.crashes.Digest())), CrashDigest: p.gateway.crashes.Digest(),
 		Era: p.gateway.latestEra.Load(), AcceptsPacked: true, RoundTripUs: p.gateway.picker.ZoneRoundTrip(vm.Zone).Microseconds(),
 	}
 	req.Newest, req.NewestEra = p.newestEntry()
@@ -201,7 +201,7 @@
 	p.recordAcceptsPacked(reply.From, reply.AcceptsPacked)
 	p.applyPeerState(reply.From, reply.Region, brief, p.receivedLoads(reply.Loads, reply.Packed), reply.Uses)
 	p.mergeCrashes(reply.Crashes)
-	p.crashSharing.setDiffers(reply.From, reply.CrashDigest != p.gateway.crashes.Digest())
+	p.crashSharing.recordDigest(reply.From, reply.CrashDigest, p.gateway.cfg.Now())
 	p.mergeRefusals(reply.Refusals)
 	p.mergeLimits(reply.Limits)
 	p.takeHints(reply.Newest, reply.NewestEra, reply.Era)
@@ -268,7 +268,7 @@
 	reply.Limits = p.ownLimits()
 	reply.Era, reply.Version = p.gateway.latestEra.Load(), p.gateway.versionInForce()
 	reply.CrashDigest = p.gateway.crashes.Digest()
-	reply.Crashes = p.crashesFor(req.From, req.CrashDigest != reply.CrashDigest)
+	reply.Crashes = p.crashesFor(req.From, req.CrashDigest)
 	reply.Newest, reply.NewestEra = p.newestEntry()
 	reply.Unconfirmed = p.gateway.operatorFeed.Unconfirmed()
 	switch {
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -32,17 +32,20 @@
 	// due, because the request may not come at the VMs before it. VMs tell each
 	// other of trials within less.
 	trialStagger = 3 * time.Second
-	// recentTime is the time for which news of a record is reported to other VMs.
-	recentTime = 10 * time.Second
+	// recentTime is the time for which news of a record is reported to other VMs. It
+	// exceeds the time that it takes to reach all of them, and a digest tells of what
+	// they have missed.
+	recentTime = 4 * time.Second
+	// newsInterval is the time between two selections of the news, which many messages
+	// carry.
+	newsInterval = 50 * time.Millisecond
 	// expiryInterval is the time between two removals of old records.
 	expiryInterval = time.Minute
 	// maxRecords bounds the table. A full table drops one evictedShare-th of its records.
 	maxRecords   = 4096
 	evictedShare = 4
-	// maxRecent bounds the news in one message to another VM, and maxShared the records
-	// in a message to a VM whose digest differs.
+	// maxRecent bounds the records in one message to another VM.
 	maxRecent = 64
-	maxShared = 256
 )
 
 // Fingerprint identifies requests that are the same to a target.
@@ -67,7 +70,9 @@
 	records     map[Fingerprint]Record
 	changedAt   time.Time // of the record that changed last
 	expiryAt    time.Time // of the last removal of old records
-	digest      uint64    // of the records, if digestKnown is true
+	news        []Record  // selected at newsAt
+	newsAt      time.Time
+	digest      uint64 // of the records, if digestKnown is true
 	digestKnown bool
 	crashedAt   map[targets.Key]time.Time // of the latest crash, by target
 }
@@ -131,6 +136,8 @@
 
 // set replaces a record. The caller holds the lock.
 func (t *Table) set(r Record) {
+	before := t.records[r.Fingerprint]
+	r.freed = before.freed || before.suspect() && !r.suspect()
 	t.records[r.Fingerprint] = r
 	t.changedAt = latest(t.changedAt, r.changed())
 	t.digestKnown = false
@@ -164,7 +171,7 @@
 // quarantined reports whether the crashes of a record are enough events that no other
 // request explains. The caller holds the lock.
 func (t *Table) quarantined(r Record) bool {
-	if r.events(noOtherEnded) < maxCrashEvents {
+	if !r.suspect() {
 		return false
 	}
 	unexplained := t.withoutExplained(r)
@@ -251,30 +258,45 @@
 	if now.Sub(t.changedAt) >= recentTime {
 		return nil
 	}
+	if t.newsAt.After(now.Add(-newsInterval)) && !t.newsAt.After(now) {
+		return t.news
+	}
+	t.news, t.newsAt = t.selectNews(now), now
+	return t.news
+}
+
+// selectNews returns the records that have changed recently, those with the most events
+// first. The caller holds the lock.
+func (t *Table) selectNews(now time.Time) []Record {
 	var recent []Record
 	for _, r := range t.records {
 		if now.Sub(r.changed()) < recentTime {
 			recent = append(recent, r)
 		}
 	}
-	recent = mostEventsFirst(recent)
-	return recent[:min(len(recent), maxRecent)]
+	if len(recent) <= maxRecent {
+		return recent
+	}
+	return mostEventsFirst(recent)[:maxRecent]
 }
 
-// All returns the records for a VM whose digest differs. If there are too many for one
-// message, it returns some of them, others at each call.
-func (t *Table) All(now time.Time) []Record {
+// Suspects returns the records for a VM whose digest differs: those with enough events for
+// a quarantine, and those that had as many before a response. If there are too many for
+// one message, it returns some of them, others at each call.
+func (t *Table) Suspects(now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeExpired(now)
-	var all []Record
+	var suspects []Record
 	for _, r := range t.records {
-		if len(all) == maxShared {
+		if len(suspects) == maxRecent {
 			break
 		}
-		all = append(all, r)
+		if r.freed || r.suspect() {
+			suspects = append(suspects, r)
+		}
 	}
-	return all
+	return suspects
 }
 
 // Digest returns a digest of the records with enough events for a quarantine, and of
@@ -287,7 +309,7 @@
 	}
 	t.digest, t.digestKnown = 0, true
 	for _, r := range t.records {
-		if r.events(noOtherEnded) >= maxCrashEvents {
+		if r.suspect() {
 			t.digest ^= r.digest()
 		}
 	}
--- a/pkg/steering/crash/record.go
+++ b/pkg/steering/crash/record.go
@@ -27,6 +27,7 @@
 	LastSeen time.Time
 
 	disprovedAt time.Time // when this VM learned that a crash is disproved
+	freed       bool      // it had enough events for a quarantine before a response
 }
 
 // merge returns what two VMs know together.
@@ -71,6 +72,12 @@
 // events returns the number of crash events, given the other targets that ended.
 func (r Record) events(otherEnded endedFunc) int { return len(chain(r.Crashes, otherEnded)) }
 
+// suspect reports whether the record has enough events for a quarantine, unless other
+// requests explain them.
+func (r Record) suspect() bool {
+	return len(r.Crashes) >= maxCrashEvents && r.events(noOtherEnded) >= maxCrashEvents
+}
+
 // digest returns a number that differs between records of different requests, and when a
 // trial has been made.
 func (r Record) digest() uint64 {
@@ -83,8 +90,12 @@
 // mostEventsFirst orders records by their number of events, and of equal ones the latest
 // first.
 func mostEventsFirst(records []Record) []Record {
+	events := make(map[Fingerprint]int, len(records))
+	for _, r := range records {
+		events[r.Fingerprint] = r.events(noOtherEnded)
+	}
 	slices.SortFunc(records, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(b.events(noOtherEnded), a.events(noOtherEnded)), b.changed().Compare(a.changed()))
+		return cmp.Or(cmp.Compare(events[b.Fingerprint], events[a.Fingerprint]), b.changed().Compare(a.changed()))
 	})
 	return records
 }
