Keep the time of arrival of each waiting request

Cause: the read by which net/http begins to watch for a caller's departure cleared the time of arrival. It runs beside the handler, so a waiting request sometimes counted as just sent. A request that came in one packet with the one before it always did.

Change: the watch leaves the time alone, every other read records it. The test waits until the connection holds the bytes, asks 5 ms after the watch has begun and also sends two requests in one packet; its bounds are the times at which it sent them.

--- a/pkg/transport/netconn/arrival.go
+++ b/pkg/transport/netconn/arrival.go
@@ -58,7 +58,9 @@
 }
 
 // ArrivedAt returns when the request arrived that is being served on the connection
-// of a context. It is now unless the request has waited behind another one.
+// of a context, which is well before now if the request has waited behind another
+// one. It must be called before the body of the request is read. It returns now if
+// the context has no connection.
 func ArrivedAt(ctx context.Context, now time.Time) time.Time {
 	conn, ok := ctx.Value(callerConnKey{}).(*callerConn)
 	if !ok {
@@ -66,8 +68,5 @@
 	}
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.arrivedAt.IsZero() {
-		return now
-	}
 	return conn.arrivedAt
 }
--- a/pkg/transport/netconn/arrival_test.go
+++ b/pkg/transport/netconn/arrival_test.go
@@ -8,28 +8,61 @@
 	"gotest.tools/v3/assert"
 )
 
+// waitUntilHeld waits until a connection holds a number of bytes.
+func waitUntilHeld(t *testing.T, conn *callerConn, size int) {
+	t.Helper()
+	for limit := time.Now().Add(10 * time.Second); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		conn.mu.Lock()
+		held := len(conn.held)
+		conn.mu.Unlock()
+		if held == size {
+			return
+		}
+	}
+	t.Fatalf("the connection does not hold %d bytes", size)
+}
+
 // Guards against requests that wait behind others and count as just sent: they are
-// held past the time for which their callers wait, and targets are told too much of it.
+// held past the time for which their callers wait, and targets are told too much of
+// it. The watch for the caller's departure begins before the handler asks.
 func TestWaitingRequestsKeepTheTimeOfTheirArrival(t *testing.T) {
-	const first = 300 * time.Millisecond
-	ages := make(chan time.Duration, 3)
+	const untilWatch = 5 * time.Millisecond
+	type served struct{ arrived, began time.Time }
+	requests := make(chan served, 4)
+	running := make(chan *callerConn, 1)
+	release := make(chan struct{})
 	_, dial := serveCallers(t, false, func(_ http.ResponseWriter, r *http.Request) {
-		now := time.Now()
-		ages <- now.Sub(ArrivedAt(r.Context(), now))
+		began := time.Now()
+		time.Sleep(untilWatch)
+		requests <- served{ArrivedAt(r.Context(), began), began}
 		if r.URL.Path == "/first" {
-			time.Sleep(first)
+			running <- r.Context().Value(callerConnKey{}).(*callerConn)
+			<-release
 		}
 	})
-	conn := dial()
-	send(t, conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
-	time.Sleep(first / 3)
-	send(t, conn, shortRequest)
-	time.Sleep(first / 3)
-	send(t, conn, shortRequest)
-	assert.Equal(t, <-ages, time.Duration(0))
-	behind, last := <-ages, <-ages
-	assert.Assert(t, behind >= first/2 && behind < 2*first, "%s", behind)
-	assert.Assert(t, last >= first/6 && last < behind, "%s", last)
+	caller := dial()
+	sent := []time.Time{time.Now()}
+	send(t, caller, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"+shortRequest)
+	first, conn := <-requests, <-running
+	for n := 1; n <= 2; n++ {
+		sent = append(sent, time.Now())
+		send(t, caller, shortRequest)
+		waitUntilHeld(t, conn, n*len(shortRequest))
+		time.Sleep(2 * minArrivalGap)
+	}
+	released := time.Now()
+	close(release)
+
+	together, behind, last := <-requests, <-requests, <-requests
+	between := func(r served, from, to time.Time) {
+		t.Helper()
+		assert.Assert(t, r.arrived.After(from) && r.arrived.Before(to), "%s, wanted from %s to %s", r.arrived, from, to)
+	}
+	between(first, sent[0], first.began)
+	between(together, sent[0], first.began)
+	between(behind, sent[1], sent[2])
+	between(last, sent[2], released)
+	assert.Assert(t, together.began.After(released), "the requests have waited")
 }
 
 func TestArrivalsAreBoundedAndNeverTooEarly(t *testing.T) {
--- a/pkg/transport/netconn/caller_conn.go
+++ b/pkg/transport/netconn/caller_conn.go
@@ -49,7 +49,7 @@
 	reserved  int64         // the part of total that the buffer of held takes
 	left      error         // the error that ended the connection, or nil
 	arrivals  arrivals      // of the bytes in held
-	arrivedAt time.Time     // when the bytes of the last read arrived; zero if they were not held
+	arrivedAt time.Time     // when the bytes of the last read arrived, except those of a watch
 }
 
 // SetReadDeadline implements net.Conn. The server sets no deadline before it
@@ -71,7 +71,6 @@
 	c.mu.Lock()
 	watches := c.announced && len(p) == 1
 	c.announced = false
-	c.arrivedAt = time.Time{}
 	n, err := 0, c.left
 	if !watches && err == nil {
 		n = c.takeHeld(p)
@@ -84,12 +83,20 @@
 		return 0, c.watch(p)
 	}
 	n, err = c.Conn.Read(p)
+	c.recordArrival(time.Now())
 	if err != nil && c.Conn != c.tracked {
 		answerPlainHTTP(err)
 	}
 	return n, err
 }
 
+// recordArrival sets the time at which the bytes of the last read arrived.
+func (c *callerConn) recordArrival(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivedAt = now
+}
+
 // answerPlainHTTP answers a caller that does not encrypt its request although it
 // must. The server would do so for connections of type tls.Conn.
 func answerPlainHTTP(handshake error) {
