Wait until every VM has a change before TestCutBetweenTwoVMs goes on

Cause: the test waited for the VM behind the cut only, and then required the revision of the third VM, which hears of a change from its peers.

Change: the test waits for each VM as it did for one, and requires that no VM is behind its own revision of before the cut ended, which is stricter than the revision of the change.

--- a/pkg/entry/failure_test.go
+++ b/pkg/entry/failure_test.go
@@ -109,12 +109,17 @@
 		RequestID: "cut", Op: operatorhttp.OpSet, Path: "sask", Rules: "hedge_percent: 1", Reason: "during the cut",
 	})
 	assert.NilError(t, err)
-	waitFor(t, func() error {
-		if got := f.vms[1].config.Current().Revision; got < reply.Revision {
-			return fmt.Errorf("the VM behind the cut is at revision %d", got)
-		}
-		return nil
-	})
+	// VM 1 is behind the cut, and VM 2 hears of the change as late as its peers do.
+	before := make([]int64, len(f.vms))
+	for i, v := range f.vms {
+		waitFor(t, func() error {
+			before[i] = v.config.Current().Revision
+			if before[i] < reply.Revision {
+				return fmt.Errorf("VM %d is at revision %d", i, before[i])
+			}
+			return nil
+		})
+	}
 	f.cuts.set(f.vms[0].PeerAddress(), f.vms[1].PeerAddress(), false)
 	waitFor(t, func() error {
 		resp, body := post(t, f.vms[1], ticket, "cut")
@@ -124,7 +129,7 @@
 		return nil
 	})
 	assert.Equal(t, f.runs(ticket), 1)
-	for _, v := range f.vms {
-		assert.Assert(t, v.config.Current().Revision >= reply.Revision)
+	for i, v := range f.vms {
+		assert.Assert(t, v.config.Current().Revision >= before[i], "VM %d", i)
 	}
 }
