--- a/pkg/coordination/feed/lease_era.go
+++ b/pkg/coordination/feed/lease_era.go
@@ -16,6 +16,8 @@
 // caller holds the lock.
 func (v *VMRegistry) startEra() {
 	v.decoder.reset()
+	v.roleDecoder.reset()
+	v.quarantineDecoder.reset()
 	v.graceUntil = v.cfg.Now().Add(v.cfg.Timing.LeaseTTL)
 	v.inGrace = true
 	time.AfterFunc(v.cfg.Timing.LeaseTTL, v.Recheck)
--- a/pkg/coordination/feed/roles.go
+++ b/pkg/coordination/feed/roles.go
@@ -50,26 +50,15 @@
 	return v.cfg.Store.CompareAndSwap(ctx, v.cfg.Layout.WritablePrefix+"vm/"+rolePrefix+role, value, expect, 0)
 }
 
-// updateRoles takes the claims over from the cache and returns the other entries. The
-// caller holds the lock.
-func (v *VMRegistry) updateRoles() map[string]platform.Entry {
-	prefix := v.cfg.Layout.WritablePrefix + "vm/" + rolePrefix
-	roles, others := map[string]platform.Entry{}, make(map[string]platform.Entry, len(v.cache.entries))
-	for key, e := range v.cache.entries {
-		if strings.HasPrefix(key, prefix) {
-			roles[key] = e
-		} else {
-			others[key] = e
-		}
-	}
-	claims := make(map[string]RoleClaim, len(roles))
-	for _, claim := range v.roleDecoder.decodeAll(roles) {
+// updateRoles publishes the claims among some entries. The caller holds the lock.
+func (v *VMRegistry) updateRoles(entries map[string]platform.Entry) {
+	claims := make(map[string]RoleClaim, len(entries))
+	for _, claim := range v.roleDecoder.decodeAll(entries) {
 		claims[claim.role] = claim.RoleClaim
 	}
 	if !maps.Equal(claims, v.RoleClaims()) {
 		v.roles.Store(&claims)
 	}
-	return others
 }
 
 // namedClaim is a claim with the name of its role.
--- a/pkg/coordination/feed/vm_registry.go
+++ b/pkg/coordination/feed/vm_registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sort"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -56,8 +57,9 @@
 type VMRegistry struct {
 	cfg VMRegistryConfig
 	follower
-	list  atomic.Pointer[[]VM]
-	roles atomic.Pointer[map[string]RoleClaim]
+	list        atomic.Pointer[[]VM]
+	roles       atomic.Pointer[map[string]RoleClaim]
+	quarantines atomic.Pointer[map[uint64]Quarantine]
 
 	// The fields below are guarded by follower.mu.
 
@@ -70,6 +72,8 @@
 	listed       map[string]VM // VMs in list, by ID
 	decoder      decoder[VM]
 	roleDecoder  decoder[namedClaim]
+
+	quarantineDecoder decoder[Quarantine]
 	// graceUntil is the end of the grace period in which VMs without a record
 	// stay listed.
 	graceUntil time.Time
@@ -81,7 +85,9 @@
 	v := &VMRegistry{cfg: cfg, listed: map[string]VM{cfg.Self.ID: cfg.Self}}
 	v.decoder = decoder[VM]{decode: decodeVM, logger: cfg.Logger}
 	v.roleDecoder = decoder[namedClaim]{decode: v.decodeRole, logger: cfg.Logger}
+	v.quarantineDecoder = decoder[Quarantine]{decode: v.decodeQuarantine, logger: cfg.Logger}
 	v.roles.Store(&map[string]RoleClaim{})
+	v.quarantines.Store(&map[uint64]Quarantine{})
 	v.follower = newFollower(followerConfig{
 		name: "store: VM list", prefix: cfg.Layout.WritablePrefix + "vm/", feed: cfg.Feed, timing: cfg.Timing,
 		logger: cfg.Logger, now: cfg.Now,
@@ -280,7 +286,10 @@
 			next[id] = vm
 		}
 	}
-	for _, vm := range v.decoder.decodeAll(v.updateRoles()) {
+	records, roles, quarantines := v.divideEntries()
+	v.updateRoles(roles)
+	v.updateQuarantines(quarantines)
+	for _, vm := range v.decoder.decodeAll(records) {
 		next[vm.ID] = vm
 	}
 	next[v.cfg.Self.ID] = v.cfg.Self
@@ -305,6 +314,23 @@
 	v.cfg.Logger.Log(EventVMListChanged, eventlog.Fields{"count": len(all), "vms": joinSorted(ids)})
 }
 
+// divideEntries returns the entries of the cache by kind. The caller holds the lock.
+func (v *VMRegistry) divideEntries() (records, roles, quarantines map[string]platform.Entry) {
+	records = make(map[string]platform.Entry, len(v.cache.entries))
+	roles, quarantines = map[string]platform.Entry{}, map[string]platform.Entry{}
+	for key, e := range v.cache.entries {
+		switch name := strings.TrimPrefix(key, v.cfg.Layout.WritablePrefix+"vm/"); {
+		case strings.HasPrefix(name, rolePrefix):
+			roles[key] = e
+		case strings.HasPrefix(name, quarantinePrefix):
+			quarantines[key] = e
+		default:
+			records[key] = e
+		}
+	}
+	return records, roles, quarantines
+}
+
 func decodeVM(e platform.Entry) (VM, error) {
 	var vm VM
 	err := json.Unmarshal(e.Value, &vm)
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -24,6 +24,7 @@
 // crashBlocked reports whether a request has crashed too many targets to be
 // sent. One VM of all may send it as a trial from time to time.
 func (g *Gateway) crashBlocked(f crash.Fingerprint, now time.Time) bool {
+	g.quarantines.restore(now)
 	return g.crashes.Blocked(f, now, func() int { return g.trialRank(f) })
 }
 
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -53,6 +53,8 @@
 		"this VM has fresh word of the configuration and serves requests with keys again, after refused_ms")
 	EventResponseRejected = eventlog.Define(2123, "response_rejected", logrus.WarnLevel,
 		"a target responded, and the response is cut, is not valid HTTP or belongs to another request (kind); error gives the evidence. The target counts as failed, and the request may have run. Check the target for a crash")
+	EventQuarantineStored = eventlog.Define(2124, "quarantine_stored", logrus.InfoLevel,
+		"this VM has written the quarantine of a request that crashes its targets to the store, after a number of trials, or has removed it (removed) because a target has responded to the request or none came for two hours; error, if any, tells that the write failed and is tried again")
 )
 
 // requestMetrics holds the metrics of this package.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -130,6 +130,7 @@
 	metrics      *requestMetrics
 	peers        *peers
 	crashes      *crash.Table
+	quarantines  *quarantines
 	stopping     stopState
 	// checkingVersion is true after the start until other VMs have been asked for a
 	// newer version of the routes.
@@ -164,6 +165,7 @@
 	})
 	g.createFeeds()
 	g.quotas = newQuotas(g)
+	g.quarantines = newQuarantines(g)
 	cfg.Resends.VMs = func() int { return len(g.vmFeed.List()) }
 	g.resendBudget = limit.NewResendLimiter(cfg.Resends)
 	g.picker = placement.New(placement.Config{
@@ -242,6 +244,7 @@
 	go g.vmFeed.Run(ctx)
 	go g.peers.run(ctx)
 	go g.quotas.run(ctx)
+	go g.quarantines.run(ctx)
 	go g.logReady(ctx)
 	go g.watchConnections(ctx)
 	<-ctx.Done()
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -139,7 +139,7 @@
 	before := t.records[r.Fingerprint]
 	r.freed = before.freed || before.suspect() && !r.suspect()
 	t.records[r.Fingerprint] = r
-	t.changedAt = latest(t.changedAt, r.changed())
+	t.changedAt = latest(t.changedAt, r.Changed())
 	t.digestKnown = false
 	for _, c := range r.Crashes {
 		if !c.Disproved {
@@ -270,7 +270,7 @@
 func (t *Table) selectNews(now time.Time) []Record {
 	var recent []Record
 	for _, r := range t.records {
-		if now.Sub(r.changed()) < recentTime {
+		if now.Sub(r.Changed()) < recentTime {
 			recent = append(recent, r)
 		}
 	}
@@ -320,7 +320,7 @@
 func (t *Table) removeExpired(now time.Time) {
 	t.expiryAt = now
 	for f, r := range t.records {
-		if now.Sub(latest(r.changed(), r.LastSeen)) > recordTTL {
+		if now.Sub(latest(r.Changed(), r.LastSeen)) > recordTTL {
 			delete(t.records, f)
 			t.digestKnown = false
 		}
--- a/pkg/steering/crash/record.go
+++ b/pkg/steering/crash/record.go
@@ -95,7 +95,7 @@
 		events[r.Fingerprint] = r.events(noOtherEnded)
 	}
 	slices.SortFunc(records, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(events[b.Fingerprint], events[a.Fingerprint]), b.changed().Compare(a.changed()))
+		return cmp.Or(cmp.Compare(events[b.Fingerprint], events[a.Fingerprint]), b.Changed().Compare(a.Changed()))
 	})
 	return records
 }
@@ -123,8 +123,8 @@
 	return latest(r.LastCrash, r.LastTrial).Add(delay)
 }
 
-// changed returns when the record last changed.
-func (r Record) changed() time.Time {
+// Changed returns when the record last changed.
+func (r Record) Changed() time.Time {
 	return latest(latest(r.LastCrash, r.LastTrial), latest(r.Answered, r.disprovedAt))
 }
 
