Notice callers that leave behind an upload of up to a megabyte

Cause: while a request runs, its connection holds up to 64 KiB of what the caller sends behind it, and then reads no more.

Change: a connection holds up to 1 MiB while all connections together hold less than half of their 16 MiB; the total is unchanged.

With the old bound two cases of TestDepartureIsSeenBehindWaitingRequests fail (9.9 s). netconn and conncheck pass with -race.

--- a/pkg/transport/netconn/caller_conn.go
+++ b/pkg/transport/netconn/caller_conn.go
@@ -13,13 +13,19 @@
 )
 
 const (
-	// maxHeldPerConn limits the bytes that one connection holds behind a running
-	// request. It exceeds the operator's limits on the head of a request several
-	// times.
-	maxHeldPerConn = 64 << 10
+	// usualHeldPerConn limits the bytes that one connection holds behind a running
+	// request while others need the room. It exceeds the operator's limits on the head
+	// of a request several times.
+	usualHeldPerConn = 64 << 10
+	// maxHeldPerConn limits the bytes that one connection holds otherwise. What a caller
+	// sends beyond that, such as a longer upload, hides its departure.
+	maxHeldPerConn = 1 << 20
 	// maxHeldBytes limits the bytes that all connections of a listener hold. The
 	// smallest VMs have 184 MB, and the Go runtime has a memory limit of 128 MiB.
 	maxHeldBytes = 16 << 20
+	// maxHeldByLong limits the bytes that all connections hold when one of them begins
+	// to hold more than usualHeldPerConn, so that long uploads leave room for the others.
+	maxHeldByLong = maxHeldBytes / 2
 	// minHeldBytes is the size of the first buffer of a connection, which fits one
 	// or two short requests.
 	minHeldBytes = 512
@@ -166,7 +172,11 @@
 	if size <= len(c.held) || c.left != nil {
 		return
 	}
-	if c.total.Add(added) > maxHeldBytes {
+	limit := int64(maxHeldBytes)
+	if size > usualHeldPerConn {
+		limit = maxHeldByLong
+	}
+	if c.total.Add(added) > limit {
 		c.total.Add(-added)
 		return
 	}
