--- a/pkg/protocol/peer.go
+++ b/pkg/protocol/peer.go
@@ -1,6 +1,9 @@
 package protocol
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // Names of the peer RPC methods.
 const (
@@ -182,6 +185,19 @@
 	RequestID  string
 	FromRegion string // region of the sender, to account the response to the link back
 	QueryOnly  bool   // reports the outcome without running the request
+	// ConnectionAgeUs is the time from the first message on the connection to the call,
+	// by the clock of the caller; 0 from versions that do not state it.
+	ConnectionAgeUs int64
+}
+
+// SetConnectionAge sets ConnectionAgeUs.
+func (r *ExecuteRequest) SetConnectionAge(age time.Duration) {
+	r.ConnectionAgeUs = max(1, age.Microseconds())
+}
+
+// ConnectionAge returns the age of the connection, or false if it is not stated.
+func (r *ExecuteRequest) ConnectionAge() (time.Duration, bool) {
+	return time.Duration(r.ConnectionAgeUs) * time.Microsecond, r.ConnectionAgeUs > 0
 }
 
 // ExecuteReply carries the outcome and the response of a request. Problem is set
--- a/pkg/transport/peer/connection.go
+++ b/pkg/transport/peer/connection.go
@@ -95,12 +95,13 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	if err := clientHandshake(conn, c.cfg.Key); err != nil {
+	opened, err := clientHandshake(conn, c.cfg.Key)
+	if err != nil {
 		_ = raw.Close()
 		return nil, errors.Wrap(err, "handshake")
 	}
 	conn.readTimeout, conn.writeTimeout = c.cfg.IdleTimeout, c.cfg.WriteTimeout
-	return &connection{conn: conn, rpc: rpc.NewClient(conn), pendingSlots: make(chan struct{}, c.cfg.MaxPending), maxSilence: c.cfg.MaxSilence}, nil
+	return &connection{conn: conn, opened: opened, rpc: rpc.NewClient(conn), pendingSlots: make(chan struct{}, c.cfg.MaxPending), maxSilence: c.cfg.MaxSilence}, nil
 }
 
 // backoff returns the wait after the given number of earlier failures. Half of
@@ -149,6 +150,7 @@
 // connection is one connection to a peer with its pending calls.
 type connection struct {
 	conn         *meteredConn
+	opened       clockReading // when the first message of the server arrived, or later
 	rpc          *rpc.Client
 	pendingSlots chan struct{} // one element for each pending call
 
@@ -179,6 +181,9 @@
 	}
 	c.callStarted()
 	defer c.callEnded()
+	if request, ok := args.(statesAge); ok {
+		request.SetConnectionAge(readClock().since(c.opened))
+	}
 	started := time.Now()
 	done := make(chan *rpc.Call, 1)
 	go func() {
--- a/pkg/transport/peer/gateway.go
+++ b/pkg/transport/peer/gateway.go
@@ -18,7 +18,7 @@
 // ServeGateway accepts connections of other gateways until the listener fails
 // or the server is closed. It returns ErrClosed after Close.
 func (s *Server) ServeGateway(listener net.Listener, handler GatewayHandler) error {
-	return s.acceptConnections(listener, func(server *rpc.Server, ctx context.Context, _ context.CancelFunc) error {
+	return s.acceptConnections(listener, func(server *rpc.Server, ctx context.Context, _ connectionClock) error {
 		return server.RegisterName("Gateway", &gatewayService{ctx: ctx, server: s, handler: handler})
 	})
 }
--- a/pkg/transport/peer/handshake.go
+++ b/pkg/transport/peer/handshake.go
@@ -70,12 +70,18 @@
 	return conn.SetDeadline(time.Time{})
 }
 
-// clientHandshake runs the client side of the handshake.
-func clientHandshake(conn net.Conn, key []byte) error {
+// clientHandshake runs the client side of the handshake. It returns when the first
+// message of the server arrived.
+func clientHandshake(conn net.Conn, key []byte) (clockReading, error) {
 	hello := make([]byte, len(protocolMagic)+1+nonceBytes)
 	if _, err := io.ReadFull(conn, hello); err != nil {
-		return err
+		return 0, err
 	}
+	return readClock(), answerHello(conn, key, hello)
+}
+
+// answerHello runs the client side of the handshake after the first message.
+func answerHello(conn net.Conn, key, hello []byte) error {
 	if string(hello[:len(protocolMagic)]) != protocolMagic {
 		return errors.New("the server uses another protocol; run the same release at both ends")
 	}
--- a/pkg/transport/peer/server.go
+++ b/pkg/transport/peer/server.go
@@ -102,14 +102,14 @@
 // Serve accepts connections until the listener fails or the server is closed.
 // It returns ErrClosed after Close.
 func (s *Server) Serve(listener net.Listener, handler Handler) error {
-	return s.acceptConnections(listener, func(server *rpc.Server, ctx context.Context, cancel context.CancelFunc) error {
-		return server.RegisterName("Peer", &peerService{ctx: ctx, cancel: cancel, server: s, handler: handler})
+	return s.acceptConnections(listener, func(server *rpc.Server, ctx context.Context, clock connectionClock) error {
+		return server.RegisterName("Peer", &peerService{ctx: ctx, clock: clock, server: s, handler: handler})
 	})
 }
 
 // registerFunc registers the net/rpc receiver for one connection. ctx ends with
 // the connection.
-type registerFunc func(server *rpc.Server, ctx context.Context, cancel context.CancelFunc) error
+type registerFunc func(server *rpc.Server, ctx context.Context, clock connectionClock) error
 
 // acceptConnections accepts connections and serves each with the receiver that
 // register adds.
@@ -182,7 +182,8 @@
 		s.mu.Unlock()
 	}()
 	conn := &meteredConn{Conn: raw}
-	if err := serverHandshake(conn, s.cfg.Key, s.cfg.HandshakeTimeout); err != nil {
+	clock, err := timedHandshake(conn, s.cfg.Key, s.cfg.HandshakeTimeout)
+	if err != nil {
 		s.logRefused(raw, err)
 		return
 	}
@@ -190,7 +191,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	server := rpc.NewServer()
-	if err := register(server, ctx, cancel); err != nil {
+	if err := register(server, ctx, clock); err != nil {
 		s.logRefused(raw, err)
 		return
 	}
@@ -270,7 +271,7 @@
 // peerService is the net/rpc receiver of one connection.
 type peerService struct {
 	ctx     context.Context
-	cancel  context.CancelFunc
+	clock   connectionClock
 	server  *Server
 	handler Handler
 }
@@ -310,8 +311,10 @@
 	return run(s.ctx, s.server, s.handler.Release, req, reply)
 }
 
-// Execute passes the call to the handler.
+// Execute passes the call to the handler, with the time that is left for it when it
+// arrives: a request that was held up must not begin when its caller has given up.
 func (s *peerService) Execute(req *protocol.ExecuteRequest, reply *protocol.ExecuteReply) error {
+	s.clock.subtractDelay(req, readClock())
 	return run(s.ctx, s.server, s.handler.Execute, req, reply)
 }
 
