--- a/pkg/gateway/quarantines_test.go
+++ b/pkg/gateway/quarantines_test.go
@@ -119,6 +119,26 @@
 	assert.Equal(t, len(s.entries), 0)
 }
 
+// Guards against a trial on each side of a partition between VMs that both reach the
+// store, and against a request that crashes three targets on each side.
+func TestTrialsAndQuarantinesReachOtherVMsThroughTheStore(t *testing.T) {
+	const f = crash.Fingerprint(7)
+	now := quarantineStart
+	s := &quarantineEntries{}
+	g, pass := newQuarantineVM(t, s, &now)
+	unreachable, _ := newQuarantineVM(t, s, &now)
+	quarantine(g, f, now)
+	assert.Assert(t, !unreachable.crashBlocked(f, now))
+	pass(2 * time.Second)
+	assert.Assert(t, unreachable.crashBlocked(f, now))
+	pass(8 * time.Second)
+	assert.Assert(t, !g.crashBlocked(f, now), "a trial is due")
+	pass(2 * time.Second)
+	assert.Assert(t, unreachable.crashBlocked(f, now), "the other VM has made it")
+	now = now.Add(40 * time.Second)
+	assert.Assert(t, !unreachable.crashBlocked(f, now))
+}
+
 // Guards against calls that follow each other at once while the store does not answer,
 // and against a change that is given up after a failed call.
 func TestFailedWriteOfAQuarantineIsRepeatedLater(t *testing.T) {
--- a/pkg/steering/crash/stored.go
+++ b/pkg/steering/crash/stored.go
@@ -25,23 +25,32 @@
 	return r.Changed(), ok && !t.quarantined(r)
 }
 
-// Restore adds a record that was stored. It changes nothing if this VM knows of the
-// quarantine, or of something that has ended it. A record from a clock that is ahead is
-// moved into the past.
+// Restore adds a record that was stored. If this VM knows of the quarantine, only the
+// trials are added, which VMs that it cannot reach may have made. If it knows of
+// something that has ended the quarantine, nothing is. A record from a clock that is
+// ahead is moved into the past.
 func (t *Table) Restore(r Record, now time.Time) {
-	if t.knowsQuarantine(r.Fingerprint) {
+	suspect, ended := t.knows(r.Fingerprint)
+	if ended {
 		return
 	}
 	r = r.notAfter(now)
+	if suspect {
+		t.Merge(Record{Fingerprint: r.Fingerprint, Trials: r.Trials, LastTrial: r.LastTrial}, now)
+		return
+	}
 	r.LastSeen = now // it is kept for recordTTL
 	t.Merge(r, now)
 }
 
-func (t *Table) knowsQuarantine(f Fingerprint) bool {
+// knows reports whether a request has enough events for a quarantine, and whether this VM
+// knows of something that has ended a quarantine.
+func (t *Table) knows(f Fingerprint) (suspect, ended bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[f]
-	return ok && (r.suspect() || !r.Answered.IsZero() || r.disprovedCount() > 0)
+	suspect = ok && r.suspect()
+	return suspect, ok && !suspect && (!r.Answered.IsZero() || r.disprovedCount() > 0)
 }
 
 // notAfter returns the record, moved into the past so that nothing in it is later than now.
