--- a/pkg/gateway/crash_sharing.go
+++ b/pkg/gateway/crash_sharing.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hickoryroute/pkg/protocol"
@@ -16,40 +17,53 @@
 	// crashShareInterval is the least time between two such messages to one VM, also if
 	// its digest goes on differing.
 	crashShareInterval = 3 * time.Second
+	// historyWait is the time for which a VM that has started waits for the history of
+	// another one. It exceeds the time in which it exchanges messages with all others.
+	historyWait = 10 * time.Second
 	// crashShareMemory is the time for which a VM that sends no messages is remembered.
 	crashShareMemory = time.Minute
 )
 
 // crashSharing remembers which VMs do not know the same crash records as this VM.
 type crashSharing struct {
-	mu  sync.Mutex
-	vms map[string]*digestState // by id
+	startedAt time.Time // of this VM
+	// received is true once this VM has received the history of another one.
+	received atomic.Bool
+	mu       sync.Mutex
+	vms      map[string]*digestState // by id
+}
+
+// informed reports whether this VM knows what the others knew when it started: it has
+// received the history of another VM, or no other was there to send one.
+func (s *crashSharing) informed(now time.Time) bool {
+	return s.received.Load() || now.Sub(s.startedAt) >= historyWait
 }
 
 // digestState is what is known of the digest of one VM.
 type digestState struct {
 	lastReply                      uint64 // digest in its last reply, if replied is true
 	replied                        bool
+	wantsHistory                   bool      // as of the last reply
 	seenAt, differsSince, sharedAt time.Time // zero if never, or not now
 }
 
-// lastDigest returns the digest in the last reply of a VM, or another one if it has not
-// replied.
-func (s *crashSharing) lastDigest(vm string, other uint64) uint64 {
+// lastReply returns the digest in the last reply of a VM, or another one if it has not
+// replied, and whether it wanted the history.
+func (s *crashSharing) lastReply(vm string, other uint64) (digest uint64, wantsHistory bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state := s.vms[vm]; state != nil && state.replied {
-		return state.lastReply
+		return state.lastReply, state.wantsHistory
 	}
-	return other
+	return other, false
 }
 
-// recordDigest records the digest in a reply of a VM.
-func (s *crashSharing) recordDigest(vm string, digest uint64, now time.Time) {
+// recordReply records the digest in a reply of a VM, and whether it wants the history.
+func (s *crashSharing) recordReply(vm string, digest uint64, wantsHistory bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.state(vm, now)
-	state.lastReply, state.replied = digest, true
+	state.lastReply, state.replied, state.wantsHistory = digest, true, wantsHistory
 }
 
 // due records the digest of a VM in its last message, and reports whether the VM is to be
@@ -91,14 +105,35 @@
 	return state
 }
 
+// crashState is the part of a message that tells another VM of crashes.
+type crashState struct {
+	notices []protocol.CrashNotice
+	digest  uint64
+	history protocol.CrashHistory
+}
+
 // crashesFor returns the crash records for a message to a VM that has sent a digest: the
-// news, or what it may have missed.
-func (p *peers) crashesFor(vm string, digest uint64) []protocol.CrashNotice {
+// history if it wants that, what it may have missed, or the news.
+func (p *peers) crashesFor(vm string, digest uint64, wantsHistory bool) crashState {
 	now, table := p.gateway.cfg.Now(), p.gateway.crashes
-	if p.crashSharing.due(vm, table.Digest(), digest, now) {
-		return crashNotices(table.Suspects(now), now)
+	state := crashState{digest: table.Digest()}
+	informed := p.crashSharing.informed(now)
+	state.history = protocol.CrashHistory{WantsHistory: !informed, HasHistory: informed && wantsHistory}
+	switch missed := p.crashSharing.due(vm, state.digest, digest, now); {
+	case state.history.HasHistory:
+		state.notices = crashNotices(table.History(now), now)
+	case missed:
+		state.notices = crashNotices(table.Suspects(now), now)
+	default:
+		state.notices = crashNotices(table.Recent(now), now)
 	}
-	return crashNotices(table.Recent(now), now)
+	return state
+}
+
+// crashesForCall returns the crash records for a call to a VM.
+func (p *peers) crashesForCall(vm string) crashState {
+	digest, wantsHistory := p.crashSharing.lastReply(vm, p.gateway.crashes.Digest())
+	return p.crashesFor(vm, digest, wantsHistory)
 }
 
 func crashNotices(records []crash.Record, now time.Time) []protocol.CrashNotice {
@@ -109,8 +144,12 @@
 	return notices
 }
 
-func (p *peers) mergeCrashes(notices []protocol.CrashNotice) {
+// mergeCrashes takes over the crash records in a message of another VM.
+func (p *peers) mergeCrashes(notices []protocol.CrashNotice, history protocol.CrashHistory) {
 	now := p.gateway.cfg.Now()
+	if history.HasHistory {
+		p.crashSharing.received.Store(true)
+	}
 	for _, n := range notices {
 		p.gateway.crashes.Merge(crashRecord(n, now), now)
 	}
--- a/pkg/gateway/crash_sharing_test.go
+++ b/pkg/gateway/crash_sharing_test.go
@@ -52,7 +52,7 @@
 	assert.Assert(t, old.peers.exchange(t.Context(), calledVM, true))
 	assert.Assert(t, old.peers.exchange(t.Context(), calledVM, true))
 	assert.Assert(t, called.crashes.Quarantined(f), "the VM that started is called")
-	assert.Equal(t, len(old.peers.crashesFor("called", old.crashes.Digest())), 0, "nothing is sent while the digests are the same")
+	assert.Equal(t, len(old.peers.crashesFor("called", old.crashes.Digest(), false).notices), 0, "nothing is sent while the digests are the same")
 }
 
 // Guards against VMs that send each other all records again and again while their digests
@@ -64,17 +64,51 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	g := newTestGateway(&now)
 	quarantine(g, 7, now.Add(-time.Minute))
-	assert.Equal(t, len(g.peers.crashesFor("started", 0)), 1, "a VM that knows nothing")
-	assert.Equal(t, len(g.peers.crashesFor("vm-2", other)), 0)
+	assert.Equal(t, len(g.peers.crashesFor("started", 0, false).notices), 1, "a VM that knows nothing")
+	assert.Equal(t, len(g.peers.crashesFor("vm-2", other, false).notices), 0)
 	now = now.Add(missedNewsTime - time.Millisecond)
-	assert.Equal(t, len(g.peers.crashesFor("started", 0)), 0)
-	assert.Equal(t, len(g.peers.crashesFor("vm-2", other)), 0)
+	assert.Equal(t, len(g.peers.crashesFor("started", 0, false).notices), 0)
+	assert.Equal(t, len(g.peers.crashesFor("vm-2", other, false).notices), 0)
 	now = now.Add(time.Millisecond)
-	assert.Equal(t, len(g.peers.crashesFor("started", 0)), 1)
-	assert.Equal(t, len(g.peers.crashesFor("vm-2", other)), 1)
+	assert.Equal(t, len(g.peers.crashesFor("started", 0, false).notices), 1)
+	assert.Equal(t, len(g.peers.crashesFor("vm-2", other, false).notices), 1)
 	now = now.Add(exchangeInterval)
-	assert.Equal(t, len(g.peers.crashesFor("vm-2", other)), 0)
-	g.peers.crashesFor("vm-2", g.crashes.Digest())
+	assert.Equal(t, len(g.peers.crashesFor("vm-2", other, false).notices), 0)
+	g.peers.crashesFor("vm-2", g.crashes.Digest(), false)
 	now = now.Add(crashShareInterval)
-	assert.Equal(t, len(g.peers.crashesFor("vm-2", other)), 0, "it differs again since now")
+	assert.Equal(t, len(g.peers.crashesFor("vm-2", other, false).notices), 0, "it differs again since now")
+}
+
+// Guards against a request that crashes two targets more after each restart of the VMs in
+// turn: a VM that starts learns of crashes before they are enough for a quarantine,
+// whichever side calls, and from a VM that knows of them itself.
+func TestStartedVMLearnsOfCrashes(t *testing.T) {
+	const f = crash.Fingerprint(7)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	crashed := func(g *Gateway, id string) {
+		g.crashes.RecordCrash(f, crash.Crash{Target: targets.Key{ID: id}, Sent: now.Add(-time.Millisecond), At: now})
+	}
+	old := newTestGateway(&now)
+	oldVM := servePeer(t, old, "old")
+	crashed(old, "a")
+	now = now.Add(time.Second)
+	crashed(old, "b")
+	now = now.Add(time.Minute)
+
+	calling := newTestGateway(&now)
+	servePeer(t, calling, "calling")
+	unaware := newTestGateway(&now)
+	unawareVM := servePeer(t, unaware, "unaware")
+	assert.Assert(t, calling.peers.exchange(t.Context(), unawareVM, true))
+	assert.Assert(t, calling.peers.exchange(t.Context(), oldVM, true))
+	crashed(calling, "c")
+	assert.Assert(t, calling.crashes.Quarantined(f), "the VM that started calls")
+
+	called := newTestGateway(&now)
+	calledVM := servePeer(t, called, "called")
+	assert.Assert(t, old.peers.exchange(t.Context(), calledVM, true))
+	assert.Assert(t, old.peers.exchange(t.Context(), calledVM, true))
+	crashed(called, "c")
+	assert.Assert(t, called.crashes.Quarantined(f), "the VM that started is called")
+	assert.Equal(t, len(old.peers.crashesForCall("called").notices), 0, "the history is sent once")
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -103,6 +103,7 @@
 		server:        peer.NewServer(peer.ServerConfig{Logger: g.cfg.Logger}),
 		lastMessageAt: map[string]time.Time{},
 	}
+	p.crashSharing.startedAt = g.cfg.Now()
 	p.readerCopies = newReaderCopies(p, g.cfg.Now())
 	return p
 }
@@ -178,9 +179,10 @@
 	ctx, cancel := context.WithTimeout(runCtx, peerTimeout)
 	defer cancel()
 	self := p.gateway.cfg.Self
+	crashes := p.crashesForCall(vm.ID)
 	req := protocol.LoadsRequest{
 		From: self.ID, Region: self.Region, Zone: self.Zone, Brief: brief, Limits: p.ownLimits(),
-		Crashes: p.crashesFor(vm.ID, p.crashSharing.lastDigest(vm.ID, p.gateway.crashes.Digest())), CrashDigest: p.gateway.crashes.Digest(),
+		Crashes: crashes.notices, CrashDigest: crashes.digest, CrashHistory: crashes.history,
 		Era: p.gateway.latestEra.Load(), AcceptsPacked: true, RoundTripUs: p.gateway.picker.ZoneRoundTrip(vm.Zone).Microseconds(),
 	}
 	req.Newest, req.NewestEra = p.newestEntry()
@@ -200,8 +202,8 @@
 	p.gateway.picker.RecordRoundTrip(vm.Region, vm.Zone, p.gateway.cfg.Now().Sub(began))
 	p.recordAcceptsPacked(reply.From, reply.AcceptsPacked)
 	p.applyPeerState(reply.From, reply.Region, brief, p.receivedLoads(reply.Loads, reply.Packed), reply.Uses)
-	p.mergeCrashes(reply.Crashes)
-	p.crashSharing.recordDigest(reply.From, reply.CrashDigest, p.gateway.cfg.Now())
+	p.mergeCrashes(reply.Crashes, reply.CrashHistory)
+	p.crashSharing.recordReply(reply.From, reply.CrashDigest, reply.WantsHistory, p.gateway.cfg.Now())
 	p.mergeRefusals(reply.Refusals)
 	p.mergeLimits(reply.Limits)
 	p.takeHints(reply.Newest, reply.NewestEra, reply.Era)
@@ -259,7 +261,7 @@
 	if req.RoundTripUs > 0 {
 		p.gateway.picker.RecordRoundTrip(req.Region, req.Zone, time.Duration(req.RoundTripUs)*time.Microsecond)
 	}
-	p.mergeCrashes(req.Crashes)
+	p.mergeCrashes(req.Crashes, req.CrashHistory)
 	p.mergeRefusals(req.Refusals)
 	p.mergeLimits(req.Limits)
 	p.takeHints(req.Newest, req.NewestEra, req.Era)
@@ -267,8 +269,8 @@
 	reply.From, reply.Region, reply.AcceptsPacked = self.ID, self.Region, true
 	reply.Limits = p.ownLimits()
 	reply.Era, reply.Version = p.gateway.latestEra.Load(), p.gateway.versionInForce()
-	reply.CrashDigest = p.gateway.crashes.Digest()
-	reply.Crashes = p.crashesFor(req.From, req.CrashDigest)
+	crashes := p.crashesFor(req.From, req.CrashDigest, req.WantsHistory)
+	reply.Crashes, reply.CrashDigest, reply.CrashHistory = crashes.notices, crashes.digest, crashes.history
 	reply.Newest, reply.NewestEra = p.newestEntry()
 	reply.Unconfirmed = p.gateway.operatorFeed.Unconfirmed()
 	switch {
--- a/pkg/protocol/gateway.go
+++ b/pkg/protocol/gateway.go
@@ -60,6 +60,7 @@
 	// CrashDigest is a digest of the quarantined requests that the sender knows; 0 if
 	// it knows none, and from VMs of earlier versions.
 	CrashDigest uint64
+	CrashHistory
 	// Refusals lists requests whose callers may come back to another VM.
 	Refusals []RefusalNotice
 }
@@ -85,7 +86,17 @@
 	Crashes     []CrashNotice
 	// CrashDigest is as in LoadsRequest, after the sender has taken over its Crashes.
 	CrashDigest uint64
-	Refusals    []RefusalNotice
+	CrashHistory
+	Refusals []RefusalNotice
+}
+
+// CrashHistory lets a VM that has started learn of all crashes that other VMs know, also
+// of requests that are not quarantined yet. Earlier versions neither ask nor send.
+type CrashHistory struct {
+	// WantsHistory is true until the sender has received a history.
+	WantsHistory bool
+	// HasHistory is true if Crashes lists all crashes that the sender knows.
+	HasHistory bool
 }
 
 // RefusalNotice is a request that the sender has refused. LeftMs is the time until
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -299,6 +299,22 @@
 	return suspects
 }
 
+// History returns the records for a VM that has just started: those that it would not
+// hear of otherwise until they change. If there are too many for one message, it returns
+// those with the most events.
+func (t *Table) History(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeExpired(now)
+	var records []Record
+	for _, r := range t.records {
+		if r.freed || len(r.Crashes) > r.disprovedCount() {
+			records = append(records, r)
+		}
+	}
+	return mostEventsFirst(records)[:min(maxRecent, len(records))]
+}
+
 // Digest returns a digest of the records with enough events for a quarantine, and of
 // their trials. It is 0 if there are none, and the same on VMs that know the same.
 func (t *Table) Digest() uint64 {
