--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -137,10 +137,13 @@
 // set replaces a record. The caller holds the lock.
 func (t *Table) set(r Record) {
 	before := t.records[r.Fingerprint]
-	r.freed = before.freed || before.suspect() && !r.suspect()
+	wasSuspect, isSuspect := before.suspect(), r.suspect()
+	r.freed = before.freed || wasSuspect && !isSuspect
+	if wasSuspect != isSuspect || isSuspect && before.Trials != r.Trials {
+		t.digestKnown = false
+	}
 	t.records[r.Fingerprint] = r
 	t.changedAt = latest(t.changedAt, r.Changed())
-	t.digestKnown = false
 	for _, c := range r.Crashes {
 		if !c.Disproved {
 			t.crashedAt[c.Target] = latest(t.crashedAt[c.Target], c.At)
--- a/pkg/transport/checkedhttp/transport.go
+++ b/pkg/transport/checkedhttp/transport.go
@@ -36,7 +36,9 @@
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
-		dial = dialWithReset
+		dial = func(ctx context.Context, _, address string) (net.Conn, error) {
+			return netconn.DialWithReset(ctx, &net.Dialer{}, address)
+		}
 	}
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := dial(ctx, network, address)
@@ -55,17 +57,6 @@
 	return &Transport{base: base}
 }
 
-// dialWithReset opens a connection that is reset when it is closed, so that a write that
-// has timed out is not delivered later.
-func dialWithReset(ctx context.Context, network, address string) (net.Conn, error) {
-	raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	netconn.ResetOnClose(raw)
-	return raw, nil
-}
-
 func handshake(ctx context.Context, raw net.Conn, config *tls.Config, address string) (net.Conn, error) {
 	if config == nil {
 		config = &tls.Config{MinVersion: tls.VersionTLS12}
--- a/pkg/transport/netconn/abort.go
+++ b/pkg/transport/netconn/abort.go
@@ -1,6 +1,7 @@
 package netconn
 
 import (
+	"context"
 	"net"
 	"net/http"
 )
@@ -34,6 +35,16 @@
 // ended run when the partition is over.
 func ResetOnClose(conn net.Conn) { setReset(conn) }
 
+// DialWithReset opens a TCP connection with ResetOnClose.
+func DialWithReset(ctx context.Context, dialer *net.Dialer, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	ResetOnClose(conn)
+	return conn, nil
+}
+
 // setReset lets the close of a connection discard what is unsent and send RST.
 func setReset(conn net.Conn) {
 	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
--- a/pkg/transport/netconn/netconn.go
+++ b/pkg/transport/netconn/netconn.go
@@ -27,18 +27,17 @@
 	Timeout time.Duration
 }
 
-// Dial opens a connection. network must be "tcp".
-func (d Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{
+// Dial opens a TCP connection. It has the type of http.Transport.DialContext.
+func (d Dialer) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	dialer := &net.Dialer{
 		Timeout:         d.Timeout,
 		Control:         controlNewSocket,
 		KeepAliveConfig: keepAliveConfig(),
 	}
-	c, err := dialer.DialContext(ctx, network, address)
+	c, err := DialWithReset(ctx, dialer, address)
 	if err != nil {
 		return nil, err
 	}
-	ResetOnClose(c)
 	return watch(c), nil
 }
 
--- a/pkg/transport/peer/client.go
+++ b/pkg/transport/peer/client.go
@@ -73,13 +73,7 @@
 // Dial opens a TCP connection that is reset when it is closed, so that calls which have
 // ended are not delivered later.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{KeepAlive: keepAlivePeriod}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	netconn.ResetOnClose(conn)
-	return conn, nil
+	return netconn.DialWithReset(ctx, &net.Dialer{KeepAlive: keepAlivePeriod}, address)
 }
 
 // Client calls methods of peers. It is safe for concurrent use.
--- a/pkg/transport/target/do.go
+++ b/pkg/transport/target/do.go
@@ -267,7 +267,7 @@
 		err = errors.Join(errNoResponse, err)
 	}
 	if x.undelivered.Load() {
-		err = errUndelivered
+		err = errors.Join(errUndelivered, err)
 	}
 	return x.fail(kind, err)
 }
--- a/pkg/transport/target/linkdial.go
+++ b/pkg/transport/target/linkdial.go
@@ -27,16 +27,5 @@
 		})
 		return errors.Join(err, optionErr)
 	}}
-	return dialWithReset(ctx, dialer, address)
-}
-
-// dialWithReset opens a connection that is reset when it is closed, so that a request
-// that has ended is not delivered later.
-func dialWithReset(ctx context.Context, dialer *net.Dialer, address string) (net.Conn, error) {
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	netconn.ResetOnClose(conn)
-	return conn, nil
+	return netconn.DialWithReset(ctx, dialer, address)
 }
--- a/pkg/transport/target/target.go
+++ b/pkg/transport/target/target.go
@@ -54,6 +54,7 @@
 	"time"
 
 	"hickoryroute/pkg/protocol"
+	"hickoryroute/pkg/transport/netconn"
 )
 
 // Limiter enforces the byte rate limit of the directed link between two
@@ -131,7 +132,7 @@
 	}
 	if c.Dial == nil {
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialWithReset(ctx, &net.Dialer{}, address)
+			return netconn.DialWithReset(ctx, &net.Dialer{}, address)
 		}
 	}
 	if c.MaxIdlePerTarget <= 0 {
@@ -212,12 +213,14 @@
 	cfg     Config
 	pool    *pool
 	dialled atomic.Uint64 // connections opened so far
+	// undelivered asks the system for the delivery of what a connection has sent.
+	undelivered func(conn net.Conn, silence time.Duration) bool
 }
 
 // New returns a Client.
 func New(cfg Config) *Client {
 	cfg = cfg.withDefaults()
-	return &Client{cfg: cfg, pool: newPool(cfg)}
+	return &Client{cfg: cfg, pool: newPool(cfg), undelivered: netconn.Undelivered}
 }
 
 // Close closes the idle connections. Requests in flight continue; their
--- a/pkg/transport/target/undelivered.go
+++ b/pkg/transport/target/undelivered.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"time"
-
-	"hickoryroute/pkg/transport/netconn"
 )
 
 const (
@@ -38,7 +36,7 @@
 		x.delivery.Reset(left)
 		return
 	}
-	if netconn.Undelivered(x.conn.Conn, minSilence) {
+	if x.client.undelivered(x.conn.Conn, minSilence) {
 		x.undelivered.Store(true)
 		_ = x.conn.Close()
 	}
