Let the turns to store a quarantine begin anew after an outage of the store

Cause: the turn of a VM was counted from the change alone. In an outage of some minutes every VM gets its turn, and all would write the same key when the store is back.

Change: nothing is written while the copy of the store is not confirmed, and the turns count from when it is confirmed again.

Result: TestTurnsBeginAnewAfterAnOutage; gateway and platform tests of the quarantine pass with -race.

--- a/pkg/gateway/quarantines.go
+++ b/pkg/gateway/quarantines.go
@@ -22,6 +22,9 @@
 	// quarantineStagger is the time after which the next VM may write a change, if the VM
 	// before it has not. It exceeds the time that a write takes to reach all VMs.
 	quarantineStagger = 3 * time.Second
+	// maxQuarantineCopyAge is the age of the copy of the store up to which changes are
+	// written. It exceeds the time between two confirmations while the store answers.
+	maxQuarantineCopyAge = 5 * time.Second
 	// maxStoredQuarantines bounds the stored quarantines, and maxQuarantineWrites the
 	// calls of one VM for them in each interval.
 	maxStoredQuarantines = 64
@@ -48,6 +51,9 @@
 	// writtenAt is when this VM last wrote, by fingerprint; the copy of the store that it
 	// follows shows the result later. It is used by run alone.
 	writtenAt map[uint64]time.Time
+	// usableSince is when the copy of the store was last found confirmed after it had not
+	// been; zero if it is not confirmed. It is used by run alone.
+	usableSince time.Time
 }
 
 func newQuarantines(g *Gateway) *quarantines {
@@ -71,12 +77,27 @@
 // run writes changes until ctx ends.
 func (q *quarantines) run(ctx context.Context) {
 	for wait.For(ctx, quarantineInterval) {
-		if !q.gateway.vmFeed.View().ConfirmedAt.IsZero() {
+		confirmed := q.gateway.vmFeed.View().ConfirmedAt
+		age := q.gateway.suspendAwareNow().Sub(confirmed)
+		if q.isUsable(!confirmed.IsZero() && age < maxQuarantineCopyAge, q.gateway.cfg.Now()) {
 			q.update(ctx)
 		}
 	}
 }
 
+// isUsable records whether the copy of the store is confirmed, and returns that. The turns
+// of the VMs begin anew after an outage of the store, so that they do not all write at once
+// when it is back.
+func (q *quarantines) isUsable(confirmed bool, now time.Time) bool {
+	switch {
+	case !confirmed:
+		q.usableSince = time.Time{}
+	case q.usableSince.IsZero():
+		q.usableSince = now
+	}
+	return confirmed
+}
+
 // update writes what has changed. It stops at the first error, because the store may be
 // overloaded, and goes on at the next call.
 func (q *quarantines) update(ctx context.Context) {
@@ -132,6 +153,9 @@
 
 // isDue reports whether it is this VM's turn to write a change that happened at a time.
 func (q *quarantines) isDue(f crash.Fingerprint, since, now time.Time) bool {
+	if since.Before(q.usableSince) {
+		since = q.usableSince
+	}
 	if _, written := q.writtenAt[uint64(f)]; written || now.Sub(since) < quarantineInterval {
 		return false
 	}
--- a/pkg/gateway/quarantines_test.go
+++ b/pkg/gateway/quarantines_test.go
@@ -151,6 +151,25 @@
 	assert.Equal(t, len(s.entries), 1)
 }
 
+// Guards against VMs that all write the same quarantine when the store is back after an
+// outage in which each of them had its turn.
+func TestTurnsBeginAnewAfterAnOutage(t *testing.T) {
+	now := quarantineStart
+	g, _ := newQuarantineVM(t, &quarantineEntries{}, &now)
+	q := g.quarantines
+	changed := now
+	assert.Assert(t, q.isUsable(true, now))
+	now = now.Add(time.Minute)
+	assert.Assert(t, q.isDue(7, changed, now))
+	assert.Assert(t, !q.isUsable(false, now))
+	now = now.Add(time.Minute)
+	assert.Assert(t, q.isUsable(true, now))
+	assert.Assert(t, !q.isDue(7, changed, now))
+	now = now.Add(quarantineInterval)
+	assert.Assert(t, q.isUsable(true, now))
+	assert.Assert(t, q.isDue(7, changed, now), "this VM is the first")
+}
+
 // Guards against a burst of crashes that fills the store or floods it with calls.
 func TestStoredQuarantinesAreBounded(t *testing.T) {
 	now := quarantineStart
