Send news of crashes to each VM twice instead of for four seconds

Cause: each message between VMs carried every record that had changed within four seconds, and a response to a request with an old record counted as a change.

Change: changes that are news are numbered, and each VM remembers for each other one up to which number it has sent them. A message that fails is repeated; what is still missed is found by the digest, as before. News beyond 64 records waits for the next message and is not left out.

--- a/pkg/gateway/crash_sharing.go
+++ b/pkg/gateway/crash_sharing.go
@@ -41,9 +41,12 @@
 
 // digestState is what is known of the digest of one VM.
 type digestState struct {
-	lastReply                      uint64 // digest in its last reply, if replied is true
-	replied                        bool
-	wantsHistory                   bool      // as of the last reply
+	lastReply    uint64 // digest in its last reply, if replied is true
+	replied      bool
+	wantsHistory bool // as of the last reply
+	// sent and sentBefore are the numbers up to which the news were in the last message
+	// to the VM, and in the last but one. News is sent twice, because a message may be lost.
+	sent, sentBefore               uint64
 	seenAt, differsSince, sharedAt time.Time // zero if never, or not now
 }
 
@@ -125,11 +128,30 @@
 	case missed:
 		state.notices = crashNotices(table.Suspects(now), now)
 	default:
-		state.notices = crashNotices(table.Recent(now), now)
+		state.notices = p.newsFor(vm, now)
 	}
 	return state
 }
 
+// newsFor returns the news for a message to a VM.
+func (p *peers) newsFor(vm string, now time.Time) []protocol.CrashNotice {
+	s := &p.crashSharing
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.state(vm, now)
+	news, upTo := p.gateway.crashes.Recent(now, state.sentBefore)
+	state.sent, state.sentBefore = max(upTo, state.sent), state.sent
+	return crashNotices(news, now)
+}
+
+// repeatNews lets the next message to a VM repeat the news, after a call that failed.
+func (s *crashSharing) repeatNews(vm string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.state(vm, now)
+	state.sent, state.sentBefore = 0, 0
+}
+
 // crashesForCall returns the crash records for a call to a VM.
 func (p *peers) crashesForCall(vm string) crashState {
 	digest, wantsHistory := p.crashSharing.lastReply(vm, p.gateway.crashes.Digest())
--- a/pkg/gateway/crash_sharing_test.go
+++ b/pkg/gateway/crash_sharing_test.go
@@ -112,3 +112,24 @@
 	assert.Assert(t, called.crashes.Quarantined(f), "the VM that started is called")
 	assert.Equal(t, len(old.peers.crashesForCall("called").notices), 0, "the history is sent once")
 }
+
+// Guards against crash records that are sent to the same VM in each message for seconds,
+// and against news that is lost with one message.
+func TestNewsIsSentToEachVMTwice(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGateway(&now)
+	g.crashes.RecordCrash(7, crash.Crash{Target: targets.Key{ID: "a"}, Sent: now.Add(-time.Millisecond), At: now})
+	messages := func(vm string) (withNews int) {
+		for range 10 {
+			now = now.Add(exchangeInterval)
+			withNews += len(g.peers.crashesForCall(vm).notices)
+		}
+		return withNews
+	}
+	assert.Equal(t, messages("vm-2"), 2)
+	now = now.Add(-10 * exchangeInterval)
+	assert.Equal(t, messages("vm-3"), 2)
+	now = now.Add(-10 * exchangeInterval)
+	g.peers.crashSharing.repeatNews("vm-2", now)
+	assert.Equal(t, messages("vm-2"), 2, "after a call that failed")
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -197,6 +197,7 @@
 	began := p.gateway.cfg.Now()
 	if err := p.client.Call(ctx, vm.PeerAddress, "Gateway.Loads", &req, &reply); err != nil {
 		p.gateway.metrics.peerErrors.Inc()
+		p.crashSharing.repeatNews(vm.ID, p.gateway.cfg.Now())
 		return false
 	}
 	p.gateway.picker.RecordRoundTrip(vm.Region, vm.Zone, p.gateway.cfg.Now().Sub(began))
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -4,6 +4,7 @@
 package crash
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -69,8 +70,9 @@
 	mu          sync.Mutex
 	records     map[Fingerprint]Record
 	changedAt   time.Time // of the record that changed last
+	newsCount   uint64    // changes of records that are news
 	expiryAt    time.Time // of the last removal of old records
-	news        []Record  // selected at newsAt
+	news        []Record  // selected at newsAt, by number
 	newsAt      time.Time
 	digest      uint64 // of the records, if digestKnown is true
 	digestKnown bool
@@ -142,6 +144,11 @@
 	if wasSuspect != isSuspect || isSuspect && before.Trials != r.Trials {
 		t.digestKnown = false
 	}
+	r.number = before.number
+	if r.isNews(before) {
+		t.newsCount++
+		r.number = t.newsCount
+	}
 	t.records[r.Fingerprint] = r
 	t.changedAt = latest(t.changedAt, r.Changed())
 	for _, c := range r.Crashes {
@@ -251,25 +258,31 @@
 	return !trial
 }
 
-// Recent returns the news to be reported to other VMs.
-func (t *Table) Recent(now time.Time) []Record {
+// Recent returns the news to be reported to another VM that has been sent the news up to
+// a number, the oldest first, and the number up to which it has been sent them then.
+func (t *Table) Recent(now time.Time, sent uint64) ([]Record, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.expiryAt) >= expiryInterval {
 		t.removeExpired(now)
 	}
 	if now.Sub(t.changedAt) >= recentTime {
-		return nil
+		return nil, t.newsCount
+	}
+	if !t.newsAt.After(now.Add(-newsInterval)) || t.newsAt.After(now) {
+		t.news, t.newsAt = t.selectNews(now), now
 	}
-	if t.newsAt.After(now.Add(-newsInterval)) && !t.newsAt.After(now) {
-		return t.news
+	first, _ := slices.BinarySearchFunc(t.news, sent+1, func(r Record, number uint64) int { return cmp.Compare(r.number, number) })
+	news := t.news[first:]
+	if len(news) == 0 {
+		return nil, sent
 	}
-	t.news, t.newsAt = t.selectNews(now), now
-	return t.news
+	news = news[:min(maxRecent, len(news))]
+	return news, news[len(news)-1].number
 }
 
-// selectNews returns the records that have changed recently, those with the most events
-// first. The caller holds the lock.
+// selectNews returns the records that have changed recently, by number. The caller holds
+// the lock.
 func (t *Table) selectNews(now time.Time) []Record {
 	var recent []Record
 	for _, r := range t.records {
@@ -277,10 +290,8 @@
 			recent = append(recent, r)
 		}
 	}
-	if len(recent) <= maxRecent {
-		return recent
-	}
-	return mostEventsFirst(recent)[:maxRecent]
+	slices.SortFunc(recent, func(a, b Record) int { return cmp.Compare(a.number, b.number) })
+	return recent
 }
 
 // Suspects returns the records for a VM whose digest differs: those with enough events for
--- a/pkg/steering/crash/crash_test.go
+++ b/pkg/steering/crash/crash_test.go
@@ -36,7 +36,8 @@
 }
 
 func share(from, to *Table, now time.Time) {
-	for _, r := range from.Recent(now) {
+	news, _ := from.Recent(now, 0)
+	for _, r := range news {
 		to.Merge(r, now)
 	}
 }
@@ -53,7 +54,7 @@
 	assert.Assert(t, !first.Quarantined(f) && !second.Quarantined(f))
 	share(second, first, start.Add(2*apart))
 	assert.Assert(t, first.Quarantined(f))
-	first.Recent(start.Add(2 * recordTTL))
+	first.Recent(start.Add(2*recordTTL), 0)
 	assert.Assert(t, !first.Quarantined(f), "a request that does not come again is forgotten")
 }
 
@@ -213,7 +214,8 @@
 		table.RecordCrash(Fingerprint(n), crashAt("a", start))
 		assert.Assert(t, len(table.records) <= maxRecords)
 	}
-	assert.Equal(t, len(table.Recent(start)), maxRecent)
+	news, _ := table.Recent(start, 0)
+	assert.Equal(t, len(news), maxRecent)
 	assert.Equal(t, len(table.Suspects(start)), 0, "one event each")
 	table.RecordCrash(Fingerprint(1<<40), crashAt("a", start.Add(2*recordTTL)))
 	assert.Equal(t, len(table.records), 1)
@@ -241,7 +243,7 @@
 	table, f := NewTable(), NewFingerprint("", "h", "POST", "/x", nil)
 	for n := range maxCrashEvents {
 		at := start.Add(time.Duration(n) * 2 * time.Minute)
-		table.Recent(at)
+		table.Recent(at, 0)
 		table.RecordCrash(f, crashAt(fmt.Sprint(n), at))
 	}
 	assert.Assert(t, table.Quarantined(f))
@@ -255,7 +257,8 @@
 	now := start.Add(10 * recentTime)
 	assert.Assert(t, !old.Blocked(f, now, firstVM), "a trial is due")
 	now = now.Add(2 * recentTime)
-	assert.Equal(t, len(old.Recent(now)), 0)
+	news, _ := old.Recent(now, 0)
+	assert.Equal(t, len(news), 0)
 	assert.Assert(t, old.Digest() != started.Digest())
 	for _, r := range old.Suspects(now) {
 		started.Merge(r, now)
@@ -282,6 +285,57 @@
 	for _, r := range first.Suspects(now) {
 		second.Merge(r, now)
 	}
-	second.Recent(now.Add(recordTTL / 2))
+	second.Recent(now.Add(recordTTL/2), 0)
 	assert.Assert(t, second.Quarantined(f))
 }
+
+// Guards against records that are sent in each message for seconds, which took a third of
+// the bytes between zones on a day with many cut responses, and against news that is left
+// out because there is too much for one message.
+func TestNewsIsTakenOnce(t *testing.T) {
+	const records = 2*maxRecent + 10
+	table, now := NewTable(), start
+	f := NewFingerprint("", "h", "POST", "/x", nil)
+	next := func(sent uint64) ([]Record, uint64) {
+		now = now.Add(newsInterval)
+		return table.Recent(now, sent)
+	}
+	for n := range records {
+		table.RecordCrash(Fingerprint(n+1), crashAt("a", now))
+	}
+	told := map[Fingerprint]bool{}
+	news, sent := next(0)
+	for ; len(news) > 0; news, sent = next(sent) {
+		for _, r := range news {
+			assert.Assert(t, !told[r.Fingerprint], "%d is told again", r.Fingerprint)
+			told[r.Fingerprint] = true
+		}
+	}
+	assert.Equal(t, len(told), records)
+
+	count := func(what string, want int) {
+		t.Helper()
+		news, sent = next(sent)
+		assert.Equal(t, len(news), want, what)
+	}
+	for _, target := range []string{"a", "b", "c"} {
+		table.RecordCrash(f, crashAt(target, now))
+		now = now.Add(apart)
+	}
+	count("crashes", 1)
+	r := table.records[f]
+	r.LastCrash = r.LastCrash.Add(minNewsDelay / 2)
+	table.Merge(r, now)
+	count("the same from another VM", 0)
+	table.Blocked(f, now, firstVM)
+	count("a refused arrival", 0)
+	now = now.Add(firstTrialDelay + minNewsDelay)
+	table.Blocked(f, now, firstVM)
+	count("a trial", 1)
+	table.RecordResponse(f, now)
+	count("a response", 1)
+	table.RecordResponse(f, now)
+	count("a further response", 0)
+	table.RecordCrash(f, crashAt("d", now))
+	count("a crash after it", 1)
+}
--- a/pkg/steering/crash/record.go
+++ b/pkg/steering/crash/record.go
@@ -26,6 +26,7 @@
 	// LastSeen is when the request last came while it was quarantined.
 	LastSeen time.Time
 
+	number      uint64    // of the last change that is news, counted by this VM
 	disprovedAt time.Time // when this VM learned that a crash is disproved
 	freed       bool      // it had enough events for a quarantine before a response
 }
@@ -123,6 +124,18 @@
 	return latest(r.LastCrash, r.LastTrial).Add(delay)
 }
 
+// minNewsDelay is the time by which a crash must be later than the last one if it is news.
+// Each message between VMs makes the last crash appear later by its delay.
+const minNewsDelay = time.Second
+
+// isNews reports whether other VMs should learn of a change of a record. Further responses
+// to a request without crashes are none: there may be many.
+func (r Record) isNews(before Record) bool {
+	return len(r.Crashes) != len(before.Crashes) || r.disprovedCount() != before.disprovedCount() ||
+		r.Trials != before.Trials || r.Answered.IsZero() != before.Answered.IsZero() ||
+		r.LastCrash.Sub(before.LastCrash) > minNewsDelay
+}
+
 // Changed returns when the record last changed.
 func (r Record) Changed() time.Time {
 	return latest(latest(r.LastCrash, r.LastTrial), latest(r.Answered, r.disprovedAt))
