Do not send news of crashes to VMs that know it

Cause: a VM that learned of a crash told all others, also those from which it had learned it, and repeated what had been received.

Change: a VM remembers which news the other one has sent itself, and a reply confirms what was in the call. News without a confirmation is sent twice.

Result: TestNewsIsNotSentAgain; crash and gateway pass with -race.

--- a/pkg/gateway/crash_sharing.go
+++ b/pkg/gateway/crash_sharing.go
@@ -45,8 +45,12 @@
 	replied      bool
 	wantsHistory bool // as of the last reply
 	// sent and sentBefore are the numbers up to which the news were in the last message
-	// to the VM, and in the last but one. News is sent twice, because a message may be lost.
-	sent, sentBefore               uint64
+	// to the VM, and in the last but one, or in one that it has replied to. News is sent
+	// twice otherwise, because a message may be lost.
+	sent, sentBefore uint64
+	// known holds the number of the news about a request that the VM has sent itself.
+	known map[crash.Fingerprint]uint64
+
 	seenAt, differsSince, sharedAt time.Time // zero if never, or not now
 }
 
@@ -113,6 +117,7 @@
 	notices []protocol.CrashNotice
 	digest  uint64
 	history protocol.CrashHistory
+	sent    uint64 // number up to which the news are in the message
 }
 
 // crashesFor returns the crash records for a message to a VM that has sent a digest: the
@@ -128,20 +133,46 @@
 	case missed:
 		state.notices = crashNotices(table.Suspects(now), now)
 	default:
-		state.notices = p.newsFor(vm, now)
+		state.notices, state.sent = p.newsFor(vm, now)
 	}
 	return state
 }
 
-// newsFor returns the news for a message to a VM.
-func (p *peers) newsFor(vm string, now time.Time) []protocol.CrashNotice {
+// newsFor returns the news for a message to a VM, and the number up to which it is.
+func (p *peers) newsFor(vm string, now time.Time) ([]protocol.CrashNotice, uint64) {
 	s := &p.crashSharing
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.state(vm, now)
 	news, upTo := p.gateway.crashes.Recent(now, state.sentBefore)
-	state.sent, state.sentBefore = max(upTo, state.sent), state.sent
-	return crashNotices(news, now)
+	state.sent, state.sentBefore = max(upTo, state.sent), max(state.sent, state.sentBefore)
+	var unknown []crash.Record
+	for _, r := range news {
+		if state.known[r.Fingerprint] != r.Number {
+			unknown = append(unknown, r)
+		}
+	}
+	maps.DeleteFunc(state.known, func(_ crash.Fingerprint, number uint64) bool { return number <= state.sentBefore })
+	return crashNotices(unknown, now), upTo
+}
+
+// confirmNews records that a VM has received the news up to a number.
+func (s *crashSharing) confirmNews(vm string, upTo uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.state(vm, now)
+	state.sentBefore = max(state.sentBefore, upTo)
+}
+
+// recordKnown records that a VM knows the news about a request.
+func (s *crashSharing) recordKnown(vm string, f crash.Fingerprint, number uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.state(vm, now)
+	if state.known == nil {
+		state.known = map[crash.Fingerprint]uint64{}
+	}
+	state.known[f] = number
 }
 
 // repeatNews lets the next message to a VM repeat the news, after a call that failed.
@@ -167,12 +198,15 @@
 }
 
 // mergeCrashes takes over the crash records in a message of another VM.
-func (p *peers) mergeCrashes(notices []protocol.CrashNotice, history protocol.CrashHistory) {
+func (p *peers) mergeCrashes(from string, notices []protocol.CrashNotice, history protocol.CrashHistory) {
 	now := p.gateway.cfg.Now()
 	if history.HasHistory {
 		p.crashSharing.received.Store(true)
 	}
 	for _, n := range notices {
-		p.gateway.crashes.Merge(crashRecord(n, now), now)
+		r := crashRecord(n, now)
+		if number := p.gateway.crashes.Merge(r, now); number > 0 {
+			p.crashSharing.recordKnown(from, r.Fingerprint, number, now)
+		}
 	}
 }
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -203,7 +203,8 @@
 	p.gateway.picker.RecordRoundTrip(vm.Region, vm.Zone, p.gateway.cfg.Now().Sub(began))
 	p.recordAcceptsPacked(reply.From, reply.AcceptsPacked)
 	p.applyPeerState(reply.From, reply.Region, brief, p.receivedLoads(reply.Loads, reply.Packed), reply.Uses)
-	p.mergeCrashes(reply.Crashes, reply.CrashHistory)
+	p.mergeCrashes(reply.From, reply.Crashes, reply.CrashHistory)
+	p.crashSharing.confirmNews(vm.ID, crashes.sent, p.gateway.cfg.Now())
 	p.crashSharing.recordReply(reply.From, reply.CrashDigest, reply.WantsHistory, p.gateway.cfg.Now())
 	p.mergeRefusals(reply.Refusals)
 	p.mergeLimits(reply.Limits)
@@ -262,7 +263,7 @@
 	if req.RoundTripUs > 0 {
 		p.gateway.picker.RecordRoundTrip(req.Region, req.Zone, time.Duration(req.RoundTripUs)*time.Microsecond)
 	}
-	p.mergeCrashes(req.Crashes, req.CrashHistory)
+	p.mergeCrashes(req.From, req.Crashes, req.CrashHistory)
 	p.mergeRefusals(req.Refusals)
 	p.mergeLimits(req.Limits)
 	p.takeHints(req.Newest, req.NewestEra, req.Era)
--- a/pkg/steering/crash/crash.go
+++ b/pkg/steering/crash/crash.go
@@ -100,8 +100,9 @@
 	}
 }
 
-// Merge adds a record of another VM.
-func (t *Table) Merge(r Record, now time.Time) {
+// Merge adds a record of another VM. It returns the number of the news about it (Recent) if
+// that VM knows the same, and 0 otherwise.
+func (t *Table) Merge(r Record, now time.Time) (known uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.expiryAt) >= expiryInterval {
@@ -116,6 +117,10 @@
 		merged.disprovedAt = now
 	}
 	t.set(merged)
+	if merged.isNews(r) {
+		return 0
+	}
+	return t.records[r.Fingerprint].Number
 }
 
 // RecordAlive records that a target has responded to a request that was sent at a time,
@@ -144,10 +149,10 @@
 	if wasSuspect != isSuspect || isSuspect && before.Trials != r.Trials {
 		t.digestKnown = false
 	}
-	r.number = before.number
+	r.Number = before.Number
 	if r.isNews(before) {
 		t.newsCount++
-		r.number = t.newsCount
+		r.Number = t.newsCount
 	}
 	t.records[r.Fingerprint] = r
 	t.changedAt = latest(t.changedAt, r.Changed())
@@ -272,13 +277,13 @@
 	if !t.newsAt.After(now.Add(-newsInterval)) || t.newsAt.After(now) {
 		t.news, t.newsAt = t.selectNews(now), now
 	}
-	first, _ := slices.BinarySearchFunc(t.news, sent+1, func(r Record, number uint64) int { return cmp.Compare(r.number, number) })
+	first, _ := slices.BinarySearchFunc(t.news, sent+1, func(r Record, number uint64) int { return cmp.Compare(r.Number, number) })
 	news := t.news[first:]
 	if len(news) == 0 {
 		return nil, sent
 	}
 	news = news[:min(maxRecent, len(news))]
-	return news, news[len(news)-1].number
+	return news, news[len(news)-1].Number
 }
 
 // selectNews returns the records that have changed recently, by number. The caller holds
@@ -290,7 +295,7 @@
 			recent = append(recent, r)
 		}
 	}
-	slices.SortFunc(recent, func(a, b Record) int { return cmp.Compare(a.number, b.number) })
+	slices.SortFunc(recent, func(a, b Record) int { return cmp.Compare(a.Number, b.Number) })
 	return recent
 }
 
--- a/pkg/steering/crash/record.go
+++ b/pkg/steering/crash/record.go
@@ -26,7 +26,9 @@
 	// LastSeen is when the request last came while it was quarantined.
 	LastSeen time.Time
 
-	number      uint64    // of the last change that is news, counted by this VM
+	// Number is that of the last change that is news, counted by this VM.
+	Number uint64
+
 	disprovedAt time.Time // when this VM learned that a crash is disproved
 	freed       bool      // it had enough events for a quarantine before a response
 }
