--- a/pkg/gateway/quarantines.go
+++ b/pkg/gateway/quarantines.go
@@ -79,16 +79,16 @@
 	for wait.For(ctx, quarantineInterval) {
 		confirmed := q.gateway.vmFeed.View().ConfirmedAt
 		age := q.gateway.suspendAwareNow().Sub(confirmed)
-		if q.isUsable(!confirmed.IsZero() && age < maxQuarantineCopyAge, q.gateway.cfg.Now()) {
+		if q.recordConfirmed(!confirmed.IsZero() && age < maxQuarantineCopyAge, q.gateway.cfg.Now()) {
 			q.update(ctx)
 		}
 	}
 }
 
-// isUsable records whether the copy of the store is confirmed, and returns that. The turns
-// of the VMs begin anew after an outage of the store, so that they do not all write at once
-// when it is back.
-func (q *quarantines) isUsable(confirmed bool, now time.Time) bool {
+// recordConfirmed records whether the copy of the store is confirmed, and returns that. The
+// turns of the VMs begin anew after an outage of the store, so that they do not all write
+// at once when it is back.
+func (q *quarantines) recordConfirmed(confirmed bool, now time.Time) bool {
 	switch {
 	case !confirmed:
 		q.usableSince = time.Time{}
@@ -181,10 +181,12 @@
 	return err
 }
 
+// isExpired reports whether a stored quarantine no longer counts.
 func isExpired(s feed.Quarantine, now time.Time) bool {
 	return now.Sub(lastActivity(s)) >= storedQuarantineTTL
 }
 
+// lastActivity returns when the last crash or trial of a stored quarantine was.
 func lastActivity(s feed.Quarantine) time.Time {
 	return time.UnixMicro(max(s.LastCrashUs, s.LastTrialUs))
 }
--- a/pkg/gateway/quarantines_test.go
+++ b/pkg/gateway/quarantines_test.go
@@ -158,15 +158,15 @@
 	g, _ := newQuarantineVM(t, &quarantineEntries{}, &now)
 	q := g.quarantines
 	changed := now
-	assert.Assert(t, q.isUsable(true, now))
+	assert.Assert(t, q.recordConfirmed(true, now))
 	now = now.Add(time.Minute)
 	assert.Assert(t, q.isDue(7, changed, now))
-	assert.Assert(t, !q.isUsable(false, now))
+	assert.Assert(t, !q.recordConfirmed(false, now))
 	now = now.Add(time.Minute)
-	assert.Assert(t, q.isUsable(true, now))
+	assert.Assert(t, q.recordConfirmed(true, now))
 	assert.Assert(t, !q.isDue(7, changed, now))
 	now = now.Add(quarantineInterval)
-	assert.Assert(t, q.isUsable(true, now))
+	assert.Assert(t, q.recordConfirmed(true, now))
 	assert.Assert(t, q.isDue(7, changed, now), "this VM is the first")
 }
 
