--- a/pkg/entry/vm.go
+++ b/pkg/entry/vm.go
@@ -172,16 +172,17 @@
 
 func (v *VM) buildRouter() {
 	v.router = steering.New(steering.Config{
-		Self:            v.cfg.PeerAddress,
-		Reserver:        &reserver{self: v.cfg.PeerAddress, region: v.cfg.Region, localOwner: v.slotOwner, peers: v.peerClient},
-		Owners:          v.serviceOwners,
-		Sender:          &sender{client: v.targetClient, region: v.cfg.Region},
-		Rules:           v.serviceRules,
-		Regions:         v.serviceRegions,
-		CrashNotifier:   v,
-		OnTargetLeaving: v.handleTargetLeaving,
-		Logger:          v.log,
-		Metrics:         v.metrics,
+		Self:               v.cfg.PeerAddress,
+		Reserver:           &reserver{self: v.cfg.PeerAddress, region: v.cfg.Region, localOwner: v.slotOwner, peers: v.peerClient},
+		Owners:             v.serviceOwners,
+		Sender:             &sender{client: v.targetClient, region: v.cfg.Region},
+		Rules:              v.serviceRules,
+		Regions:            v.serviceRegions,
+		CrashNotifier:      v,
+		RefusesConnections: v.refusesConnections,
+		OnTargetLeaving:    v.handleTargetLeaving,
+		Logger:             v.log,
+		Metrics:            v.metrics,
 	})
 	v.callerServer = callerhttp.New(callerhttp.Config{
 		TLS:    v.cfg.CallerTLS,
--- a/pkg/steering/attempt.go
+++ b/pkg/steering/attempt.go
@@ -15,6 +15,10 @@
 // have been notified of a crash.
 const notifyTimeout = time.Second
 
+// refusalCheckTimeout bounds how long the end of a cut response waits for the answer
+// whether its target refuses connections. It exceeds a round trip within a region.
+const refusalCheckTimeout = 200 * time.Millisecond
+
 // attempt is one request to one target.
 type attempt struct {
 	group        *attemptGroup
@@ -261,6 +265,25 @@
 	r.cfg.CrashNotifier.NotifyCrash(ctx, n)
 }
 
+// reportCrashInResponse reports a crash if the connection of a response has ended and the
+// target accepts no other one. A faulty target or a network that cuts responses would
+// otherwise quarantine harmless requests.
+func (a *attempt) reportCrashInResponse(cause error) {
+	r, target := a.group.router, a.grant.reply.Target
+	var f *SendError
+	if r.cfg.RefusesConnections == nil || !errors.As(cause, &f) || !f.isCrash() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), refusalCheckTimeout)
+	defer cancel()
+	if !r.cfg.RefusesConnections(ctx, target) {
+		return
+	}
+	if !r.crashedTargets.crashedByOther(target.Name, a.group.call.fingerprint(), r.cfg.Now()) {
+		r.reportCrash(context.Background(), a)
+	}
+}
+
 // crashNoticeID returns a unique id. An owner never reuses a reservation id
 // within one process, and the time distinguishes its processes.
 func (r *Router) crashNoticeID(a *attempt) string {
--- a/pkg/steering/fakes_test.go
+++ b/pkg/steering/fakes_test.go
@@ -118,6 +118,7 @@
 	ignoreCancel bool          // responds even if it is cancelled
 	bodyDelay    time.Duration // time until the body ends
 	truncated    bool          // the body ends with an error
+	bodyFailure  *SendError    // the error, if it is of this type
 	status       int
 }
 
@@ -214,6 +215,9 @@
 		}
 	}
 	n, err := b.rest.Read(p)
+	if err == io.EOF && b.step.bodyFailure != nil {
+		return n, b.step.bodyFailure
+	}
 	if err == io.EOF && b.step.truncated {
 		return n, io.ErrUnexpectedEOF
 	}
--- a/pkg/steering/response_body.go
+++ b/pkg/steering/response_body.go
@@ -36,6 +36,7 @@
 		if !b.logged {
 			b.logged = true
 			b.attempt.logRejected(err)
+			b.attempt.reportCrashInResponse(err)
 		}
 		b.finish(protocol.ReleaseFailed)
 	}
--- a/pkg/steering/router.go
+++ b/pkg/steering/router.go
@@ -89,6 +89,10 @@
 	Regions func(service string) []string
 	// CrashNotifier notifies members of crashes; nil notifies nobody.
 	CrashNotifier CrashNotifier
+	// RefusesConnections reports whether a target refuses connections, as it does after
+	// its process has ended. It returns false if it cannot tell until ctx ends. nil means
+	// that it never can, so that no crash within a response is counted.
+	RefusesConnections func(ctx context.Context, target protocol.TargetRef) bool
 	// OnTargetLeaving is called when a response shows that a target drains. It
 	// must not block. May be nil.
 	OnTargetLeaving func(target string)
