--- a/review/bed-3/bed.go
+++ b/review/bed-3/bed.go
@@ -181,7 +181,7 @@
 	recordPath := flag.String("record", "record.txt", "file for the record")
 	flag.Parse()
 	cases := map[string]func(context.Context, *recorder, string) (int, error){
-		"first-era": firstEra, "old-key": oldKey, "left-again": leftAgain,
+		"first-era": firstEra, "old-key": oldKey, "left-again": leftAgain, "lost-quarantine": lostQuarantine,
 	}
 	play := cases[*name]
 	if play == nil {
--- a/review/bed-3/client.go
+++ b/review/bed-3/client.go
@@ -22,6 +22,7 @@
 // load sends requests at a rate to the VMs in turn.
 type load struct {
 	key      string // of a client account; empty means none
+	body     string // of all requests; empty means one of its own for each
 	mu       sync.Mutex
 	outcomes []outcome
 	wg       sync.WaitGroup
@@ -38,7 +39,11 @@
 	defer l.wg.Done()
 	o := outcome{id: fmt.Sprintf("%016x", rand.Uint64()), vm: v.name, sent: time.Now()}
 	client := &http.Client{Timeout: budget, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
-	request, err := http.NewRequest(method, "http://"+v.callerAddress()+path, strings.NewReader("x="+o.id))
+	body := l.body
+	if body == "" {
+		body = "x=" + o.id
+	}
+	request, err := http.NewRequest(method, "http://"+v.callerAddress()+path, strings.NewReader(body))
 	if err != nil {
 		return
 	}
--- a/review/bed-3/instance.go
+++ b/review/bed-3/instance.go
@@ -54,6 +54,7 @@
 	server                     *http.Server
 	running                    atomic.Int64
 	ended                      chan struct{}
+	onCrash                    func() // called when crashPath begins to run; nil if it runs as others
 }
 
 const slots = 16
@@ -100,6 +101,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if i.onCrash != nil && r.URL.Path == crashPath {
+		i.onCrash()
+		panic(http.ErrAbortHandler)
+	}
 	index := i.runs.add(run{id: id, instance: i.id, tenant: r.Header.Get("Hickoryroute-Tenant"), at: time.Now()})
 	select {
 	case <-time.After(i.work):
